--- /dev/null
+++ b/puffinknot-core/src/calls.rs
@@ -0,0 +1,505 @@
+/*!
+Slots for calls: one holder's executors and the calls that want them.
+
+An *immediate* call takes a free slot now or is refused at once. A *waiting*
+call may stand in a bounded queue, from which the caller with the fewest
+running calls goes next, and of its calls the one with the earliest deadline.
+Some slots are kept free of waiting calls, so that immediate calls find room
+behind a full overnight load. A call whose predicted wait exceeds its
+deadline is refused at the door.
+
+A slot is counted as used from the decision until the executor's answer
+arrives or the connection is known to be closed, also when the caller has
+been told long ago that its deadline passed.
+*/
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::config::{ClassKind, Policy};
+use crate::ids::{CallerId, Millis, TargetId};
+use crate::outcome::{Outcome, Reason};
+
+/// A call's number on this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// What the decision needs to know of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct CallSpec {
+    /// Whose it is.
+    pub caller: CallerId,
+    /// How it waits.
+    pub kind: ClassKind,
+    /// When its answer is worthless.
+    pub deadline: Millis,
+    /// The caller's share of the slots, in percent.
+    pub share_percent: u32,
+    /// The number of the caller's calls that may wait.
+    pub queue: usize,
+}
+
+/// The limits of one holder's slots.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PoolConfig {
+    /// The slots kept free of waiting calls, in percent.
+    pub reserve_percent: u32,
+    /// The number of calls that may wait.
+    pub queue: usize,
+}
+
+impl From<&Policy> for PoolConfig {
+    fn from(policy: &Policy) -> PoolConfig {
+        PoolConfig {
+            reserve_percent: policy.reserve_percent,
+            queue: policy.queue,
+        }
+    }
+}
+
+/// Whether an executor takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Condition {
+    /// It has not accepted the epoch yet, or is not answering.
+    Absent,
+    /// It takes work.
+    Ready,
+    /// It is leaving.
+    Leaving,
+}
+
+/// What the holder knows of an executor.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Executor {
+    condition: Condition,
+    slots: u32,
+    /// Slots used by calls of this tenure.
+    own: u32,
+    /// Slots used by calls of earlier tenures, as the executor said.
+    older: u32,
+}
+
+impl Executor {
+    fn free(&self) -> u32 {
+        match self.condition {
+            Condition::Ready => {
+                self.slots.saturating_sub(self.own + self.older)
+            }
+            _ => 0,
+        }
+    }
+}
+
+/// What becomes of a call that is offered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It runs at this executor.
+    Start(TargetId),
+    /// It waits.
+    Queued,
+    /// It is turned away.
+    Refused(Outcome),
+}
+
+/// A call that left the queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Dequeued {
+    /// It runs at this executor.
+    Start(CallId, TargetId),
+    /// Its deadline can't be met any more.
+    Expired(CallId),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Running {
+    executor: TargetId,
+    caller: CallerId,
+    kind: ClassKind,
+    since: Millis,
+}
+
+/// How many calls of one caller run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Held {
+    immediate: u32,
+    waiting: u32,
+}
+
+/// The executors of one contract and their calls.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Pool {
+    config: PoolConfig,
+    executors: BTreeMap<TargetId, Executor>,
+    running: BTreeMap<CallId, Running>,
+    held: BTreeMap<CallerId, Held>,
+    waiting: BTreeMap<CallerId, BTreeSet<(Millis, CallId)>>,
+    /// Calls in `waiting`, by number.
+    queued: BTreeMap<CallId, (CallerId, Millis)>,
+    /// A running mean of how long calls take, in 1/16 milliseconds.
+    mean: u64,
+}
+
+/// The weight of the newest value in the running mean is one in this many.
+const MEAN_WEIGHT: u64 = 16;
+/// The shortest and longest advice on when to come back, in milliseconds.
+const RETRY_RANGE: (Millis, Millis) = (20, 60_000);
+
+impl Pool {
+    /// A pool without executors.
+    pub fn new(config: PoolConfig) -> Pool {
+        Pool {
+            config,
+            executors: BTreeMap::new(),
+            running: BTreeMap::new(),
+            held: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            queued: BTreeMap::new(),
+            mean: 0,
+        }
+    }
+
+    /// A new configuration is in force.
+    pub fn configure(&mut self, config: PoolConfig) {
+        self.config = config;
+    }
+
+    /// The executor accepted the epoch or answered a status request.
+    /// `older` of its slots are used by calls of earlier tenures.
+    pub fn report(
+        &mut self,
+        id: &TargetId,
+        condition: Condition,
+        slots: u32,
+        older: u32,
+    ) {
+        let own = self.executors.get(id).map_or(0, |e| e.own);
+        let executor = Executor { condition, slots, own, older };
+        self.executors.insert(id.clone(), executor);
+    }
+
+    /// Whether the executor takes work has changed.
+    pub fn set_condition(&mut self, id: &TargetId, condition: Condition) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.condition = condition;
+        }
+    }
+
+    /// Whether an executor takes work.
+    pub fn condition(&self, id: &TargetId) -> Condition {
+        self.executors.get(id).map_or(Condition::Absent, |e| e.condition)
+    }
+
+    /// Whether the executor still runs calls of earlier tenures.
+    pub fn has_older(&self, id: &TargetId) -> bool {
+        self.executors.get(id).is_some_and(|e| e.older > 0)
+    }
+
+    /// The executor is gone for good.
+    pub fn remove(&mut self, id: &TargetId) {
+        self.executors.remove(id);
+    }
+
+    /// The slots of all executors that take work.
+    pub fn slots(&self) -> u32 {
+        let ready = |e: &&Executor| e.condition == Condition::Ready;
+        self.executors.values().filter(ready).map(|e| e.slots).sum()
+    }
+
+    /// The free slots of all executors that take work.
+    pub fn free(&self) -> u32 {
+        self.executors.values().map(Executor::free).sum()
+    }
+
+    /// The number of calls that run, late ones included.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// The number of calls that wait.
+    pub fn queue_len(&self) -> usize {
+        self.queued.len()
+    }
+
+    /// How long calls take on average, in milliseconds; zero if unknown.
+    pub fn mean_ms(&self) -> Millis {
+        self.mean / MEAN_WEIGHT
+    }
+
+    /// Each executor with its slots, its slots used, and whether it takes
+    /// work.
+    pub fn usage(
+        &self,
+    ) -> impl Iterator<Item = (&TargetId, u32, u32, Condition)> {
+        self.executors
+            .iter()
+            .map(|(id, e)| (id, e.slots, e.own + e.older, e.condition))
+    }
+
+    /// Decides about a call.
+    pub fn offer(
+        &mut self,
+        now: Millis,
+        id: CallId,
+        spec: &CallSpec,
+    ) -> Offer {
+        if spec.deadline <= now {
+            let retry = self.retry_after(0);
+            return Offer::Refused(Outcome::not_run(Reason::Expired, retry));
+        }
+        match spec.kind {
+            ClassKind::Immediate => self.offer_immediate(now, id, spec),
+            ClassKind::Waiting => self.offer_waiting(now, id, spec),
+        }
+    }
+
+    fn offer_immediate(
+        &mut self,
+        now: Millis,
+        id: CallId,
+        spec: &CallSpec,
+    ) -> Offer {
+        let free = self.free();
+        if free == 0 {
+            let retry = self.retry_after(0);
+            return Offer::Refused(Outcome::not_run(Reason::NoSlot, retry));
+        }
+        let held = self.held.get(&spec.caller).map_or(0, |h| h.immediate);
+        if held >= self.immediate_cap(free, spec.share_percent) {
+            let retry = self.retry_after(0);
+            let outcome = Outcome::not_run(Reason::CallerLimit, retry);
+            return Offer::Refused(outcome);
+        }
+        match self.start(now, id, &spec.caller, spec.kind) {
+            Some(executor) => Offer::Start(executor),
+            None => Offer::Refused(Outcome::not_run(Reason::NoSlot, 1_000)),
+        }
+    }
+
+    /// The number of immediate calls that one caller may run now. Where
+    /// only the reserve is left, each caller has its share of that alone,
+    /// so that a flood of one caller leaves room for the others.
+    fn immediate_cap(&self, free: u32, share_percent: u32) -> u32 {
+        let slots = self.slots();
+        let reserve = self.reserve(slots);
+        let base = if free <= reserve { reserve } else { slots };
+        percent(base, share_percent).max(1)
+    }
+
+    fn offer_waiting(
+        &mut self,
+        now: Millis,
+        id: CallId,
+        spec: &CallSpec,
+    ) -> Offer {
+        if self.queued.is_empty() && self.room_for_waiting() {
+            if let Some(executor) =
+                self.start(now, id, &spec.caller, spec.kind)
+            {
+                return Offer::Start(executor);
+            }
+        }
+        match self.refuse_at_door(now, spec) {
+            Some(outcome) => Offer::Refused(outcome),
+            None => {
+                self.enqueue(id, spec);
+                Offer::Queued
+            }
+        }
+    }
+
+    fn refuse_at_door(&self, now: Millis, spec: &CallSpec) -> Option<Outcome> {
+        let ahead = self.waiting.get(&spec.caller).map_or(0, BTreeSet::len);
+        let wait = self.predicted_wait(&spec.caller);
+        if self.queued.len() >= self.config.queue || ahead >= spec.queue {
+            let retry = self.retry_after(wait / 2);
+            return Some(Outcome::not_run(Reason::QueueFull, retry));
+        }
+        let slack = spec.deadline - now;
+        if wait + self.mean_ms() > slack {
+            let retry = self.retry_after(wait + self.mean_ms() - slack);
+            return Some(Outcome::not_run(Reason::WaitTooLong, retry));
+        }
+        None
+    }
+
+    /// How long the caller's next call would wait: its turn comes after its
+    /// own calls ahead of it, and every other caller goes once in between.
+    pub fn predicted_wait(&self, caller: &CallerId) -> Millis {
+        let slots = self.slots();
+        let usable = u64::from(slots.saturating_sub(self.reserve(slots)));
+        let ahead = self.waiting.get(caller).map_or(0, BTreeSet::len) as u64;
+        let known = self.waiting.contains_key(caller);
+        let callers = self.waiting.len() as u64 + u64::from(!known);
+        let turns = (ahead + 1) * callers.max(1);
+        let all = self.queued.len() as u64 + 1;
+        turns.min(all) * self.mean_ms() / usable.max(1)
+    }
+
+    fn enqueue(&mut self, id: CallId, spec: &CallSpec) {
+        let queue = self.waiting.entry(spec.caller.clone()).or_default();
+        queue.insert((spec.deadline, id));
+        self.queued.insert(id, (spec.caller.clone(), spec.deadline));
+    }
+
+    /// Takes a call out of the queue. Returns whether it was there.
+    pub fn withdraw(&mut self, id: CallId) -> bool {
+        let Some((caller, deadline)) = self.queued.remove(&id) else {
+            return false;
+        };
+        if let Some(queue) = self.waiting.get_mut(&caller) {
+            queue.remove(&(deadline, id));
+            if queue.is_empty() {
+                self.waiting.remove(&caller);
+            }
+        }
+        true
+    }
+
+    /// Every call in the queue, which is then empty.
+    pub fn withdraw_all(&mut self) -> Vec<CallId> {
+        let ids: Vec<CallId> = self.queued.keys().copied().collect();
+        self.queued.clear();
+        self.waiting.clear();
+        ids
+    }
+
+    /// A call has ended at its executor, or its connection is closed.
+    pub fn finish(&mut self, now: Millis, id: CallId) {
+        if let Some(running) = self.release(id) {
+            self.learn(now.saturating_sub(running.since));
+        }
+    }
+
+    /// A call did not reach its executor after all.
+    pub fn undo(&mut self, id: CallId) {
+        self.release(id);
+    }
+
+    /// The connection to a call's executor was lost. The executor may go on
+    /// with the call, so the slot counts as used until the executor says
+    /// what it runs.
+    pub fn lose(&mut self, id: CallId) {
+        let Some(running) = self.release(id) else { return };
+        if let Some(executor) = self.executors.get_mut(&running.executor) {
+            executor.older += 1;
+        }
+    }
+
+    /// The calls that run at an executor.
+    pub fn running_at<'a>(
+        &'a self,
+        id: &'a TargetId,
+    ) -> impl Iterator<Item = CallId> + 'a {
+        let here = move |(_, r): &(&CallId, &Running)| r.executor == *id;
+        self.running.iter().filter(here).map(|(id, _)| *id)
+    }
+
+    fn release(&mut self, id: CallId) -> Option<Running> {
+        let running = self.running.remove(&id)?;
+        if let Some(executor) = self.executors.get_mut(&running.executor) {
+            executor.own = executor.own.saturating_sub(1);
+        }
+        if let Some(held) = self.held.get_mut(&running.caller) {
+            match running.kind {
+                ClassKind::Immediate => held.immediate -= 1,
+                ClassKind::Waiting => held.waiting -= 1,
+            }
+            if held.immediate + held.waiting == 0 {
+                self.held.remove(&running.caller);
+            }
+        }
+        Some(running)
+    }
+
+    fn learn(&mut self, took: Millis) {
+        if self.mean == 0 {
+            self.mean = took * MEAN_WEIGHT;
+        } else {
+            self.mean = self.mean - self.mean / MEAN_WEIGHT + took;
+        }
+    }
+
+    /// Starts waiting calls while there is room, and takes those out whose
+    /// deadline can't be met any more.
+    pub fn pump(&mut self, now: Millis) -> Vec<Dequeued> {
+        let mut out = self.expire(now);
+        while self.room_for_waiting() {
+            let Some((caller, id)) = self.next_waiting() else { break };
+            self.withdraw(id);
+            let kind = ClassKind::Waiting;
+            match self.start(now, id, &caller, kind) {
+                Some(executor) => out.push(Dequeued::Start(id, executor)),
+                None => break,
+            }
+        }
+        out
+    }
+
+    fn expire(&mut self, now: Millis) -> Vec<Dequeued> {
+        let horizon = now + self.mean_ms();
+        let mut late = Vec::new();
+        for queue in self.waiting.values() {
+            let due = queue.iter().take_while(|(d, _)| *d <= horizon);
+            late.extend(due.map(|(_, id)| *id));
+        }
+        for id in &late {
+            self.withdraw(*id);
+        }
+        late.into_iter().map(Dequeued::Expired).collect()
+    }
+
+    fn next_waiting(&self) -> Option<(CallerId, CallId)> {
+        let next = |(caller, queue): (&CallerId, &BTreeSet<_>)| {
+            let (deadline, id) = *queue.first()?;
+            let held = self.held.get(caller).map_or(0, |h| h.waiting);
+            Some((held, deadline, id, caller.clone()))
+        };
+        let (_, _, id, caller) = self.waiting.iter().filter_map(next).min()?;
+        Some((caller, id))
+    }
+
+    fn room_for_waiting(&self) -> bool {
+        self.free() > self.reserve(self.slots())
+    }
+
+    fn reserve(&self, slots: u32) -> u32 {
+        percent(slots, self.config.reserve_percent)
+    }
+
+    /// Takes a slot at the executor with the most free ones.
+    fn start(
+        &mut self,
+        now: Millis,
+        id: CallId,
+        caller: &CallerId,
+        kind: ClassKind,
+    ) -> Option<TargetId> {
+        let (executor, state) = self
+            .executors
+            .iter_mut()
+            .filter(|(_, e)| e.free() > 0)
+            .max_by_key(|(_, e)| e.free())?;
+        state.own += 1;
+        let executor = executor.clone();
+        let held = self.held.entry(caller.clone()).or_default();
+        match kind {
+            ClassKind::Immediate => held.immediate += 1,
+            ClassKind::Waiting => held.waiting += 1,
+        }
+        let caller = caller.clone();
+        let running =
+            Running { executor: executor.clone(), caller, kind, since: now };
+        self.running.insert(id, running);
+        Some(executor)
+    }
+
+    fn retry_after(&self, wait: Millis) -> Millis {
+        let slots = u64::from(self.slots().max(1));
+        let next_free = self.mean_ms() / slots;
+        wait.max(next_free).clamp(RETRY_RANGE.0, RETRY_RANGE.1)
+    }
+}
+
+/// A part of a number of slots, rounded up.
+fn percent(slots: u32, percent: u32) -> u32 {
+    (slots * percent).div_ceil(100)
+}
--- /dev/null
+++ b/puffinknot-core/src/contract.rs
@@ -0,0 +1,202 @@
+/*!
+Contracts: which VM alone may fill which targets.
+
+A contract is an exclusive right over the targets of a scope. The contracts
+of one data centre are one value in the platform's key-value service, which
+is changed by compare-and-swap. While the platform answers, it decides who
+holds a contract. Safety does not rest on it: a target refuses every epoch
+lower than the highest it has seen, so a former holder that pauses and wakes
+is refused where it would do harm. This also lets a live VM claim a contract
+while the platform is down; the claim wins by its epoch at the targets, and
+is written to the platform when that returns.
+*/
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::hash::{Hash, Hasher};
+
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+
+use crate::ids::{Epoch, Revision, TargetId, VmId};
+
+/// What a contract is about.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(into = "String", try_from = "String")]
+pub enum Scope {
+    /// A part of the executors of the data centre.
+    Calls(u16),
+    /// All workers of the data centre.
+    Tasks,
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Scope::Calls(part) => write!(f, "calls-{part}"),
+            Scope::Tasks => f.write_str("tasks"),
+        }
+    }
+}
+
+impl From<Scope> for String {
+    fn from(scope: Scope) -> String {
+        scope.to_string()
+    }
+}
+
+impl TryFrom<String> for Scope {
+    type Error = String;
+
+    fn try_from(s: String) -> Result<Scope, String> {
+        if s == "tasks" {
+            return Ok(Scope::Tasks);
+        }
+        s.strip_prefix("calls-")
+            .and_then(|part| part.parse().ok())
+            .map(Scope::Calls)
+            .ok_or_else(|| {
+                format!("unknown scope {s:?}: use tasks or calls-N")
+            })
+    }
+}
+
+/// One contract.
+#[derive(
+    Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize,
+)]
+pub struct Contract {
+    /// The epoch, which also names the holder.
+    pub epoch: Epoch,
+    /// The epoch before this one.
+    pub previous: Epoch,
+    /// The earlier holder gave the contract up by itself, after it had
+    /// stopped and passed on what it knew.
+    pub handed_over: bool,
+    /// The revision of the configuration at the change of holder. Work that
+    /// is newer is unknown to every earlier holder.
+    pub since: Revision,
+    /// The targets that the holder may use. A target is used only once it
+    /// stands here, so that a successor knows every target in question.
+    pub targets: BTreeSet<TargetId>,
+}
+
+/// The contracts of one data centre.
+#[derive(
+    Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize,
+)]
+pub struct ContractMap {
+    /// The contracts by scope.
+    pub contracts: BTreeMap<Scope, Contract>,
+}
+
+impl ContractMap {
+    /// A map in which nobody holds anything yet.
+    pub fn new(call_scopes: u16) -> ContractMap {
+        let mut contracts = BTreeMap::new();
+        for part in 0..call_scopes {
+            contracts.insert(Scope::Calls(part), Contract::default());
+        }
+        contracts.insert(Scope::Tasks, Contract::default());
+        ContractMap { contracts }
+    }
+
+    /// The number of call scopes.
+    pub fn call_scopes(&self) -> u16 {
+        let calls = |scope: &&Scope| matches!(scope, Scope::Calls(_));
+        self.contracts.keys().filter(calls).count() as u16
+    }
+
+    /// The epoch of a scope, if anybody holds it.
+    pub fn epoch(&self, scope: Scope) -> Option<&Epoch> {
+        self.contracts
+            .get(&scope)
+            .map(|contract| &contract.epoch)
+            .filter(|epoch| epoch.number > 0)
+    }
+
+    /// The scope that a new executor is enrolled in.
+    pub fn scope_for_executor(&self, target: &TargetId) -> Scope {
+        let parts = u64::from(self.call_scopes().max(1));
+        Scope::Calls((hash(target) % parts) as u16)
+    }
+
+    /// The scope that is home to a key.
+    pub fn scope_for_key(&self, key: u128) -> Scope {
+        let parts = u64::from(self.call_scopes().max(1));
+        Scope::Calls((hash(&key) % parts) as u16)
+    }
+}
+
+impl Contract {
+    /// Takes the contract over for `vm`. The epoch becomes higher than
+    /// `known`, the highest that any target is known to have seen.
+    pub fn claim(&mut self, vm: &VmId, known: &Epoch, since: Revision) {
+        self.previous = self.epoch.clone();
+        let highest = known.max(&self.epoch);
+        self.epoch = highest.next(vm);
+        self.handed_over = false;
+        self.since = since;
+    }
+
+    /// Passes the contract on to `vm`. The present holder calls this after
+    /// it has stopped starting work.
+    pub fn hand_over(&mut self, vm: &VmId, since: Revision) {
+        self.previous = self.epoch.clone();
+        self.epoch = self.epoch.next(vm);
+        self.handed_over = true;
+        self.since = since;
+    }
+}
+
+/// The VM that should hold a scope, by rendezvous hashing: each VM has a
+/// weight of its own for each scope and the heaviest wins, so that a VM that
+/// comes or goes moves only its own scopes.
+pub fn rendezvous<'a>(
+    scope: Scope,
+    vms: impl Iterator<Item = &'a VmId>,
+) -> Option<&'a VmId> {
+    vms.max_by_key(|vm| (hash(&(scope, *vm)), *vm))
+}
+
+/// Spreads scopes evenly: each scope in turn goes to the VM that it weighs
+/// heaviest among those with the fewest scopes so far.
+pub fn assign<'a>(
+    scopes: impl Iterator<Item = &'a Scope>,
+    vms: &BTreeSet<VmId>,
+) -> BTreeMap<Scope, VmId> {
+    let mut load: BTreeMap<&VmId, usize> =
+        vms.iter().map(|vm| (vm, 0)).collect();
+    let mut assigned = BTreeMap::new();
+    for &scope in scopes {
+        let Some(&least) = load.values().min() else { break };
+        let free = load.iter().filter(|(_, n)| **n == least);
+        let Some(vm) = rendezvous(scope, free.map(|(vm, _)| *vm)).cloned()
+        else {
+            break;
+        };
+        if let Some(n) = load.get_mut(&vm) {
+            *n += 1;
+        }
+        assigned.insert(scope, vm);
+    }
+    assigned
+}
+
+/// A hash that is the same on every VM and in every version.
+pub fn hash<T: Hash>(value: &T) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(0, 0);
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/puffinknot-core/src/lib.rs
@@ -0,0 +1,47 @@
+/*!
+The decision core of puffinknot: everything the scheduler *decides*, and
+nothing that it *does*.
+
+The core has no I/O, clock, randomness or async. A caller hands it events
+with the time at which they happened and carries out the actions it gets
+back. The daemon, the stateful fuzzing and the model checking therefore all
+run the same code.
+
+A tour, from the ground up:
+
+* [`ids`] names VMs, data centres, targets, callers and tasks.
+* [`config`] reads and checks the operators' file.
+* [`contract`] says which VM alone may fill which targets, under an epoch
+  that only grows, and who should take a contract over.
+* [`tenure`] is what a new holder has to finish before it may trust what it
+  knows: presenting its epoch to every target of the contract.
+* [`keys`] remembers calls that must not be repeated.
+* [`calls`] hands executor slots to calls, and queues or refuses the rest.
+* [`tasks`] places tasks on workers under leases.
+* [`store`] names what is kept in the platform's key-value service.
+* [`node`] puts these together into the state of one entry VM.
+
+# Example
+
+Reading a file reports every error at once, each with its remedy:
+
+```
+use puffinknot_core::config::Config;
+
+let err = Config::parse("cell = 'litoral'\n[[class]]\nname = 'x'\n")
+    .unwrap_err();
+assert!(err.to_string().contains("data_centre"));
+```
+*/
+#![deny(missing_docs)]
+
+pub mod calls;
+pub mod config;
+pub mod contract;
+pub mod ids;
+pub mod keys;
+pub mod node;
+pub mod outcome;
+pub mod store;
+pub mod tasks;
+pub mod tenure;
--- /dev/null
+++ b/puffinknot-core/src/node/claims.rs
@@ -0,0 +1,597 @@
+//! Who holds which contract: claims, handovers and the targets of each.
+//!
+//! A VM changes the contracts of its data centre by one compare-and-swap at
+//! a time. It takes over what a member left behind whose lease has lapsed,
+//! passes on what another member should hold, and enrols the targets of its
+//! own contracts.
+//!
+//! While the platform does not answer, a VM may claim a contract whose
+//! holder it hasn't heard for a while *alone*. Such a claim is not
+//! confirmed: it does nothing before every target has accepted it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::contract::{assign, Contract, ContractMap, Scope};
+use crate::ids::{DcName, Epoch, Millis, Revision, TargetId, VmId};
+use crate::keys::KeyMemory;
+use crate::outcome::Reason;
+use crate::store::{Key, Value, Write, WriteResult};
+use crate::tasks::{Placer, PlacerConfig};
+use crate::tenure::Tenure;
+
+use super::homes::Home;
+use super::view::Versioned;
+use super::{Action, Node, Now, TargetKind};
+
+/// After its first read a VM waits this long for others of its data centre
+/// before it claims anything.
+const GATHERING: Millis = 1_000;
+/// Another VM than the one that should may take a contract over after this.
+const SECOND_CHANCE: Millis = 2_000;
+/// A successor must take note of a bequest within this time.
+const BEQUEST_TIMEOUT: Millis = 1_000;
+/// After a write that could not be made, the next one waits this long.
+const REST: Millis = 500;
+/// A write whose end is not known after this time is looked up.
+const WRITE_TIMEOUT: Millis = 5_000;
+
+/// A contract that is being passed on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Bequest {
+    to: VmId,
+    sent_at: Millis,
+    /// Whether the successor has taken note; `None` is not known yet.
+    taken: Option<bool>,
+}
+
+/// A write of the contracts that the view doesn't show yet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Writing {
+    since: Millis,
+    /// The revision at which it was made, if that is known.
+    won: Option<Revision>,
+}
+
+/// What a node remembers about contracts, besides the view.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(super) struct Claims {
+    first_read: Option<Millis>,
+    /// When the node was started, or last woke from a pause.
+    awake_since: Millis,
+    last_tick: Option<Millis>,
+    renewed_at: Option<Millis>,
+    /// The lease has lapsed since the contracts were claimed.
+    broken: bool,
+    /// The contracts in the last write were claimed anew.
+    mending: bool,
+    writing: Option<Writing>,
+    /// No write is tried before this time.
+    rest_until: Millis,
+    reading: bool,
+    assigned: BTreeMap<Scope, VmId>,
+    assigned_at: Millis,
+    orphans: BTreeMap<Scope, Millis>,
+    inherited: BTreeMap<Scope, (Epoch, KeyMemory)>,
+    bequests: BTreeMap<Scope, Bequest>,
+}
+
+impl Claims {
+    /// Takes note of the time. A node that was paused has missed what its
+    /// peers said and must not take them for dead.
+    pub(super) fn tick(&mut self, now: Now, pause: Millis) {
+        let last = self.last_tick.replace(now.mono);
+        if last.is_none_or(|last| last + pause <= now.mono) {
+            self.awake_since = now.mono;
+        }
+    }
+
+    /// Whether the platform is left alone for a moment.
+    pub(super) fn resting(&self, now: Now) -> bool {
+        now.mono < self.rest_until || self.reading
+    }
+
+    pub(super) fn renewed_within(&self, now: Now, span: Millis) -> bool {
+        self.renewed_at.is_some_and(|at| at + span > now.mono)
+    }
+
+    /// When the platform last confirmed that every contract is still held.
+    pub(super) fn confirmed_at(&self) -> Option<Millis> {
+        self.renewed_at.filter(|_| !self.broken)
+    }
+
+    pub(super) fn read_done(&mut self) {
+        self.reading = false;
+    }
+
+    pub(super) fn inherit(
+        &mut self,
+        scope: Scope,
+        epoch: Epoch,
+        memory: KeyMemory,
+    ) {
+        self.inherited.insert(scope, (epoch, memory));
+    }
+
+    /// Whether the contract is being passed on, so that nothing may be
+    /// started under it.
+    pub(super) fn frozen(&self, scope: Scope) -> bool {
+        self.bequests.contains_key(&scope)
+    }
+}
+
+impl Node {
+    pub(super) fn on_renewed(&mut self, now: Now, sent_at: Millis) {
+        let claims = &mut self.claims;
+        claims.renewed_at = claims.renewed_at.max(Some(sent_at));
+        self.tend_claims(now);
+    }
+
+    pub(super) fn on_lease_lost(&mut self) {
+        self.claims.broken = true;
+        self.out.push(Action::Register { draining: self.draining });
+    }
+
+    pub(super) fn on_written(
+        &mut self,
+        now: Now,
+        key: Key,
+        result: WriteResult,
+    ) {
+        match result {
+            WriteResult::Won(_) => {}
+            WriteResult::Lost => self.counters.writes_lost += 1,
+            WriteResult::Unknown => self.counters.writes_unknown += 1,
+            WriteResult::NotMade => self.counters.writes_not_made += 1,
+        }
+        if matches!(key, Key::Progress(_)) {
+            self.progress_written(result);
+        } else {
+            self.contracts_written(result);
+        }
+        if matches!(result, WriteResult::Lost | WriteResult::Unknown) {
+            // Only a read can tell what the value is now.
+            self.read_again();
+        }
+        if result == WriteResult::NotMade {
+            self.claims.rest_until = now.mono + REST;
+        }
+        self.after_change(now);
+    }
+
+    fn contracts_written(&mut self, result: WriteResult) {
+        let claims = &mut self.claims;
+        match (result, &mut claims.writing) {
+            (WriteResult::Won(revision), Some(writing)) => {
+                writing.won = Some(revision);
+                claims.broken &= !claims.mending;
+            }
+            _ => claims.writing = None,
+        }
+        claims.mending = false;
+    }
+
+    pub(super) fn read_again(&mut self) {
+        if !self.claims.reading {
+            self.claims.reading = true;
+            self.out.push(Action::Read);
+        }
+    }
+
+    pub(super) fn on_bequest_ended(
+        &mut self,
+        now: Now,
+        scope: Scope,
+        taken: bool,
+    ) {
+        if let Some(bequest) = self.claims.bequests.get_mut(&scope) {
+            bequest.taken = Some(taken);
+        }
+        self.tend_claims(now);
+    }
+
+    /// Brings tenures in line with the view, and the platform's contracts
+    /// in line with what this VM should hold.
+    pub(super) fn tend_claims(&mut self, now: Now) {
+        self.tend_tenures(now);
+        if self.still_writing(now) || now.mono < self.claims.rest_until {
+            return;
+        }
+        if self.platform_answers(now) {
+            if self.view.revision > 0 && !self.claims.reading {
+                self.propose(now);
+            }
+        } else {
+            self.claim_alone(now);
+        }
+        self.tend_tenures(now);
+    }
+
+    /// Whether the last write is not yet seen in the view.
+    fn still_writing(&mut self, now: Now) -> bool {
+        let Some(writing) = &self.claims.writing else { return false };
+        let map = self.view.maps.get(&self.config.dc);
+        let shown = map.map_or(0, |map| map.revision);
+        if writing.won.is_some_and(|won| won <= shown) {
+            self.claims.writing = None;
+            return false;
+        }
+        if writing.since + WRITE_TIMEOUT <= now.mono {
+            self.claims.writing = None;
+            self.read_again();
+        }
+        true
+    }
+
+    /// Whether no other VM can have taken this VM's contracts over yet: its
+    /// lease can't have lapsed.
+    pub(super) fn surely_holds(&self, now: Now) -> bool {
+        let span = self.config.member_ttl - self.config.member_ttl / 10;
+        let confirmed = self.claims.confirmed_at();
+        confirmed.is_some_and(|at| at + span > now.mono)
+    }
+
+    /// The members of this data centre that don't stop.
+    fn staying(&self) -> BTreeSet<VmId> {
+        let mine = |(_, m): &(&VmId, &crate::store::Member)| {
+            m.dc == self.config.dc && !m.draining
+        };
+        let members = self.view.members.iter().filter(mine);
+        let mut vms: BTreeSet<VmId> =
+            members.map(|(vm, _)| vm.clone()).collect();
+        if self.draining {
+            vms.remove(&self.config.vm);
+        }
+        vms
+    }
+
+    fn propose(&mut self, now: Now) {
+        let me = self.config.vm.clone();
+        if !self.view.members.contains_key(&me) {
+            return;
+        }
+        let first = *self.claims.first_read.get_or_insert(now.mono);
+        if now.mono < first + GATHERING {
+            return;
+        }
+        let dc = self.config.dc.clone();
+        let known = self.view.maps.get(&dc).cloned().unwrap_or_else(|| {
+            let value = ContractMap::new(self.config.call_scopes);
+            Versioned { revision: 0, value }
+        });
+        self.assign_scopes(now, &known.value);
+        let mut map = known.value.clone();
+        let mine = |scope| self.view.holder(&dc, scope) == Some(&me);
+        if !map.contracts.keys().any(|scope| mine(*scope)) {
+            // Nothing was held that somebody could have taken over.
+            self.claims.broken = false;
+        }
+        let mut claimed = false;
+        for (scope, contract) in &mut map.contracts {
+            claimed |= self.propose_holder(now, *scope, contract);
+        }
+        self.propose_targets(now, &mut map);
+        if map == known.value {
+            return;
+        }
+        self.claims.writing = Some(Writing { since: now.mono, won: None });
+        self.claims.mending = self.claims.broken;
+        let since = self.view.config.revision;
+        self.out.push(Action::Write(Write {
+            key: Key::Contracts(dc),
+            value: Value::Contracts(map),
+            expect: known.revision,
+            expect_config: claimed.then_some(since),
+        }));
+    }
+
+    fn assign_scopes(&mut self, now: Now, map: &ContractMap) {
+        let assigned = assign(map.contracts.keys(), &self.staying());
+        if assigned != self.claims.assigned {
+            self.claims.assigned = assigned;
+            self.claims.assigned_at = now.mono;
+        }
+    }
+
+    /// Changes the holder of a contract if that is this VM's to do. Returns
+    /// whether the contract was claimed.
+    fn propose_holder(
+        &mut self,
+        now: Now,
+        scope: Scope,
+        contract: &mut Contract,
+    ) -> bool {
+        let me = self.config.vm.clone();
+        let dc = &self.config.dc;
+        let known = self.view.epoch(dc, scope).cloned().unwrap_or_default();
+        let since = self.view.config.revision;
+        if known.holder == me {
+            if self.claims.broken {
+                contract.claim(&me, &known, since);
+                return true;
+            }
+            if contract.epoch != known {
+                // A claim that was made alone has proved to be the highest.
+                contract.previous = contract.epoch.clone();
+                contract.epoch = known;
+                contract.handed_over = false;
+                contract.since = since;
+                return true;
+            }
+            self.propose_successor(now, scope, contract);
+            return false;
+        }
+        let orphaned = !self.view.members.contains_key(&known.holder);
+        if !orphaned || !self.my_turn(now, scope) {
+            return false;
+        }
+        contract.claim(&me, &known, since);
+        self.counters.claims += 1;
+        true
+    }
+
+    /// Whether this VM should take an orphaned contract over now.
+    fn my_turn(&mut self, now: Now, scope: Scope) -> bool {
+        if self.draining {
+            return false;
+        }
+        let since = *self.claims.orphans.entry(scope).or_insert(now.mono);
+        let mine = self.claims.assigned.get(&scope) == Some(&self.config.vm);
+        mine || since + SECOND_CHANCE <= now.mono
+    }
+
+    /// Passes a contract on to the VM that should hold it.
+    fn propose_successor(
+        &mut self,
+        now: Now,
+        scope: Scope,
+        contract: &mut Contract,
+    ) {
+        let me = &self.config.vm;
+        let should = self.claims.assigned.get(&scope).filter(|vm| *vm != me);
+        let Some(to) = should.cloned() else {
+            self.claims.bequests.remove(&scope);
+            return;
+        };
+        let Some(bequest) = self.claims.bequests.get(&scope).cloned() else {
+            self.begin_bequest(now, scope, to);
+            return;
+        };
+        let late = bequest.sent_at + BEQUEST_TIMEOUT <= now.mono;
+        let taken = bequest.taken.or(late.then_some(false));
+        if bequest.to != to || (taken == Some(false) && !self.draining) {
+            self.claims.bequests.remove(&scope);
+            self.claims.assigned_at = now.mono;
+            return;
+        }
+        if let Some(taken) = taken {
+            contract.hand_over(&to, self.view.config.revision);
+            contract.handed_over = taken;
+            self.counters.handovers += 1;
+        }
+    }
+
+    fn begin_bequest(&mut self, now: Now, scope: Scope, to: VmId) {
+        let settled = self.claims.assigned_at + self.config.rebalance_after;
+        let one_at_a_time = self.claims.bequests.is_empty();
+        let due = settled <= now.mono && one_at_a_time;
+        if !due && !self.draining {
+            return;
+        }
+        let Some(epoch) = self.view.epoch(&self.config.dc, scope).cloned()
+        else {
+            return;
+        };
+        let home = self.homes.get(&scope);
+        let memory = home.map(|home| home.keys.export());
+        // Tasks need no bequest: the workers' own lists are the truth.
+        let taken = (scope == Scope::Tasks).then_some(true);
+        let bequest = Bequest { to: to.clone(), sent_at: now.mono, taken };
+        self.claims.bequests.insert(scope, bequest);
+        if let Some(memory) = memory {
+            self.out.push(Action::Bequeath { vm: to, scope, epoch, memory });
+        }
+        self.requeue_waiting(now, scope, Reason::Draining);
+    }
+
+    /// Enrols new targets in this VM's contracts and drops those that are
+    /// gone.
+    fn propose_targets(&mut self, now: Now, map: &mut ContractMap) {
+        let enrolled: BTreeSet<TargetId> = map
+            .contracts
+            .values()
+            .flat_map(|contract| contract.targets.iter().cloned())
+            .collect();
+        let dc = &self.config.dc;
+        for listed in self.view.listed.values() {
+            if listed.dc != *dc || listed.leaving {
+                continue;
+            }
+            if enrolled.contains(&listed.id) {
+                continue;
+            }
+            let scope = match listed.kind {
+                TargetKind::Worker => Scope::Tasks,
+                TargetKind::Executor => map.scope_for_executor(&listed.id),
+            };
+            if let Some(contract) = self.mine(map, scope) {
+                contract.targets.insert(listed.id.clone());
+            }
+        }
+        for (target, since) in &self.view.missing {
+            if since + self.config.gone_after > now.mono {
+                continue;
+            }
+            let scopes: Vec<Scope> = map.contracts.keys().copied().collect();
+            for scope in scopes {
+                if let Some(contract) = self.mine(map, scope) {
+                    contract.targets.remove(target);
+                }
+            }
+        }
+    }
+
+    /// The contract, if this VM holds it.
+    fn mine<'a>(
+        &self,
+        map: &'a mut ContractMap,
+        scope: Scope,
+    ) -> Option<&'a mut Contract> {
+        let me = &self.config.vm;
+        let contract = map.contracts.get_mut(&scope)?;
+        (contract.epoch.holder == *me).then_some(contract)
+    }
+
+    /// Takes over contracts of VMs that are not heard, while the platform
+    /// is down for everybody.
+    fn claim_alone(&mut self, now: Now) {
+        let ttl = self.config.member_ttl;
+        let Some(renewed) = self.claims.renewed_at else { return };
+        let since = renewed.max(self.claims.awake_since);
+        if self.draining || since + 2 * ttl > now.mono {
+            return;
+        }
+        let heard: BTreeMap<&VmId, &super::view::Peer> = self
+            .view
+            .peers
+            .iter()
+            .filter(|(_, p)| p.dc == self.config.dc)
+            .filter(|(_, p)| p.heard + ttl > now.mono)
+            .collect();
+        if heard.values().any(|peer| peer.platform) {
+            return;
+        }
+        let mut able: BTreeSet<VmId> = heard
+            .iter()
+            .filter(|(_, peer)| !peer.draining)
+            .map(|(vm, _)| (*vm).clone())
+            .collect();
+        able.insert(self.config.vm.clone());
+        let Some(map) = self.view.map(&self.config.dc) else { return };
+        let assigned = assign(map.contracts.keys(), &able);
+        for (scope, vm) in assigned {
+            if vm == self.config.vm && self.silent_holder(now, scope) {
+                self.claim_one_alone(scope);
+            }
+        }
+    }
+
+    /// Whether the holder has not been heard for long.
+    fn silent_holder(&self, now: Now, scope: Scope) -> bool {
+        let span = 2 * self.config.member_ttl;
+        let Some(holder) = self.view.holder(&self.config.dc, scope) else {
+            return false;
+        };
+        let heard = self.view.peers.get(holder).map_or(0, |p| p.heard);
+        let last = heard.max(self.claims.awake_since);
+        *holder != self.config.vm && last + span <= now.mono
+    }
+
+    fn claim_one_alone(&mut self, scope: Scope) {
+        let dc = self.config.dc.clone();
+        let known = self.view.epoch(&dc, scope).cloned().unwrap_or_default();
+        let epoch = known.next(&self.config.vm);
+        self.view.note_epoch(&dc, scope, &epoch);
+        self.counters.claims += 1;
+    }
+
+    /// Begins and ends tenures as the highest known epochs say.
+    pub(super) fn tend_tenures(&mut self, now: Now) {
+        let dc = self.config.dc.clone();
+        let Some(map) = self.view.maps.get(&dc) else { return };
+        let scopes: Vec<Scope> = map.value.contracts.keys().copied().collect();
+        for scope in scopes {
+            self.tend_tenure(now, &dc, scope);
+        }
+    }
+
+    fn tend_tenure(&mut self, now: Now, dc: &DcName, scope: Scope) {
+        let Some(contract) = self.view.contract(dc, scope).cloned() else {
+            return;
+        };
+        let Some(epoch) = self.view.epoch(dc, scope).cloned() else { return };
+        if !self.view.members.contains_key(&epoch.holder) {
+            self.claims.orphans.entry(scope).or_insert(now.mono);
+        } else {
+            self.claims.orphans.remove(&scope);
+        }
+        if epoch.holder != self.config.vm {
+            self.claims.bequests.remove(&scope);
+            self.end_tenure(now, scope);
+            return;
+        }
+        let confirmed = contract.epoch == epoch;
+        let held = match scope {
+            Scope::Tasks => self.work.as_ref().map(|w| &w.tenure.epoch),
+            _ => self.homes.get(&scope).map(|h| &h.tenure.epoch),
+        };
+        if held != Some(&epoch) {
+            self.end_tenure(now, scope);
+            self.begin_tenure(now, scope, &contract, epoch);
+        }
+        self.update_tenure(now, scope, &contract, confirmed);
+    }
+
+    fn begin_tenure(
+        &mut self,
+        now: Now,
+        scope: Scope,
+        contract: &Contract,
+        epoch: Epoch,
+    ) {
+        let confirmed = contract.epoch == epoch;
+        let targets = contract.targets.clone();
+        let tenure = Tenure::new(epoch, contract.since, confirmed, targets);
+        if scope == Scope::Tasks {
+            let config = PlacerConfig::default();
+            let dc = self.config.dc.clone();
+            let old = self.view.config();
+            let progress = self.view.progress.value.clone();
+            let mut placer = Placer::new(config, dc, tenure, old, progress);
+            if let Some(config) = self.view.config() {
+                placer.configure(config);
+            }
+            self.work = Some(Box::new(placer));
+            return;
+        }
+        let mut home = Home::new(tenure, &self.config.keys);
+        if contract.handed_over {
+            let inherited = self.claims.inherited.remove(&scope);
+            let valid = inherited.filter(|(e, _)| *e == contract.previous);
+            if let Some((epoch, memory)) = valid {
+                home.inherit(epoch, memory);
+            }
+        }
+        home.configure(&self.view.config.value.policy);
+        home.settle_if_done(now);
+        self.homes.insert(scope, home);
+    }
+
+    fn update_tenure(
+        &mut self,
+        now: Now,
+        scope: Scope,
+        contract: &Contract,
+        confirmed: bool,
+    ) {
+        if scope == Scope::Tasks {
+            if let Some(work) = &mut self.work {
+                work.tenure.confirmed = confirmed;
+            }
+            self.update_workers(now, &contract.targets);
+        } else if let Some(home) = self.homes.get_mut(&scope) {
+            home.tenure.confirmed = confirmed;
+            home.set_targets(now, &contract.targets);
+        }
+    }
+
+    fn end_tenure(&mut self, now: Now, scope: Scope) {
+        if scope == Scope::Tasks {
+            self.work = None;
+            return;
+        }
+        if self.homes.contains_key(&scope) {
+            self.requeue_waiting(now, scope, Reason::NotHolder);
+            self.homes.remove(&scope);
+        }
+    }
+}
--- /dev/null
+++ b/puffinknot-core/src/node/homes.rs
@@ -0,0 +1,266 @@
+//! The contracts for calls that this VM holds: their executors and keys.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::calls::{CallId, Condition, Dequeued, Pool};
+use crate::config::Policy;
+use crate::contract::Scope;
+use crate::ids::{Epoch, Millis, TargetId};
+use crate::keys::{KeyMemory, Keys, KeysConfig};
+use crate::outcome::{Outcome, Reason};
+use crate::tenure::Tenure;
+
+use super::routing::Place;
+use super::{Action, ExecutorInfo, Node, Now, TargetError};
+
+/// An executor that has not accepted the epoch is asked again after this.
+const ASK_AGAIN: Millis = 300;
+/// An executor that runs calls of earlier tenures is asked this often.
+const ASK_OLDER: Millis = 500;
+/// Any other executor is asked this often whether it is leaving.
+const ASK_READY: Millis = 2_000;
+/// A request to an executor is given up after this time.
+const ASK_TIMEOUT: Millis = 2_000;
+
+/// One contract for calls, while this VM holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Home {
+    pub(super) tenure: Tenure,
+    pub(super) pool: Pool,
+    pub(super) keys: Keys,
+    /// The epoch of the holder that passed its keys on.
+    heir_of: Option<Epoch>,
+    targets: BTreeSet<TargetId>,
+    /// When each executor was asked last, and whether the answer is due.
+    asked: BTreeMap<TargetId, (Millis, bool)>,
+}
+
+impl Home {
+    pub(super) fn new(tenure: Tenure, keys: &KeysConfig) -> Home {
+        let policy = Policy::default();
+        Home {
+            tenure,
+            pool: Pool::new((&policy).into()),
+            keys: Keys::new(keys.clone()),
+            heir_of: None,
+            targets: BTreeSet::new(),
+            asked: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn configure(&mut self, policy: &Policy) {
+        self.pool.configure(policy.into());
+    }
+
+    /// Takes the keys of the holder before.
+    pub(super) fn inherit(&mut self, epoch: Epoch, memory: KeyMemory) {
+        self.keys.adopt(memory);
+        self.heir_of = Some(epoch);
+    }
+
+    pub(super) fn free(&self) -> u32 {
+        if self.tenure.may_start() {
+            self.pool.free()
+        } else {
+            0
+        }
+    }
+
+    pub(super) fn settle_if_done(&mut self, now: Now) {
+        if self.tenure.settled() {
+            self.keys.settle(now.wall);
+        }
+    }
+
+    /// The contract names these targets now.
+    pub(super) fn set_targets(
+        &mut self,
+        now: Now,
+        targets: &BTreeSet<TargetId>,
+    ) {
+        if self.targets == *targets {
+            return;
+        }
+        let gone: Vec<TargetId> =
+            self.targets.difference(targets).cloned().collect();
+        for target in gone {
+            self.pool.remove(&target);
+            self.asked.remove(&target);
+            self.tenure.seen(&target);
+        }
+        self.targets = targets.clone();
+        self.settle_if_done(now);
+    }
+
+    /// The executors whose state should be asked for now.
+    fn due(&self, now: Now) -> Vec<TargetId> {
+        let due = |target: &&TargetId| {
+            let Some((at, waiting)) = self.asked.get(*target) else {
+                return true;
+            };
+            let wait = if *waiting {
+                ASK_TIMEOUT
+            } else if self.pool.condition(target) == Condition::Absent {
+                ASK_AGAIN
+            } else if self.pool.has_older(target) {
+                ASK_OLDER
+            } else {
+                ASK_READY
+            };
+            at + wait <= now.mono
+        };
+        self.targets.iter().filter(due).cloned().collect()
+    }
+
+    /// An executor could not be connected to.
+    pub(super) fn executor_failed(&mut self, target: &TargetId) {
+        self.pool.set_condition(target, Condition::Absent);
+    }
+
+    /// Whether what was inherited is all there is. Had another VM served
+    /// the contract in between, every executor would have seen its epoch.
+    fn check_heritage(&mut self, previous: &Epoch) {
+        let expected = self.heir_of.as_ref();
+        let known =
+            expected == Some(previous) || *previous == self.tenure.epoch;
+        if self.heir_of.is_some() && !known {
+            self.heir_of = None;
+            self.keys.distrust();
+        }
+    }
+}
+
+impl Node {
+    pub(super) fn tend_homes(&mut self, now: Now) {
+        let scopes: Vec<Scope> = self.homes.keys().copied().collect();
+        for scope in scopes {
+            self.ask_executors(now, scope);
+            self.pump(now, scope);
+            if let Some(home) = self.homes.get_mut(&scope) {
+                home.keys.expire(now.wall);
+            }
+        }
+    }
+
+    fn ask_executors(&mut self, now: Now, scope: Scope) {
+        let Some(home) = self.homes.get_mut(&scope) else { return };
+        for target in home.due(now) {
+            home.asked.insert(target.clone(), (now.mono, true));
+            let epoch = home.tenure.epoch.clone();
+            self.out.push(Action::Ask { target, epoch });
+        }
+    }
+
+    /// Starts waiting calls of a contract while there is room.
+    pub(super) fn pump(&mut self, now: Now, scope: Scope) {
+        if self.claims.frozen(scope) {
+            return;
+        }
+        let Some(home) = self.homes.get_mut(&scope) else { return };
+        for dequeued in home.pool.pump(now.mono) {
+            match dequeued {
+                Dequeued::Start(id, target) => {
+                    self.dispatch(id, scope, target);
+                }
+                Dequeued::Expired(id) => {
+                    self.forget_key(scope, id);
+                    let wait = Outcome::not_run(Reason::Expired, 1_000);
+                    self.end(now, id, wait);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_executor(
+        &mut self,
+        now: Now,
+        target: TargetId,
+        epoch: Epoch,
+        result: Result<ExecutorInfo, TargetError>,
+    ) {
+        let found = self.homes.iter().find(|(_, home)| {
+            home.tenure.epoch == epoch && home.targets.contains(&target)
+        });
+        let Some(scope) = found.map(|(scope, _)| *scope) else { return };
+        match result {
+            Ok(info) => self.executor_reported(now, scope, &target, &info),
+            Err(error) => {
+                let home = self.homes.get_mut(&scope);
+                if let Some(home) = home {
+                    home.asked.insert(target.clone(), (now.mono, false));
+                    home.pool.set_condition(&target, Condition::Absent);
+                }
+                if let TargetError::Stale(highest) = error {
+                    self.superseded(now, scope, &highest);
+                }
+            }
+        }
+    }
+
+    fn executor_reported(
+        &mut self,
+        now: Now,
+        scope: Scope,
+        target: &TargetId,
+        info: &ExecutorInfo,
+    ) {
+        if info.leaving {
+            self.view.leaving.insert(target.clone());
+        }
+        let condition = self.condition_of(target, info.leaving);
+        let mine = |id: &CallId| self.request_id(*id);
+        let Some(home) = self.homes.get(&scope) else { return };
+        let own: BTreeSet<String> =
+            home.pool.running_at(target).map(|id| mine(&id)).collect();
+        let foreign = info.running.iter().filter(|id| !own.contains(*id));
+        let older = foreign.count() as u32;
+        let Some(home) = self.homes.get_mut(&scope) else { return };
+        home.asked.insert(target.clone(), (now.mono, false));
+        home.check_heritage(&info.previous);
+        home.pool.report(target, condition, info.slots, older);
+        home.tenure.seen(target);
+        home.settle_if_done(now);
+        self.pump(now, scope);
+    }
+
+    /// A target has seen a higher epoch than this VM's.
+    pub(super) fn superseded(
+        &mut self,
+        now: Now,
+        scope: Scope,
+        highest: &Epoch,
+    ) {
+        let dc = self.config.dc.clone();
+        if self.view.note_epoch(&dc, scope, highest) {
+            self.after_change(now);
+        }
+    }
+
+    /// Takes every waiting call of a contract out of its queue and looks
+    /// for another place for it.
+    pub(super) fn requeue_waiting(
+        &mut self,
+        now: Now,
+        scope: Scope,
+        reason: Reason,
+    ) {
+        let Some(home) = self.homes.get_mut(&scope) else { return };
+        for id in home.pool.withdraw_all() {
+            self.forget_key(scope, id);
+            if let Some(state) = self.calls.get_mut(&id) {
+                state.place = Place::Nowhere;
+            }
+            let refusal = Outcome::not_run(reason, 100);
+            self.refused(now, id, refusal);
+        }
+    }
+
+    /// A call certainly did not run, so that its key may be used again.
+    pub(super) fn forget_key(&mut self, scope: Scope, id: CallId) {
+        let Some(state) = self.calls.get(&id) else { return };
+        let Some(home) = self.homes.get_mut(&scope) else { return };
+        if let Some(key) = &state.call.key {
+            home.keys.forget(key);
+        }
+    }
+}
--- /dev/null
+++ b/puffinknot-core/src/node/routing.rs
@@ -0,0 +1,569 @@
+//! The way of a call: to a slot on this VM, or over a hop to the holder of
+//! one, and back.
+//!
+//! A call that must not be repeated goes to the one home of its key. Any
+//! other call goes where a slot is free: first under a contract of this VM,
+//! then under another of the data centre, then, if its class allows it, in
+//! another data centre. It is tried again only after it was certainly not
+//! run, or if its class says that running twice does no harm.
+//!
+//! *Not run* is a statement about the call and not about one attempt. For a
+//! call with a key, only the home of the key can make it: an earlier attempt
+//! over another entry VM may have run. Whoever can't ask the home answers
+//! *unknown*.
+
+use std::collections::BTreeSet;
+
+use crate::calls::{CallId, CallSpec, Offer};
+use crate::config::{Class, ClassKind, Repeat};
+use crate::contract::Scope;
+use crate::ids::{DcName, Epoch, Millis, TargetId, VmId};
+use crate::outcome::{Outcome, Reason};
+
+use super::{Action, Attempt, Call, Node, Now};
+
+/// A waiting call without a holder is tried again after this time.
+const PARK: Millis = 100;
+/// One call is tried at this many places at the most.
+const MAX_TRIES: u32 = 6;
+/// A retry costs this much credit; each call earns the policy's percentage.
+const RETRY_COST: u64 = 100;
+/// The credit at the start.
+pub(super) const FIRST_CREDIT: u64 = 10 * RETRY_COST;
+/// Credit is saved up to this many retries.
+const MAX_CREDIT: u64 = 100 * RETRY_COST;
+/// The advice on when to come back where nothing better is known.
+const COME_BACK: Millis = 1_000;
+
+/// Where a call came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) enum Origin {
+    /// A caller.
+    Caller,
+    /// A peer, which wants it run under this contract.
+    Hop(Scope),
+}
+
+/// Where a call is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) enum Place {
+    /// On its way to somewhere else.
+    Nowhere,
+    /// In the queue of a contract.
+    Queued(Scope),
+    /// At an executor, under an epoch.
+    Running(Scope, TargetId, Epoch),
+    /// At a peer.
+    Forwarded(DcName, Scope),
+}
+
+/// A call that this VM has to answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct CallState {
+    pub(super) call: Call,
+    pub(super) origin: Origin,
+    pub(super) place: Place,
+    kind: ClassKind,
+    may_repeat: bool,
+    elsewhere: bool,
+    deadline: Millis,
+    tried: BTreeSet<(DcName, Scope)>,
+    tries: u32,
+    answered: bool,
+    /// The last refusal came from a peer, which vouches for it.
+    from_peer: bool,
+}
+
+/// A place to try.
+enum Next {
+    Here(Scope),
+    Peer(VmId, DcName, Scope),
+}
+
+impl Node {
+    pub(super) fn on_call(&mut self, now: Now, id: CallId, call: Call) {
+        self.counters.calls += 1;
+        let percent = self.view.config.value.policy.retry_percent;
+        let credit = self.retry_credit + u64::from(percent);
+        self.retry_credit = credit.min(MAX_CREDIT);
+        self.admit(now, id, Origin::Caller, call);
+    }
+
+    pub(super) fn on_hop(
+        &mut self,
+        now: Now,
+        id: CallId,
+        scope: Scope,
+        call: Call,
+    ) {
+        self.counters.hops += 1;
+        self.admit(now, id, Origin::Hop(scope), call);
+    }
+
+    fn admit(&mut self, now: Now, id: CallId, origin: Origin, call: Call) {
+        let config = &self.view.config.value;
+        let Some(class) = config.class(&call.class).cloned() else {
+            let outcome = Outcome::not_run(Reason::NoConfig, COME_BACK);
+            self.out.push(Action::Answer { id, outcome });
+            return;
+        };
+        let Class { kind, repeat, deadline_ms, .. } = class;
+        let deadline = now.mono + call.remaining.min(deadline_ms);
+        let state = CallState {
+            call,
+            origin,
+            place: Place::Nowhere,
+            kind,
+            may_repeat: repeat == Repeat::Allowed,
+            elsewhere: class.other_data_centres,
+            deadline,
+            tried: BTreeSet::new(),
+            tries: 0,
+            answered: false,
+            from_peer: false,
+        };
+        self.calls.insert(id, state);
+        self.alarms.insert((deadline, id));
+        self.route(now, id);
+    }
+
+    /// Finds a place for a call, trying the places on this VM at once.
+    fn route(&mut self, now: Now, id: CallId) {
+        let mut refusal = Outcome::not_run(Reason::NoHolder, COME_BACK);
+        while let Some(next) = self.next_place(id) {
+            match next {
+                Next::Here(scope) => match self.offer(now, id, scope) {
+                    Ok(()) => return,
+                    Err(outcome) => refusal = outcome,
+                },
+                Next::Peer(vm, dc, scope) => {
+                    self.forward(now, id, vm, dc, scope);
+                    return;
+                }
+            }
+        }
+        self.give_up(now, id, refusal);
+    }
+
+    fn next_place(&self, id: CallId) -> Option<Next> {
+        let state = self.calls.get(&id)?;
+        let here = &self.config.dc;
+        if let Origin::Hop(scope) = state.origin {
+            let new = !state.tried.contains(&(here.clone(), scope));
+            let held = self.homes.contains_key(&scope);
+            return (new && held).then_some(Next::Here(scope));
+        }
+        if state.call.key.is_some() {
+            return self.home_of_key(state);
+        }
+        let mut best: Option<(PlaceRank, Next)> = None;
+        for (dc, map) in &self.view.maps {
+            if dc != here && !state.elsewhere {
+                continue;
+            }
+            for scope in map.value.contracts.keys() {
+                let Some((rank, next)) = self.rank(state, dc, *scope) else {
+                    continue;
+                };
+                if best.as_ref().is_none_or(|(lowest, _)| rank < *lowest) {
+                    best = Some((rank, next));
+                }
+            }
+        }
+        best.map(|(_, next)| next)
+    }
+
+    /// The one place for a call with a key.
+    fn home_of_key(&self, state: &CallState) -> Option<Next> {
+        let key = state.call.key.as_ref()?;
+        let caller = self.view.config.value.caller(&state.call.caller)?;
+        let dc = &caller.data_centre;
+        let scope = self.view.map(dc)?.scope_for_key(key.uuid);
+        if state.tried.contains(&(dc.clone(), scope)) {
+            return None;
+        }
+        let holder = self.view.holder(dc, scope)?;
+        if *holder == self.config.vm {
+            return Some(Next::Here(scope));
+        }
+        Some(Next::Peer(holder.clone(), dc.clone(), scope))
+    }
+
+    /// How good a place is for a call; the lowest is best.
+    fn rank(
+        &self,
+        state: &CallState,
+        dc: &DcName,
+        scope: Scope,
+    ) -> Option<(PlaceRank, Next)> {
+        if !matches!(scope, Scope::Calls(_)) {
+            return None;
+        }
+        if state.tried.contains(&(dc.clone(), scope)) {
+            return None;
+        }
+        let away = *dc != self.config.dc;
+        let home = self.homes.get(&scope).filter(|_| !away);
+        if let Some(home) = home {
+            let free = home.free();
+            let full = free == 0;
+            let rank = PlaceRank { full, away, hop: false, free: !free };
+            return Some((rank, Next::Here(scope)));
+        }
+        let holder = self.view.holder(dc, scope)?;
+        if *holder == self.config.vm {
+            return None;
+        }
+        let free = self.view.free.get(&(dc.clone(), scope)).copied();
+        let free = free.unwrap_or(0);
+        let full = free == 0 || self.view.is_quiet(holder);
+        let rank = PlaceRank { full, away, hop: true, free: !free };
+        Some((rank, Next::Peer(holder.clone(), dc.clone(), scope)))
+    }
+
+    /// Offers a call to a contract of this VM.
+    fn offer(
+        &mut self,
+        now: Now,
+        id: CallId,
+        scope: Scope,
+    ) -> Result<(), Outcome> {
+        let dc = self.config.dc.clone();
+        let spec = self.spec(id);
+        let frozen = self.claims.frozen(scope);
+        let Some(state) = self.calls.get_mut(&id) else { return Ok(()) };
+        state.tried.insert((dc, scope));
+        let lost = Outcome::not_run(Reason::NotHolder, PARK);
+        let Some(home) = self.homes.get_mut(&scope) else { return Err(lost) };
+        if let Some(key) = &state.call.key {
+            home.keys.check(key, now.wall)?;
+        }
+        if frozen {
+            return Err(Outcome::not_run(Reason::Draining, PARK));
+        }
+        if !home.tenure.may_start() {
+            return Err(Outcome::not_run(Reason::BeforeTenure, COME_BACK));
+        }
+        let offer = home.pool.offer(now.mono, id, &spec);
+        if let Offer::Refused(outcome) = offer {
+            return Err(outcome);
+        }
+        if let Some(key) = &state.call.key {
+            home.keys.start(key);
+        }
+        match offer {
+            Offer::Start(target) => self.dispatch(id, scope, target),
+            _ => state.place = Place::Queued(scope),
+        }
+        Ok(())
+    }
+
+    fn spec(&self, id: CallId) -> CallSpec {
+        let state = &self.calls[&id];
+        let config = &self.view.config.value;
+        let caller = config.caller(&state.call.caller);
+        CallSpec {
+            caller: state.call.caller.clone(),
+            kind: state.kind,
+            deadline: state.deadline,
+            share_percent: caller.map_or(1, |c| c.share_percent),
+            queue: caller.map_or(0, |c| c.queue),
+        }
+    }
+
+    pub(super) fn dispatch(
+        &mut self,
+        id: CallId,
+        scope: Scope,
+        target: TargetId,
+    ) {
+        let Some(home) = self.homes.get(&scope) else { return };
+        let epoch = home.tenure.epoch.clone();
+        if let Some(state) = self.calls.get_mut(&id) {
+            state.place = Place::Running(scope, target.clone(), epoch.clone());
+        }
+        self.out.push(Action::Dispatch { id, target, epoch });
+    }
+
+    fn forward(
+        &mut self,
+        now: Now,
+        id: CallId,
+        vm: VmId,
+        dc: DcName,
+        scope: Scope,
+    ) {
+        let Some(state) = self.calls.get_mut(&id) else { return };
+        state.tried.insert((dc.clone(), scope));
+        state.from_peer = false;
+        state.place = Place::Forwarded(dc, scope);
+        let mut call = state.call.clone();
+        call.remaining = state.deadline.saturating_sub(now.mono);
+        self.out.push(Action::Forward { id, vm, scope, call });
+    }
+
+    pub(super) fn on_hop_ended(
+        &mut self,
+        now: Now,
+        id: CallId,
+        outcome: Outcome,
+    ) {
+        let Some(state) = self.calls.get_mut(&id) else { return };
+        let Place::Forwarded(dc, scope) = state.place.clone() else { return };
+        state.place = Place::Nowhere;
+        state.from_peer = true;
+        if let Outcome::NotRun { reason: Reason::NoSlot, .. } = outcome {
+            self.view.free.insert((dc, scope), 0);
+        }
+        self.attempt_ended(now, id, outcome);
+    }
+
+    pub(super) fn on_hop_failed(&mut self, now: Now, id: CallId, sent: bool) {
+        let Some(state) = self.calls.get_mut(&id) else { return };
+        let Place::Forwarded(dc, scope) = state.place.clone() else { return };
+        state.place = Place::Nowhere;
+        self.view.free.insert((dc, scope), 0);
+        let outcome = if sent {
+            Outcome::unknown(Reason::PeerLost, COME_BACK)
+        } else {
+            Outcome::not_run(Reason::PeerUnreachable, COME_BACK)
+        };
+        self.attempt_ended(now, id, outcome);
+    }
+
+    /// An attempt has ended away from this VM or at an executor.
+    fn attempt_ended(&mut self, now: Now, id: CallId, outcome: Outcome) {
+        match outcome {
+            Outcome::Answered => self.end(now, id, outcome),
+            Outcome::NotRun { .. } => self.refused(now, id, outcome),
+            Outcome::Unknown { reason, .. } => {
+                let lost = matches!(
+                    reason,
+                    Reason::ConnectionLost | Reason::PeerLost
+                );
+                let state = self.calls.get(&id);
+                if lost && state.is_some_and(|state| state.may_repeat) {
+                    self.refused(now, id, outcome);
+                } else {
+                    self.end(now, id, outcome);
+                }
+            }
+        }
+    }
+
+    /// A call was turned away somewhere. It is tried elsewhere if there is
+    /// another place, time and credit.
+    pub(super) fn refused(&mut self, now: Now, id: CallId, outcome: Outcome) {
+        let Some(state) = self.calls.get_mut(&id) else { return };
+        if state.answered {
+            self.calls.remove(&id);
+            return;
+        }
+        state.tries += 1;
+        let tries = state.tries;
+        if matches!(state.origin, Origin::Hop(_)) {
+            // The VM that sent it decides what comes next.
+            self.end(now, id, outcome);
+            return;
+        }
+        if tries >= MAX_TRIES || self.next_place(id).is_none() {
+            self.give_up(now, id, outcome);
+            return;
+        }
+        if self.retry_credit < RETRY_COST {
+            let credit = Outcome::not_run(Reason::RetryBudget, COME_BACK);
+            self.count_end(&credit);
+            self.end(now, id, outcome);
+            return;
+        }
+        self.retry_credit -= RETRY_COST;
+        if let Some(reason) = outcome.reason() {
+            *self.counters.retries.entry(reason).or_default() += 1;
+        }
+        self.route(now, id);
+    }
+
+    /// No place is left. A waiting call whose holder is only changing is
+    /// tried again a little later; any other is answered at once.
+    fn give_up(&mut self, now: Now, id: CallId, outcome: Outcome) {
+        let Some(state) = self.calls.get_mut(&id) else { return };
+        let passing = matches!(
+            outcome.reason(),
+            Some(
+                Reason::NoHolder
+                    | Reason::NotHolder
+                    | Reason::Draining
+                    | Reason::StaleEpoch
+                    | Reason::PeerUnreachable
+            )
+        );
+        let waits = state.kind == ClassKind::Waiting
+            && state.origin == Origin::Caller
+            && matches!(outcome, Outcome::NotRun { .. });
+        let again = now.mono + PARK;
+        if passing && waits && again < state.deadline {
+            state.tried.clear();
+            state.place = Place::Nowhere;
+            self.alarms.insert((again, id));
+            return;
+        }
+        self.end(now, id, outcome);
+    }
+
+    pub(super) fn on_attempted(
+        &mut self,
+        now: Now,
+        id: CallId,
+        attempt: Attempt,
+    ) {
+        let Some(state) = self.calls.get_mut(&id) else { return };
+        let Place::Running(scope, target, epoch) = state.place.clone() else {
+            return;
+        };
+        state.place = Place::Nowhere;
+        let key = state.call.key.clone();
+        let home = self.homes.get_mut(&scope);
+        if let Some(home) = home.filter(|h| h.tenure.epoch == epoch) {
+            match attempt {
+                Attempt::Answered => home.pool.finish(now.mono, id),
+                Attempt::Lost => home.pool.lose(id),
+                _ => home.pool.undo(id),
+            }
+            match (&key, &attempt) {
+                (Some(key), Attempt::Answered) => home.keys.answered(key),
+                (None, _) | (_, Attempt::Lost) => {}
+                (Some(key), _) => home.keys.forget(key),
+            }
+            if attempt == Attempt::NotSent {
+                home.executor_failed(&target);
+            }
+        }
+        if let Attempt::Stale(highest) = &attempt {
+            self.superseded(now, scope, highest);
+        }
+        let outcome = match attempt {
+            Attempt::Answered => Outcome::Answered,
+            Attempt::NotSent => {
+                Outcome::not_run(Reason::Unreachable, COME_BACK)
+            }
+            Attempt::Stale(_) => Outcome::not_run(Reason::StaleEpoch, PARK),
+            Attempt::Refused => Outcome::not_run(Reason::TargetRefused, PARK),
+            Attempt::Lost => {
+                Outcome::unknown(Reason::ConnectionLost, COME_BACK)
+            }
+        };
+        self.attempt_ended(now, id, outcome);
+        self.pump(now, scope);
+    }
+
+    /// Ends a call: its caller is told, unless that has been done.
+    pub(super) fn end(&mut self, now: Now, id: CallId, outcome: Outcome) {
+        let current = self.surely_holds(now);
+        let Some(state) = self.calls.get_mut(&id) else { return };
+        let keyed = state.call.key.is_some();
+        let vouched = state.from_peer || current;
+        let outcome = if keyed { sound(outcome, vouched) } else { outcome };
+        let origin = state.origin;
+        let first = !state.answered;
+        state.answered = true;
+        let running = matches!(state.place, Place::Running(..));
+        if !running {
+            self.alarms.remove(&(state.deadline, id));
+            self.calls.remove(&id);
+        }
+        if !first {
+            return;
+        }
+        if origin == Origin::Caller {
+            self.count_end(&outcome);
+        }
+        self.out.push(Action::Answer { id, outcome });
+    }
+
+    /// The caller has gone away. What runs goes on; its answer goes to
+    /// nobody.
+    pub(super) fn on_abandoned(&mut self, now: Now, id: CallId) {
+        self.withdraw(id);
+        let Some(state) = self.calls.get_mut(&id) else { return };
+        state.answered = true;
+        self.end(now, id, Outcome::unknown(Reason::CallerGone, 0));
+    }
+
+    /// Takes a call out of the queue it stands in. Returns whether it was
+    /// in one.
+    fn withdraw(&mut self, id: CallId) -> bool {
+        let Some(state) = self.calls.get_mut(&id) else { return false };
+        let Place::Queued(scope) = state.place else { return false };
+        state.place = Place::Nowhere;
+        self.forget_key(scope, id);
+        let home = self.homes.get_mut(&scope);
+        home.is_some_and(|home| home.pool.withdraw(id))
+    }
+
+    pub(super) fn ring_alarms(&mut self, now: Now) {
+        while let Some((at, id)) = self.alarms.first().copied() {
+            if at > now.mono {
+                break;
+            }
+            self.alarms.pop_first();
+            self.ring(now, id);
+        }
+    }
+
+    fn ring(&mut self, now: Now, id: CallId) {
+        let Some(state) = self.calls.get(&id) else { return };
+        if state.deadline > now.mono {
+            if state.place == Place::Nowhere {
+                self.route(now, id);
+            }
+            return;
+        }
+        let outcome = match state.place {
+            Place::Running(..) | Place::Forwarded(..) => {
+                Outcome::unknown(Reason::LateAnswer, COME_BACK)
+            }
+            Place::Queued(_) => Outcome::not_run(Reason::Expired, COME_BACK),
+            Place::Nowhere => Outcome::not_run(Reason::NoHolder, COME_BACK),
+        };
+        self.withdraw(id);
+        self.end(now, id, outcome);
+    }
+}
+
+/// The order in which places are tried; fields are compared in turn.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct PlaceRank {
+    full: bool,
+    away: bool,
+    hop: bool,
+    /// The complement of the number of free slots.
+    free: u32,
+}
+
+/// What may be said of a call with a key. A refusal that does not come from
+/// the home of the key says nothing about earlier attempts, and neither does
+/// that of a home which may have been superseded: only one whose word is
+/// `vouched` for may say that the call was not run.
+fn sound(outcome: Outcome, vouched: bool) -> Outcome {
+    let Outcome::NotRun { reason, retry_after } = outcome else {
+        return outcome;
+    };
+    let from_home = matches!(
+        reason,
+        Reason::NoSlot
+            | Reason::CallerLimit
+            | Reason::QueueFull
+            | Reason::WaitTooLong
+            | Reason::Expired
+            | Reason::KeysFull
+            | Reason::KeyTooNew
+            | Reason::Unreachable
+            | Reason::TargetRefused
+            | Reason::Draining
+    );
+    if from_home && vouched {
+        Outcome::NotRun { reason, retry_after }
+    } else {
+        Outcome::Unknown { reason, retry_after }
+    }
+}
--- /dev/null
+++ b/puffinknot-core/src/node/view.rs
@@ -0,0 +1,366 @@
+//! The newest that is known of the platform's values, from wherever it came.
+//!
+//! Nothing in a view ever goes back: a value replaces another only if its
+//! revision is higher, whether it comes from a read, from the watch or from
+//! a peer.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::config::Config;
+use crate::contract::{Contract, ContractMap, Scope};
+use crate::ids::{DcName, Epoch, Millis, Revision, TargetId, VmId};
+use crate::store::{Key, Member, Stored, Value};
+use crate::tasks::Progress;
+
+use super::{Action, Listed, Node, Now, Summary};
+
+/// A peer is forgotten after this many times the span in which it should
+/// have been heard.
+const FORGET_PEERS: Millis = 100;
+
+/// A value with its revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(super) struct Versioned<T> {
+    pub(super) revision: Revision,
+    pub(super) value: T,
+}
+
+/// What is known of a peer from itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Peer {
+    pub(super) dc: DcName,
+    pub(super) heard: Millis,
+    pub(super) platform: bool,
+    pub(super) draining: bool,
+    pub(super) config: Revision,
+}
+
+/// What one VM knows of the platform's values.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct View {
+    /// The revision of the last read or watch event; zero before the first.
+    pub(super) revision: Revision,
+    pub(super) config: Versioned<Config>,
+    pub(super) config_text: String,
+    pub(super) maps: BTreeMap<DcName, Versioned<ContractMap>>,
+    pub(super) progress: Versioned<Progress>,
+    pub(super) members: BTreeMap<VmId, Member>,
+    /// The highest epochs heard of, also from peers and targets.
+    pub(super) epochs: BTreeMap<(DcName, Scope), Epoch>,
+    pub(super) peers: BTreeMap<VmId, Peer>,
+    /// Peers that have not been heard lately.
+    pub(super) quiet: BTreeSet<VmId>,
+    /// Free slots by contract, as their holders said last.
+    pub(super) free: BTreeMap<(DcName, Scope), u32>,
+    pub(super) listed: BTreeMap<TargetId, Listed>,
+    /// Targets of a contract that the VM list has lost, and since when.
+    pub(super) missing: BTreeMap<TargetId, Millis>,
+    /// Targets that a peer or the target itself called leaving.
+    pub(super) leaving: BTreeSet<TargetId>,
+}
+
+impl View {
+    /// The revision of the operators' file in force; zero without one.
+    pub fn config_revision(&self) -> Revision {
+        self.config.revision
+    }
+
+    /// The operators' file in force, if there is one.
+    pub fn config(&self) -> Option<&Config> {
+        (self.config.revision > 0).then_some(&self.config.value)
+    }
+
+    /// The text of the operators' file in force.
+    pub fn config_text(&self) -> &str {
+        &self.config_text
+    }
+
+    /// The members that the platform knows, by name.
+    pub fn members(&self) -> &BTreeMap<VmId, Member> {
+        &self.members
+    }
+
+    /// The VM that holds a contract, by the highest epoch known.
+    pub fn holder(&self, dc: &DcName, scope: Scope) -> Option<&VmId> {
+        self.epoch(dc, scope).map(|epoch| &epoch.holder)
+    }
+
+    /// The highest epoch known of a contract.
+    pub fn epoch(&self, dc: &DcName, scope: Scope) -> Option<&Epoch> {
+        let heard = self.epochs.get(&(dc.clone(), scope));
+        let map = self.maps.get(dc).and_then(|m| m.value.epoch(scope));
+        heard.max(map)
+    }
+
+    /// The contracts of a data centre as the platform holds them.
+    pub fn map(&self, dc: &DcName) -> Option<&ContractMap> {
+        self.maps.get(dc).map(|map| &map.value)
+    }
+
+    /// One contract as the platform holds it.
+    pub(super) fn contract(
+        &self,
+        dc: &DcName,
+        scope: Scope,
+    ) -> Option<&Contract> {
+        self.map(dc)?.contracts.get(&scope)
+    }
+
+    /// Whether the target is leaving, as anybody has said.
+    pub fn is_leaving(&self, target: &TargetId) -> bool {
+        let listed = self.listed.get(target).is_some_and(|l| l.leaving);
+        listed || self.leaving.contains(target)
+    }
+
+    /// Whether a peer that was heard before has missed its last summaries.
+    pub(super) fn is_quiet(&self, vm: &VmId) -> bool {
+        self.quiet.contains(vm)
+    }
+
+    /// Finds out anew which peers have not been heard for `span`.
+    pub(super) fn mark_quiet(&mut self, now: Now, span: Millis) {
+        let late = |(_, p): &(&VmId, &Peer)| p.heard + span <= now.mono;
+        let quiet = self.peers.iter().filter(late);
+        self.quiet = quiet.map(|(vm, _)| vm.clone()).collect();
+        // A peer that was silent for this long does not come back under
+        // the same name.
+        let forget = span * FORGET_PEERS;
+        self.peers.retain(|_, p| p.heard + forget > now.mono);
+    }
+
+    pub(super) fn map_revisions(&self) -> BTreeMap<DcName, Revision> {
+        self.maps.iter().map(|(dc, m)| (dc.clone(), m.revision)).collect()
+    }
+
+    pub(super) fn epochs(&self, dc: &DcName) -> BTreeMap<Scope, Epoch> {
+        let Some(map) = self.map(dc) else { return BTreeMap::new() };
+        let scopes = map.contracts.keys();
+        let known = scopes.filter_map(|scope| {
+            Some((*scope, self.epoch(dc, *scope)?.clone()))
+        });
+        known.collect()
+    }
+
+    pub(super) fn leaving_here(&self, dc: &DcName) -> BTreeSet<TargetId> {
+        let mine = |l: &&Listed| l.dc == *dc && self.is_leaving(&l.id);
+        let listed = self.listed.values().filter(mine);
+        listed.map(|l| l.id.clone()).collect()
+    }
+
+    /// Takes note of an epoch. Returns whether it is the highest so far.
+    pub(super) fn note_epoch(
+        &mut self,
+        dc: &DcName,
+        scope: Scope,
+        epoch: &Epoch,
+    ) -> bool {
+        if self.epoch(dc, scope).is_some_and(|known| known >= epoch) {
+            return false;
+        }
+        self.epochs.insert((dc.clone(), scope), epoch.clone());
+        true
+    }
+
+    /// Everything that a peer may need, in the form it is stored.
+    pub fn export(&self) -> Vec<Stored> {
+        let mut all = Vec::new();
+        if self.config.revision > 0 {
+            let value = Value::Config(self.config_text.clone());
+            let revision = self.config.revision;
+            all.push(Stored { key: Key::Config, value, revision });
+        }
+        for (dc, map) in &self.maps {
+            all.push(Stored {
+                key: Key::Contracts(dc.clone()),
+                value: Value::Contracts(map.value.clone()),
+                revision: map.revision,
+            });
+        }
+        for (vm, member) in &self.members {
+            all.push(Stored {
+                key: Key::Member(member.dc.clone(), vm.clone()),
+                value: Value::Member(member.clone()),
+                revision: self.revision,
+            });
+        }
+        all
+    }
+}
+
+impl Node {
+    pub(super) fn on_snapshot(
+        &mut self,
+        now: Now,
+        revision: Revision,
+        stored: Vec<Stored>,
+    ) {
+        if revision < self.view.revision {
+            return;
+        }
+        self.view.revision = revision;
+        self.view.members.clear();
+        self.adopt(now, stored);
+        self.claims.read_done();
+        self.after_change(now);
+    }
+
+    pub(super) fn on_changed(
+        &mut self,
+        now: Now,
+        revision: Revision,
+        stored: Vec<Stored>,
+        deleted: Vec<Key>,
+    ) {
+        if revision <= self.view.revision {
+            return;
+        }
+        self.view.revision = revision;
+        for key in deleted {
+            if let Key::Member(_, vm) = key {
+                self.view.members.remove(&vm);
+            }
+        }
+        self.adopt(now, stored);
+        self.after_change(now);
+    }
+
+    /// A peer's knowledge. Members are only taken while the platform has
+    /// never been read, since a peer can't tell who has left.
+    pub(super) fn on_learned(&mut self, now: Now, stored: Vec<Stored>) {
+        let fresh = self.view.revision == 0;
+        let usable = |s: &Stored| fresh || !matches!(s.key, Key::Member(..));
+        let stored = stored.into_iter().filter(usable).collect();
+        self.adopt(now, stored);
+        self.after_change(now);
+    }
+
+    fn adopt(&mut self, now: Now, stored: Vec<Stored>) {
+        for Stored { key, value, revision } in stored {
+            match (key, value) {
+                (Key::Config, Value::Config(text)) => {
+                    self.adopt_config(revision, text);
+                }
+                (Key::Contracts(dc), Value::Contracts(map)) => {
+                    self.adopt_map(dc, revision, map);
+                }
+                (Key::Progress(dc), Value::Progress(progress)) => {
+                    if dc == self.config.dc {
+                        self.adopt_progress(now, revision, progress);
+                    }
+                }
+                (Key::Member(_, vm), Value::Member(member)) => {
+                    self.view.members.insert(vm, member);
+                }
+                _ => self.counters.bad_values += 1,
+            }
+        }
+    }
+
+    fn adopt_config(&mut self, revision: Revision, text: String) {
+        if revision <= self.view.config.revision {
+            return;
+        }
+        match Config::parse(&text) {
+            Ok(value) => {
+                self.view.config = Versioned { revision, value };
+                self.view.config_text = text;
+                self.out.push(Action::InForce(revision));
+                self.configure();
+            }
+            Err(_) => self.counters.bad_values += 1,
+        }
+    }
+
+    fn adopt_map(&mut self, dc: DcName, revision: Revision, map: ContractMap) {
+        let known = self.view.maps.entry(dc).or_default();
+        if revision > known.revision {
+            *known = Versioned { revision, value: map };
+        }
+    }
+
+    fn adopt_progress(
+        &mut self,
+        now: Now,
+        revision: Revision,
+        progress: Progress,
+    ) {
+        if revision > self.view.progress.revision {
+            self.view.progress = Versioned { revision, value: progress };
+            self.progress_changed(now);
+        }
+    }
+
+    /// A new revision of the operators' file is in force.
+    fn configure(&mut self) {
+        let config = &self.view.config.value;
+        for home in self.homes.values_mut() {
+            home.configure(&config.policy);
+        }
+        if let Some(work) = &mut self.work {
+            work.configure(config);
+        }
+    }
+
+    /// Does what a change of the view asks for.
+    pub(super) fn after_change(&mut self, now: Now) {
+        self.tend_claims(now);
+        self.tend_homes(now);
+        self.tend_work(now);
+    }
+
+    pub(super) fn on_heard(&mut self, now: Now, summary: Summary) {
+        let dc = summary.dc.clone();
+        let peer = Peer {
+            dc: dc.clone(),
+            heard: now.mono,
+            platform: summary.platform,
+            draining: summary.draining,
+            config: summary.config,
+        };
+        self.view.quiet.remove(&summary.vm);
+        self.view.peers.insert(summary.vm.clone(), peer);
+        for (scope, free) in summary.free {
+            self.view.free.insert((dc.clone(), scope), free);
+        }
+        let behind = |(dc, revision): (&DcName, &Revision)| {
+            let known = self.view.maps.get(dc).map_or(0, |m| m.revision);
+            *revision > known
+        };
+        let older = summary.maps.iter().any(behind)
+            || summary.config > self.view.config.revision;
+        if older {
+            self.out.push(Action::Fetch { vm: summary.vm });
+        }
+        let mut news = false;
+        for (scope, epoch) in &summary.epochs {
+            news |= self.view.note_epoch(&dc, *scope, epoch);
+        }
+        for target in summary.leaving {
+            news |= self.view.leaving.insert(target);
+        }
+        if news {
+            self.after_change(now);
+        }
+    }
+
+    pub(super) fn on_listed(&mut self, now: Now, listed: Vec<Listed>) {
+        let listed: BTreeMap<TargetId, Listed> =
+            listed.into_iter().map(|l| (l.id.clone(), l)).collect();
+        let enrolled = self.view.map(&self.config.dc).map(|map| {
+            let contracts = map.contracts.values();
+            contracts.flat_map(|c| c.targets.iter().cloned()).collect()
+        });
+        let enrolled: BTreeSet<TargetId> = enrolled.unwrap_or_default();
+        let mut missing = BTreeMap::new();
+        for target in enrolled {
+            if !listed.contains_key(&target) {
+                let since = self.view.missing.get(&target).copied();
+                missing.insert(target, since.unwrap_or(now.mono));
+            }
+        }
+        self.view.leaving.retain(|target| listed.contains_key(target));
+        self.view.missing = missing;
+        self.view.listed = listed;
+        self.after_change(now);
+    }
+}
--- /dev/null
+++ b/puffinknot-core/src/tasks/fit.rs
@@ -0,0 +1,66 @@
+/*!
+Which worker a task goes to.
+
+Best fit over several dimensions: among the workers that have room, a task
+goes to the one of which the least is left over. Tasks without accelerators
+keep away from workers with free ones, so that none is stranded, and the
+tasks of a service spread over racks first.
+*/
+
+use crate::config::Resources;
+
+/// How a worker is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Fit {
+    /// The worker of which the least is left over.
+    #[default]
+    Best,
+    /// The first worker in the order of names; a baseline.
+    First,
+    /// Any worker, by a hash of task and worker; a baseline.
+    Random,
+}
+
+/// A worker that has room for a task.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// What the worker has, less the room for the old scripts.
+    pub capacity: Resources,
+    /// What is free of it.
+    pub free: Resources,
+    /// The number of tasks of the same service in its rack and on itself.
+    pub neighbours: (u32, u32),
+    /// A number that is as good as random for task and worker.
+    pub lot: u64,
+}
+
+/// How good a candidate is; the lowest is best.
+pub type Score = (bool, u32, u32, u64);
+
+impl Fit {
+    /// The score of a candidate for a task with this need.
+    pub fn score(self, candidate: &Candidate, need: &Resources) -> Score {
+        match self {
+            Fit::Best => best(candidate, need),
+            Fit::First => (false, 0, 0, 0),
+            Fit::Random => (false, 0, 0, candidate.lot),
+        }
+    }
+}
+
+fn best(candidate: &Candidate, need: &Resources) -> Score {
+    let left = candidate.free.minus(need);
+    let wastes = need.accelerators == 0 && left.accelerators > 0;
+    let cpu = share(left.cpu_millis, candidate.capacity.cpu_millis);
+    let memory = share(left.memory_mb, candidate.capacity.memory_mb);
+    // A worker on which one dimension runs out long before the other is
+    // hard to fill, so a lopsided rest counts against a candidate.
+    let rest = cpu + memory + cpu.abs_diff(memory);
+    let (rack, worker) = candidate.neighbours;
+    (wastes, rack, worker, rest)
+}
+
+/// A part of a whole, in thousandths.
+fn share(part: u32, whole: u32) -> u64 {
+    u64::from(part) * 1_000 / u64::from(whole.max(1))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+#![doc = "wip"]
+pub mod admin;
+pub mod client;
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod entry;
+pub mod error;
+pub mod http;
+pub mod link;
+pub mod metrics;
+pub mod peers;
+pub mod platform;
+pub mod settings;
+pub mod target;
+pub mod traffic;
+pub mod vmlist;
+pub mod wire;
+pub use puffinknot_core as core;
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,183 @@
+/*!
+Links between entry VMs: HTTP/2 connections that carry `bincode` messages.
+
+Each thread has connections of its own and opens one when it is needed. An
+exchange says of a failure whether any byte of the request may have left,
+because only then may the request have had an effect.
+*/
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use h2::client::SendRequest;
+use h2::RecvStream;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
+
+use crate::wire::{self, Hello, Request, Response};
+
+/// A connection must be made within this time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The flow-control window of a stream and of a connection, in bytes.
+const WINDOW: u32 = 4 << 20;
+
+/// Why an exchange failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkError {
+    /// Whether any byte of the request may have left.
+    pub sent: bool,
+    /// What happened.
+    pub problem: String,
+}
+
+impl LinkError {
+    fn unsent(problem: impl ToString) -> LinkError {
+        LinkError { sent: false, problem: problem.to_string() }
+    }
+
+    fn sent(problem: impl ToString) -> LinkError {
+        LinkError { sent: true, problem: problem.to_string() }
+    }
+}
+
+/// The links of one thread.
+#[derive(Clone)]
+pub struct Links {
+    hello: Rc<Hello>,
+    ip: IpAddr,
+    open: Rc<RefCell<HashMap<SocketAddr, SendRequest<Bytes>>>>,
+}
+
+impl Links {
+    /// Links that introduce themselves with `hello` and connect from `ip`.
+    pub fn new(hello: Hello, ip: IpAddr) -> Links {
+        let hello = Rc::new(hello);
+        Links { hello, ip, open: Rc::default() }
+    }
+
+    /// Sends a request and waits for the answer.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer within `within`, or the peer refuses us.
+    pub async fn ask(
+        &self,
+        peer: SocketAddr,
+        request: &Request,
+        within: Duration,
+    ) -> Result<Response, LinkError> {
+        let bytes = wire::encode(request).map_err(LinkError::unsent)?;
+        let sender = self.sender(peer).await?;
+        let exchange = exchange(sender, bytes);
+        let result = match timeout(within, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(LinkError::sent("no answer in time")),
+        };
+        if result.is_err() {
+            // A link that has failed once is opened anew for the next
+            // request; what is still under way on it goes on.
+            self.open.borrow_mut().remove(&peer);
+        }
+        result
+    }
+
+    /// A connection to the peer that takes a request now.
+    async fn sender(
+        &self,
+        peer: SocketAddr,
+    ) -> Result<SendRequest<Bytes>, LinkError> {
+        let open = self.open.borrow().get(&peer).cloned();
+        if let Some(sender) = open {
+            if let Ok(Ok(sender)) =
+                timeout(CONNECT_TIMEOUT, sender.ready()).await
+            {
+                return Ok(sender);
+            }
+        }
+        self.open.borrow_mut().remove(&peer);
+        let connect = self.connect(peer);
+        let sender = match timeout(CONNECT_TIMEOUT, connect).await {
+            Ok(result) => result?,
+            Err(_) => return Err(LinkError::unsent("no connection in time")),
+        };
+        self.open.borrow_mut().insert(peer, sender.clone());
+        Ok(sender)
+    }
+
+    async fn connect(
+        &self,
+        peer: SocketAddr,
+    ) -> Result<SendRequest<Bytes>, LinkError> {
+        let stream = self.dial(peer).await.map_err(LinkError::unsent)?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = h2::client::Builder::new()
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(WINDOW)
+            .handshake(stream)
+            .await
+            .map_err(LinkError::unsent)?;
+        actix_rt::spawn(async move {
+            // Whoever uses the connection sees its end.
+            let _ = connection.await;
+        });
+        let hello = wire::encode(&*self.hello).map_err(LinkError::unsent)?;
+        match exchange(sender.clone(), hello).await {
+            Ok(Response::Welcome) => Ok(sender),
+            Ok(Response::Refused(why)) => Err(LinkError::unsent(why)),
+            Ok(_) => Err(LinkError::unsent("not the answer to a hello")),
+            Err(err) => Err(LinkError::unsent(err.problem)),
+        }
+    }
+
+    async fn dial(&self, peer: SocketAddr) -> std::io::Result<TcpStream> {
+        let socket = match peer {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(self.ip, 0))?;
+        socket.connect(peer).await
+    }
+}
+
+async fn exchange(
+    sender: SendRequest<Bytes>,
+    bytes: Vec<u8>,
+) -> Result<Response, LinkError> {
+    let mut sender = sender.ready().await.map_err(LinkError::unsent)?;
+    let head = http::Request::post("http://link/");
+    let head = head.body(()).map_err(LinkError::unsent)?;
+    let (response, mut body) =
+        sender.send_request(head, false).map_err(LinkError::unsent)?;
+    body.send_data(bytes.into(), true).map_err(LinkError::sent)?;
+    let response = response.await.map_err(LinkError::sent)?;
+    let bytes = read(response.into_body(), wire::MAX_MESSAGE)
+        .await
+        .map_err(LinkError::sent)?;
+    wire::decode(&bytes).map_err(LinkError::sent)
+}
+
+/// Reads a message of at most `limit` bytes from a stream.
+///
+/// # Errors
+///
+/// If it is longer, or the stream is cut.
+pub async fn read(
+    mut stream: RecvStream,
+    limit: usize,
+) -> Result<Bytes, String> {
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = stream.data().await {
+        let chunk = chunk.map_err(|err| err.to_string())?;
+        if bytes.len() + chunk.len() > limit {
+            return Err(format!("message is over {limit} bytes"));
+        }
+        let released = stream.flow_control().release_capacity(chunk.len());
+        released.map_err(|err| err.to_string())?;
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes.freeze())
+}
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,201 @@
+/*!
+The receiving side of links: other entry VMs connect here.
+
+A connection that does not begin with a proper hello is told why and closed.
+Nothing that a peer sends can end anything but its own connection.
+*/
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::server::{Connection, SendResponse};
+use h2::RecvStream;
+use log::{debug, warn};
+use puffinknot_core::node::Event;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+use crate::control::{Input, Origin};
+use crate::link::read;
+use crate::traffic::Traffic;
+use crate::wire::{self, Bequest, Hop, Request, Response};
+
+/// A peer must say hello within this time.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(3);
+/// The number of exchanges that one connection may have under way.
+const MAX_STREAMS: u32 = 4_096;
+/// The flow-control window of a stream and of a connection, in bytes.
+const WINDOW: u32 = 4 << 20;
+
+/// Who may connect.
+#[derive(Clone, Debug)]
+pub struct Door {
+    /// The cell.
+    pub cell: String,
+    /// The proof of its secret.
+    pub proof: [u8; 32],
+}
+
+/// Accepts links for ever.
+pub async fn accept(listener: TcpListener, door: Door, traffic: Traffic) {
+    let door = Rc::new(door);
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let peer = Peer {
+                    door: door.clone(),
+                    traffic: traffic.clone(),
+                    from,
+                };
+                actix_rt::spawn(peer.serve(stream));
+            }
+            Err(err) => {
+                warn!("link: accept failed: {err}.");
+                actix_rt::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Peer {
+    door: Rc<Door>,
+    traffic: Traffic,
+    from: SocketAddr,
+}
+
+impl Peer {
+    async fn serve(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let from = self.from;
+        let opened = timeout(HELLO_TIMEOUT, self.open(stream)).await;
+        match opened {
+            Ok(Ok(connection)) => self.exchanges(connection).await,
+            Ok(Err(problem)) => {
+                warn!("link: refused {from}: {problem}.");
+            }
+            Err(_) => warn!("link: refused {from}: no hello in time."),
+        }
+    }
+
+    /// Reads the hello and answers it.
+    async fn open(
+        &self,
+        stream: TcpStream,
+    ) -> Result<Connection<TcpStream, Bytes>, String> {
+        let mut connection = h2::server::Builder::new()
+            .max_concurrent_streams(MAX_STREAMS)
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(WINDOW)
+            .handshake(stream)
+            .await
+            .map_err(|err| err.to_string())?;
+        let first = connection.accept().await;
+        let (request, respond) = first
+            .ok_or("closed without a hello")?
+            .map_err(|err| err.to_string())?;
+        let body = request.into_body();
+        let checked = {
+            let hello = read(body, wire::MAX_HELLO);
+            tokio::pin!(hello);
+            // The connection has to be driven while its stream is read.
+            loop {
+                tokio::select! {
+                    bytes = &mut hello => break self.check(bytes),
+                    more = connection.accept() => {
+                        if more.is_none() {
+                            return Err("closed within the hello".into());
+                        }
+                    }
+                }
+            }
+        };
+        match checked {
+            Ok(()) => {
+                send(respond, &Response::Welcome);
+                Ok(connection)
+            }
+            Err(problem) => {
+                send(respond, &Response::Refused(problem.clone()));
+                connection.graceful_shutdown();
+                while connection.accept().await.is_some() {}
+                Err(problem)
+            }
+        }
+    }
+
+    fn check(&self, bytes: Result<Bytes, String>) -> Result<(), String> {
+        let hello = wire::decode_hello(&bytes?)?;
+        hello.check(&self.door.cell, &self.door.proof)
+    }
+
+    async fn exchanges(self, mut connection: Connection<TcpStream, Bytes>) {
+        while let Some(accepted) = connection.accept().await {
+            match accepted {
+                Ok((request, respond)) => {
+                    let peer = self.clone();
+                    let body = request.into_body();
+                    actix_rt::spawn(peer.exchange(body, respond));
+                }
+                Err(err) => {
+                    debug!("link: {} ended: {err}.", self.from);
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn exchange(self, body: RecvStream, respond: SendResponse<Bytes>) {
+        let request = match read(body, wire::MAX_MESSAGE).await {
+            Ok(bytes) => wire::decode::<Request>(&bytes),
+            Err(problem) => Err(problem),
+        };
+        let response = match request {
+            Ok(request) => self.answer(request).await,
+            Err(problem) => {
+                warn!("link: {} sent nonsense: {problem}.", self.from);
+                Response::Refused(problem)
+            }
+        };
+        send(respond, &response);
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let control = self.traffic.control();
+        let stopping = || Response::Refused("stopping".into());
+        match request {
+            Request::Summary(theirs) => {
+                let ask = |tx| Input::Summary(theirs, tx);
+                match control.ask(ask).await {
+                    Ok(ours) => Response::Summary(ours),
+                    Err(_) => stopping(),
+                }
+            }
+            Request::Fetch => match control.ask(Input::Export).await {
+                Ok(stored) => Response::Stored(stored),
+                Err(_) => stopping(),
+            },
+            Request::Hop(Hop { scope, call, body }) => {
+                let origin = Origin::Hop(scope);
+                let run = self.traffic.run(origin, call, body.into());
+                let (outcome, answer) = run.await;
+                Response::Ended(outcome, answer)
+            }
+            Request::Bequest(Bequest { scope, epoch, memory }) => {
+                control.event(Event::Bequest { scope, epoch, memory });
+                Response::Noted
+            }
+        }
+    }
+}
+
+fn send(mut respond: SendResponse<Bytes>, response: &Response) {
+    let bytes = wire::encode(response).unwrap_or_default();
+    let head = http::Response::new(());
+    if let Ok(mut stream) = respond.send_response(head, false) {
+        // An error means that the peer is gone.
+        let _ = stream.send_data(bytes.into(), true);
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,162 @@
+/*!
+The settings of the daemon, from flags and environment variables.
+*/
+
+use std::net::{IpAddr, SocketAddr};
+
+use clap::Parser;
+use puffinknot_core::ids::{DcName, VmId};
+use puffinknot_core::node::NodeConfig;
+
+use crate::error::{Error, ErrorKind, Result};
+
+/// The entry daemon of puffinknot.
+///
+/// Every setting is a flag or an environment variable; a flag goes first.
+#[derive(Clone, Debug, Parser)]
+#[command(name = "puffinknotd", version, after_help = EXAMPLES)]
+pub struct Settings {
+    /// The cell; all VMs of one user and region share it.
+    #[arg(long, env = "PUFFINKNOT_CELL")]
+    pub cell: String,
+    /// The data centre of this VM.
+    #[arg(long, env = "PUFFINKNOT_DC")]
+    pub dc: String,
+    /// The name of this VM. A restarted daemon may use it again.
+    #[arg(long, env = "PUFFINKNOT_VM")]
+    pub vm: String,
+    /// Where callers connect, as IP:PORT.
+    #[arg(long, env = "PUFFINKNOT_LISTEN")]
+    pub listen: SocketAddr,
+    /// Where other entry VMs connect, as IP:PORT.
+    #[arg(long, env = "PUFFINKNOT_LINK")]
+    pub link: SocketAddr,
+    /// Where operators connect, as IP:PORT.
+    #[arg(long, env = "PUFFINKNOT_ADMIN")]
+    pub admin: SocketAddr,
+    /// The platform's key-value service, as http://IP:PORT.
+    #[arg(long, env = "PUFFINKNOT_PLATFORM")]
+    pub platform: String,
+    /// The VM list, as http://IP:PORT/PATH.
+    #[arg(long, env = "PUFFINKNOT_VM_LIST")]
+    pub vm_list: String,
+    /// Links of other entry VMs, as IP:PORT, to start from while the
+    /// platform is down. May be given several times.
+    #[arg(long = "peer", env = "PUFFINKNOT_PEERS", value_delimiter = ',')]
+    pub peers: Vec<SocketAddr>,
+    /// The secret that all VMs of the cell and its operators share.
+    #[arg(long, env = "PUFFINKNOT_SECRET", hide_env_values = true)]
+    pub secret: String,
+    /// The number of call contracts, if this VM is the first of its data
+    /// centre ever.
+    #[arg(long, env = "PUFFINKNOT_CALL_SCOPES", default_value_t = 3)]
+    pub call_scopes: u16,
+    /// The lease of this VM with the platform, in seconds.
+    #[arg(long, env = "PUFFINKNOT_TTL", default_value_t = 3)]
+    pub ttl: u64,
+    /// The number of threads that serve callers.
+    #[arg(long, env = "PUFFINKNOT_THREADS", default_value_t = 2)]
+    pub threads: usize,
+    /// The number of calls in progress at the most.
+    #[arg(long, env = "PUFFINKNOT_MAX_CALLS", default_value_t = 10_000)]
+    pub max_calls: usize,
+    /// At a planned stop, how long to wait for the balancer to notice, in
+    /// milliseconds.
+    #[arg(long, env = "PUFFINKNOT_DRAIN_MS", default_value_t = 1_000)]
+    pub drain_ms: u64,
+    /// Where metrics go by the StatsD protocol over UDP, as IP:PORT.
+    #[arg(long, env = "PUFFINKNOT_STATSD")]
+    pub statsd: Option<SocketAddr>,
+    /// What is logged: error, warn, info or debug.
+    #[arg(long, env = "PUFFINKNOT_LOG", default_value = "info")]
+    pub log: log::LevelFilter,
+    /// Check the settings and stop.
+    #[arg(long)]
+    pub check: bool,
+}
+
+const EXAMPLES: &str = "\
+Example:
+  PUFFINKNOT_SECRET=... puffinknotd --cell litoral --dc goya --vm goya-1 \\
+    --listen 10.1.0.1:8080 --link 10.1.0.1:8081 --admin 10.1.0.1:8082 \\
+    --platform http://10.0.0.5:2379 --vm-list http://10.0.0.5:9000/vms
+
+Signals: SIGTERM and SIGINT begin a planned stop, a second one has no effect.
+Exit codes: 0 stopped as planned, 1 failed, 2 wrong settings.";
+
+impl Settings {
+    /// Checks what the flags' types can't.
+    ///
+    /// # Errors
+    ///
+    /// The first setting that is wrong, with its remedy.
+    pub fn validate(&self) -> Result<()> {
+        name("--cell", &self.cell)?;
+        name("--dc", &self.dc)?;
+        name("--vm", &self.vm)?;
+        url("--platform", &self.platform)?;
+        url("--vm-list", &self.vm_list)?;
+        if self.secret.len() < MIN_SECRET {
+            let problem = "--secret is too short";
+            let remedy = format!("use at least {MIN_SECRET} characters");
+            return Err(Error::new(ErrorKind::Setting, problem, remedy));
+        }
+        range("--ttl", self.ttl, 1, 60)?;
+        range("--threads", self.threads as u64, 1, 64)?;
+        range("--call-scopes", self.call_scopes.into(), 1, 64)?;
+        range("--max-calls", self.max_calls as u64, 1, 1_000_000)?;
+        Ok(())
+    }
+
+    /// The IP address that this VM connects from.
+    pub fn ip(&self) -> IpAddr {
+        self.link.ip()
+    }
+
+    /// What the core is told, for a run of the daemon with this suffix.
+    pub fn node(&self, run: &str) -> NodeConfig {
+        let vm = VmId(format!("{}.{run}", self.vm));
+        let mut config = NodeConfig::new(vm, DcName(self.dc.clone()));
+        config.call_scopes = self.call_scopes;
+        config.member_ttl = self.ttl * 1_000;
+        config
+    }
+}
+
+const MIN_SECRET: usize = 8;
+
+fn name(flag: &str, value: &str) -> Result<()> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_".contains(&b);
+    if (1..=40).contains(&value.len()) && value.bytes().all(plain) {
+        return Ok(());
+    }
+    Err(Error::new(
+        ErrorKind::Setting,
+        format!("{flag} {value:?} is not a name"),
+        "use 1 to 40 letters, digits, dashes or underscores",
+    ))
+}
+
+fn url(flag: &str, value: &str) -> Result<()> {
+    let rest = value.strip_prefix("http://");
+    let host = rest.map(|r| r.split('/').next().unwrap_or_default());
+    if host.is_some_and(|h| h.parse::<SocketAddr>().is_ok()) {
+        return Ok(());
+    }
+    Err(Error::new(
+        ErrorKind::Setting,
+        format!("{flag} {value:?} is not usable"),
+        "write it as http://IP:PORT",
+    ))
+}
+
+fn range(flag: &str, value: u64, low: u64, high: u64) -> Result<()> {
+    if (low..=high).contains(&value) {
+        return Ok(());
+    }
+    Err(Error::new(
+        ErrorKind::Setting,
+        format!("{flag} {value} is out of range"),
+        format!("choose {low} to {high}"),
+    ))
+}
