Enrol executors where the fewest are; tell callers when asking again is useless

Cause: a hash of a few names over a few scopes left one call contract of goya without any executor, and an unknown outcome that can never be settled carried a retry time of zero, so that callers asked again without any pause. Ruled out: the reserve and the caller's share (the pool had no slot at all). Change: a new executor goes to the call scope with the fewest; an outcome that will stay unknown carries no Retry-After.

--- a/puffinknot-core/src/contract.rs
+++ b/puffinknot-core/src/contract.rs
@@ -126,10 +126,15 @@
             .filter(|epoch| epoch.number > 0)
     }
 
-    /// The scope that a new executor is enrolled in.
-    pub fn scope_for_executor(&self, target: &TargetId) -> Scope {
-        let parts = u64::from(self.call_scopes().max(1));
-        Scope::Calls((hash(target) % parts) as u16)
+    /// The scope that a new executor is enrolled in: the one with the
+    /// fewest, since a hash of a few names leaves some scopes empty.
+    pub fn scope_for_executor(&self) -> Scope {
+        let calls = self
+            .contracts
+            .iter()
+            .filter(|(scope, _)| matches!(scope, Scope::Calls(_)));
+        let least = calls.min_by_key(|(_, c)| c.targets.len());
+        least.map_or(Scope::Calls(0), |(scope, _)| *scope)
     }
 
     /// The scope that is home to a key.
--- a/puffinknot-core/src/keys.rs
+++ b/puffinknot-core/src/keys.rs
@@ -125,7 +125,10 @@
                 return Err(Outcome::unknown(Reason::StillRunning, 1_000));
             }
             Some(KeyState::Answered) => {
-                return Err(Outcome::unknown(Reason::AlreadyRan, 0));
+                return Err(Outcome::unknown(
+                    Reason::AlreadyRan,
+                    Outcome::NEVER,
+                ));
             }
             None => {}
         }
@@ -134,12 +137,13 @@
             return Err(Outcome::not_run(Reason::KeyTooNew, wait));
         }
         if key.stamp() < self.floor || key.stamp() + config.window <= wall {
-            return Err(Outcome::unknown(Reason::KeyTooOld, 0));
+            return Err(Outcome::unknown(Reason::KeyTooOld, Outcome::NEVER));
         }
         match self.serves_from {
             Some(from) if key.stamp() >= from => {}
             Some(_) => {
-                return Err(Outcome::unknown(Reason::BeforeTenure, 0));
+                let never = Outcome::NEVER;
+                return Err(Outcome::unknown(Reason::BeforeTenure, never));
             }
             None => {
                 return Err(Outcome::unknown(Reason::BeforeTenure, 1_000));
--- a/puffinknot-core/src/node/claims.rs
+++ b/puffinknot-core/src/node/claims.rs
@@ -401,6 +401,9 @@
             .values()
             .flat_map(|contract| contract.targets.iter().cloned())
             .collect();
+        // Every VM works out the same places for all new targets, and
+        // enrols those that fall to its own contracts.
+        let mut plan = map.clone();
         let dc = &self.config.dc;
         for listed in self.view.listed.values() {
             if listed.dc != *dc || listed.leaving {
@@ -411,8 +414,11 @@
             }
             let scope = match listed.kind {
                 TargetKind::Worker => Scope::Tasks,
-                TargetKind::Executor => map.scope_for_executor(&listed.id),
+                TargetKind::Executor => plan.scope_for_executor(),
             };
+            if let Some(contract) = plan.contracts.get_mut(&scope) {
+                contract.targets.insert(listed.id.clone());
+            }
             if let Some(contract) = self.mine(map, scope) {
                 contract.targets.insert(listed.id.clone());
             }
--- a/puffinknot-core/src/outcome.rs
+++ b/puffinknot-core/src/outcome.rs
@@ -118,6 +118,9 @@
 }
 
 impl Outcome {
+    /// In place of a time to come back: nothing more will ever be known.
+    pub const NEVER: Millis = 0;
+
     /// A refusal.
     pub fn not_run(reason: Reason, retry_after: Millis) -> Outcome {
         Outcome::NotRun { reason, retry_after }
--- a/puffinknot-standin/src/load.rs
+++ b/puffinknot-standin/src/load.rs
@@ -186,7 +186,7 @@
             }
             Try::NoEntry => Duration::from_millis(20),
         };
-        if start.elapsed() + wait >= class.patience {
+        if start.elapsed().saturating_add(wait) >= class.patience {
             break;
         }
         actix_rt::time::sleep(wait).await;
@@ -244,8 +244,9 @@
         return Try::Unknown(Duration::from_millis(100));
     };
     let retry = header(&headers, "puffinknot-retry-after-ms");
-    let retry = retry.and_then(|ms| ms.parse().ok()).unwrap_or(1_000);
-    let retry = Duration::from_millis(retry);
+    let retry = retry.and_then(|ms| ms.parse().ok());
+    // Without a time to come back, asking again is of no use.
+    let retry = retry.map_or(Duration::MAX, Duration::from_millis);
     match header(&headers, "puffinknot-outcome") {
         Some("answered") => {
             // The answer has to be the one to this very request.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -287,13 +287,19 @@
         }
         Outcome::Answered => return text(status, "no answer"),
     };
-    let body = format!("{name}: {reason}: {advice} in {retry_after} ms\n");
-    Response::build(status)
+    let mut response = Response::build(status);
+    response
         .insert_header((OUTCOME, name))
         .insert_header((REASON, reason.as_str()))
+        .insert_header((CONTENT_TYPE, "text/plain; charset=utf-8"));
+    if retry_after == Outcome::NEVER {
+        let body = format!("{name}: {reason}: asking again tells no more\n");
+        return response.body(body).map_into_boxed_body();
+    }
+    let body = format!("{name}: {reason}: {advice} in {retry_after} ms\n");
+    response
         .insert_header(("retry-after", retry_after.div_ceil(1_000)))
         .insert_header((RETRY_MS, retry_after))
-        .insert_header((CONTENT_TYPE, "text/plain; charset=utf-8"))
         .body(body)
         .map_into_boxed_body()
 }
