--- /dev/null
+++ b/tests/cell/mod.rs
@@ -0,0 +1,885 @@
+//! A small cell for fuzzing and model checking: the real nodes and the real
+//! worker state, with fakes of the platform, of executors and of the
+//! network between them. Nothing happens by itself; a test says what does.
+
+mod platform;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use puffinknot_core::calls::CallId;
+use puffinknot_core::config::{Config, Resources};
+use puffinknot_core::contract::Scope;
+use puffinknot_core::ids::{
+    DcName, Epoch, Millis, Revision, TargetId, TaskId, VmId,
+};
+use puffinknot_core::keys::Key as CallKey;
+use puffinknot_core::keys::KeyMemory;
+use puffinknot_core::node::{
+    Action, Attempt, Call, Event, ExecutorInfo, Listed, Node, NodeConfig, Now,
+    Summary, TargetError, TargetKind,
+};
+use puffinknot_core::outcome::Outcome;
+use puffinknot_core::store::{Key, Member, Stored, Value, Write, WriteResult};
+use puffinknot_core::tasks::{SyncReply, SyncRequest, WorkerInfo};
+use puffinknot_standin::worker::{Refusal, WorkerState};
+
+use self::platform::Platform;
+
+/// The time since 1970 at which every test begins.
+pub const EPOCH_WALL: Millis = 1_700_000_000_000;
+/// How often a node is told that time has passed.
+const TICK: Millis = 50;
+const LEASE: Millis = 3_000;
+
+/// A message on its way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Message {
+    /// A write, to the platform.
+    Write(VmId, Write),
+    /// A read of everything, to the platform.
+    Read(VmId),
+    /// To a node, from the platform or from a target that answers it.
+    Event(VmId, Event),
+    /// To an executor: an epoch.
+    Ask(VmId, TargetId, Epoch),
+    /// To an executor: a call.
+    Dispatch(VmId, CallId, TargetId, Epoch),
+    /// To a worker.
+    Sync(VmId, TargetId, SyncRequest),
+    /// From peer to peer: a call.
+    Forward(VmId, CallId, VmId, Scope, Call),
+    /// From peer to peer: the end of a call.
+    Ended(VmId, VmId, CallId, Outcome),
+    /// From peer to peer.
+    Summary(VmId, VmId, Summary),
+    /// From peer to peer: what is known of the platform's values.
+    Learned(VmId, VmId, Vec<Stored>),
+    /// From peer to peer.
+    Bequest(VmId, VmId, Scope, Epoch, KeyMemory),
+}
+
+/// A node with its surroundings.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Vm {
+    pub node: Node,
+    pub paused: bool,
+    /// Cut off from the platform.
+    pub cut: bool,
+    /// The revision up to which the watch has told it; `None` if it has to
+    /// read first.
+    watched: Option<Revision>,
+    lease: bool,
+    renewed: Millis,
+    draining: bool,
+    /// Revisions of the file that came into force, the last one only.
+    in_force: Revision,
+}
+
+/// A fake of an executor.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Executor {
+    pub highest: Epoch,
+    pub slots: u32,
+    pub running: BTreeMap<String, Run>,
+    pub leaving: bool,
+    /// When it was told to leave.
+    pub left_at: Option<Millis>,
+    pub overcommitted: u32,
+}
+
+/// A call at an executor.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Run {
+    vm: VmId,
+    id: CallId,
+    ends: Millis,
+}
+
+/// A call as its caller knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Asked {
+    pub key: Option<CallKey>,
+    pub answers: Vec<Outcome>,
+    /// How often the key had run when the caller asked.
+    pub ran_before: u32,
+    pub entry: VmId,
+    pub waiting: bool,
+}
+
+/// Everything.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Cell {
+    pub now: Millis,
+    pub vms: BTreeMap<VmId, Vm>,
+    pub platform: Platform,
+    pub executors: BTreeMap<TargetId, Executor>,
+    pub workers: BTreeMap<TargetId, WorkerState>,
+    pub listed: BTreeMap<TargetId, Listed>,
+    /// The list as the nodes see it.
+    pub list_seen: BTreeMap<TargetId, Listed>,
+    pub net: Vec<Message>,
+    pub asked: BTreeMap<CallId, Asked>,
+    /// Runs of calls with a key.
+    pub runs: BTreeMap<CallKey, u32>,
+    /// Pairs that can't talk, as VM and VM or VM and target.
+    pub cuts: BTreeSet<(String, String)>,
+    /// Forwarded calls: who waits, for whose call.
+    hops: BTreeMap<(VmId, CallId), (VmId, CallId)>,
+    next_call: u64,
+    next_vm: u64,
+    /// How long a call runs.
+    pub run_ms: Millis,
+    /// What was seen to be wrong.
+    pub faults: Vec<String>,
+}
+
+impl Cell {
+    /// A cell without VMs and targets, with this file in force.
+    pub fn new(file: &str) -> Cell {
+        let mut platform = Platform::default();
+        platform.put(Key::Config, Value::Config(file.to_string()));
+        Cell {
+            now: 1_000_000,
+            vms: BTreeMap::new(),
+            platform,
+            executors: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            list_seen: BTreeMap::new(),
+            net: Vec::new(),
+            asked: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            hops: BTreeMap::new(),
+            next_call: 0,
+            next_vm: 0,
+            run_ms: 100,
+            faults: Vec::new(),
+        }
+    }
+
+    pub fn clocks(&self) -> Now {
+        Now { mono: self.now, wall: EPOCH_WALL + self.now }
+    }
+
+    /// Starts a VM and returns its name.
+    pub fn start(&mut self, name: &str, dc: &str) -> VmId {
+        self.next_vm += 1;
+        let id = VmId(format!("{name}.{}", self.next_vm));
+        let mut config = NodeConfig::new(id.clone(), DcName::from(dc));
+        config.call_scopes = 2;
+        let vm = Vm {
+            node: Node::new(config),
+            paused: false,
+            cut: false,
+            watched: None,
+            lease: false,
+            renewed: 0,
+            draining: false,
+            in_force: 0,
+        };
+        self.vms.insert(id.clone(), vm);
+        id
+    }
+
+    pub fn add_executor(&mut self, id: &str, dc: &str, slots: u32) {
+        let executor = Executor {
+            highest: Epoch::default(),
+            slots,
+            running: BTreeMap::new(),
+            leaving: false,
+            left_at: None,
+            overcommitted: 0,
+        };
+        self.executors.insert(id.into(), executor);
+        self.list(id, dc, TargetKind::Executor);
+    }
+
+    pub fn add_worker(&mut self, id: &str, dc: &str, cpu_millis: u32) {
+        let info = WorkerInfo {
+            capacity: Resources {
+                cpu_millis,
+                memory_mb: 64_000,
+                accelerators: 0,
+            },
+            rack: format!("rack-{id}"),
+            leaving: false,
+        };
+        self.workers.insert(id.into(), WorkerState::new(info));
+        self.list(id, dc, TargetKind::Worker);
+    }
+
+    fn list(&mut self, id: &str, dc: &str, kind: TargetKind) {
+        let id = TargetId::from(id);
+        let dc = DcName::from(dc);
+        let leaving = false;
+        let listed = Listed { id: id.clone(), kind, dc, leaving };
+        self.listed.insert(id, listed);
+    }
+
+    /// Ends a VM at once.
+    pub fn kill(&mut self, vm: &VmId) {
+        self.vms.remove(vm);
+        self.net.retain(|message| match message {
+            Message::Event(to, _) => to != vm,
+            Message::Ended(_, to, ..) | Message::Summary(_, to, _) => to != vm,
+            _ => true,
+        });
+        let broken: Vec<_> = self.hops.clone().into_iter().collect();
+        for ((from, id), (to, remote)) in broken {
+            if to == *vm {
+                self.hops.remove(&(from.clone(), id));
+                let event = Event::HopFailed { id, sent: true };
+                self.net.push(Message::Event(from, event));
+            } else if from == *vm {
+                self.hops.remove(&(from, id));
+                let event = Event::Abandoned(remote);
+                self.net.push(Message::Event(to, event));
+            }
+        }
+        for asked in self.asked.values_mut() {
+            if asked.entry == *vm && asked.waiting {
+                // The caller's connection is closed.
+                asked.waiting = false;
+            }
+        }
+    }
+
+    pub fn is_cut(&self, a: &str, b: &str) -> bool {
+        let (a, b) = if a < b { (a, b) } else { (b, a) };
+        self.cuts.contains(&(a.to_string(), b.to_string()))
+    }
+
+    /// Cuts two parties off from each other, or heals that.
+    pub fn cut(&mut self, a: &str, b: &str, cut: bool) {
+        let (a, b) = if a < b { (a, b) } else { (b, a) };
+        let pair = (a.to_string(), b.to_string());
+        if !cut {
+            self.cuts.remove(&pair);
+            return;
+        }
+        self.cuts.insert(pair);
+        let hops: Vec<_> = self.hops.clone().into_iter().collect();
+        for ((from, id), (to, _)) in hops {
+            if self.is_cut(from.as_str(), to.as_str()) {
+                self.hops.remove(&(from.clone(), id));
+                let event = Event::HopFailed { id, sent: true };
+                self.net.push(Message::Event(from, event));
+            }
+        }
+        let mut lost = Vec::new();
+        for (target, executor) in &self.executors {
+            for run in executor.running.values() {
+                if self.is_cut(run.vm.as_str(), target.as_str()) {
+                    lost.push((run.vm.clone(), run.id));
+                }
+            }
+        }
+        for (vm, id) in lost {
+            let event = Event::Attempted(id, Attempt::Lost);
+            self.net.push(Message::Event(vm, event));
+        }
+    }
+
+    pub fn pause(&mut self, vm: &VmId, paused: bool) {
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.paused = paused;
+        }
+    }
+
+    pub fn cut_platform(&mut self, vm: &VmId, cut: bool) {
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.cut = cut;
+            vm.watched = None;
+        }
+    }
+
+    /// A key that is made now.
+    pub fn new_key(&mut self, caller: &str) -> CallKey {
+        self.next_call += 1;
+        let stamp = u128::from(EPOCH_WALL + self.now) << 80;
+        let uuid = stamp | (7 << 76) | u128::from(self.next_call);
+        CallKey { uuid, caller: caller.into() }
+    }
+
+    /// A caller asks an entry VM.
+    pub fn call(
+        &mut self,
+        entry: &VmId,
+        caller: &str,
+        class: &str,
+        key: Option<CallKey>,
+    ) -> CallId {
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        let ran = key.as_ref().and_then(|key| self.runs.get(key));
+        let asked = Asked {
+            ran_before: ran.copied().unwrap_or(0),
+            key: key.clone(),
+            answers: Vec::new(),
+            entry: entry.clone(),
+            waiting: true,
+        };
+        self.asked.insert(id, asked);
+        let call = Call {
+            caller: caller.into(),
+            class: class.into(),
+            remaining: 60_000,
+            key,
+        };
+        let event = Event::Call(id, call);
+        self.net.push(Message::Event(entry.clone(), event));
+        id
+    }
+
+    /// Tells a node something and takes note of what it wants done.
+    pub fn tell(&mut self, vm: &VmId, event: Event) {
+        let now = self.clocks();
+        let Some(state) = self.vms.get_mut(vm) else { return };
+        let actions = state.node.handle(now, event);
+        for action in actions {
+            self.act(vm, action);
+        }
+    }
+
+    fn act(&mut self, vm: &VmId, action: Action) {
+        let from = vm.clone();
+        match action {
+            Action::Write(write) => {
+                self.net.push(Message::Write(from, write));
+            }
+            Action::Read => self.net.push(Message::Read(from)),
+            Action::Register { draining } => self.register(vm, draining),
+            Action::Ask { target, epoch } => {
+                self.net.push(Message::Ask(from, target, epoch));
+            }
+            Action::Sync { target, request } => {
+                self.net.push(Message::Sync(from, target, request));
+            }
+            Action::Dispatch { id, target, epoch } => {
+                self.net.push(Message::Dispatch(from, id, target, epoch));
+            }
+            Action::Forward { id, vm, scope, call } => {
+                self.net.push(Message::Forward(from, id, vm, scope, call));
+            }
+            Action::Answer { id, outcome } => self.answer(vm, id, outcome),
+            Action::Fetch { vm } => {
+                let peer = self.vms.get(&vm);
+                let known = peer.map(|peer| peer.node.view().export());
+                if let Some(known) = known.filter(|_| self.linked(&from, &vm))
+                {
+                    self.net.push(Message::Learned(vm, from, known));
+                }
+            }
+            Action::Bequeath { vm, scope, epoch, memory } => {
+                let message = Message::Bequest(from, vm, scope, epoch, memory);
+                self.net.push(message);
+            }
+            Action::InForce(revision) => {
+                let Some(state) = self.vms.get_mut(vm) else { return };
+                if revision <= state.in_force {
+                    self.faults.push(format!("{vm} went back to {revision}"));
+                }
+                state.in_force = revision;
+            }
+        }
+    }
+
+    fn linked(&self, a: &VmId, b: &VmId) -> bool {
+        self.vms.contains_key(a)
+            && self.vms.contains_key(b)
+            && !self.is_cut(a.as_str(), b.as_str())
+    }
+
+    fn register(&mut self, vm: &VmId, draining: bool) {
+        if let Some(state) = self.vms.get_mut(vm) {
+            state.draining = draining;
+            // The next renewal writes the entry.
+            state.renewed = 0;
+        }
+    }
+
+    fn answer(&mut self, vm: &VmId, id: CallId, outcome: Outcome) {
+        if let Some(asked) = self.asked.get_mut(&id) {
+            if asked.entry == *vm {
+                asked.waiting = false;
+                asked.answers.push(outcome.clone());
+                let asked = asked.clone();
+                self.check_answer(id, &asked, &outcome);
+                return;
+            }
+        }
+        let waiting =
+            self.hops.iter().find(|(_, hop)| **hop == (vm.clone(), id));
+        if let Some(((to, their_id), _)) = waiting {
+            let (to, their_id) = (to.clone(), *their_id);
+            self.hops.remove(&(to.clone(), their_id));
+            let message = Message::Ended(vm.clone(), to, their_id, outcome);
+            self.net.push(message);
+        }
+    }
+
+    fn check_answer(&mut self, id: CallId, asked: &Asked, outcome: &Outcome) {
+        if asked.answers.len() > 1 {
+            self.faults.push(format!("{id:?} was answered twice"));
+        }
+        let not_run = matches!(outcome, Outcome::NotRun { .. });
+        if not_run && asked.ran_before > 0 {
+            self.faults.push(format!("{id:?} ran, but {outcome:?}"));
+        }
+        if *outcome == Outcome::Answered {
+            let key = asked.key.as_ref();
+            let ran = key.is_none_or(|key| self.runs.contains_key(key));
+            if !ran {
+                self.faults.push(format!("{id:?} answered without a run"));
+            }
+        }
+    }
+
+    /// Whether a message can be delivered now. Those to a paused VM wait.
+    pub fn deliverable(&self, message: &Message) -> bool {
+        let awake = |vm: &VmId| self.vms.get(vm).is_none_or(|vm| !vm.paused);
+        match message {
+            Message::Event(to, _) => awake(to),
+            Message::Forward(_, _, to, ..) => awake(to),
+            Message::Ended(_, to, ..)
+            | Message::Summary(_, to, _)
+            | Message::Learned(_, to, _)
+            | Message::Bequest(_, to, ..) => awake(to),
+            _ => true,
+        }
+    }
+
+    /// Delivers one message.
+    pub fn deliver(&mut self, index: usize) {
+        let message = self.net.remove(index);
+        self.hand_over(message);
+    }
+
+    fn hand_over(&mut self, message: Message) {
+        match message {
+            Message::Event(to, event) => self.tell(&to, event),
+            Message::Write(vm, write) => self.write(vm, write),
+            Message::Read(vm) => self.read(vm),
+            Message::Ask(vm, target, epoch) => self.ask(vm, target, epoch),
+            Message::Dispatch(vm, id, target, epoch) => {
+                self.dispatch(vm, id, target, epoch);
+            }
+            Message::Sync(vm, target, request) => {
+                self.sync(vm, target, request);
+            }
+            Message::Forward(from, id, to, scope, call) => {
+                self.forward(from, id, to, scope, call);
+            }
+            Message::Ended(from, to, id, outcome) => {
+                if self.linked(&from, &to) {
+                    self.tell(&to, Event::HopEnded(id, outcome));
+                } else {
+                    let event = Event::HopFailed { id, sent: true };
+                    self.tell(&to, event);
+                }
+            }
+            Message::Summary(from, to, summary) => {
+                if !self.is_cut(from.as_str(), to.as_str()) {
+                    self.tell(&to, Event::Heard(summary));
+                }
+            }
+            Message::Learned(from, to, stored) => {
+                if !self.is_cut(from.as_str(), to.as_str()) {
+                    self.tell(&to, Event::Learned(stored));
+                }
+            }
+            Message::Bequest(from, to, scope, epoch, memory) => {
+                let taken = self.linked(&from, &to);
+                if taken {
+                    self.tell(&to, Event::Bequest { scope, epoch, memory });
+                }
+                let event = Event::BequestEnded { scope, taken };
+                self.net.push(Message::Event(from, event));
+            }
+        }
+    }
+
+    fn platform_answers(&self, vm: &VmId) -> bool {
+        let cut = self.vms.get(vm).is_none_or(|vm| vm.cut);
+        !cut && !self.platform.down
+    }
+
+    fn write(&mut self, vm: VmId, write: Write) {
+        let key = write.key.clone();
+        let result = if self.platform_answers(&vm) {
+            self.platform.write(write)
+        } else {
+            WriteResult::NotMade
+        };
+        let event = Event::Written { key, result };
+        self.net.push(Message::Event(vm, event));
+    }
+
+    fn read(&mut self, vm: VmId) {
+        if !self.platform_answers(&vm) {
+            // The daemon tries until it succeeds.
+            if self.vms.contains_key(&vm) {
+                self.net.push(Message::Read(vm));
+            }
+            return;
+        }
+        let (revision, stored) = self.platform.read();
+        let event = Event::Snapshot { revision, stored };
+        self.net.push(Message::Event(vm, event));
+    }
+
+    fn ask(&mut self, vm: VmId, target: TargetId, epoch: Epoch) {
+        let reachable = !self.is_cut(vm.as_str(), target.as_str());
+        let executor = self.executors.get_mut(&target).filter(|_| reachable);
+        let result = match executor {
+            None => Err(TargetError::Unreachable),
+            Some(executor) => executor.ask(&epoch),
+        };
+        let event = Event::Executor { target, epoch, result };
+        self.net.push(Message::Event(vm, event));
+    }
+
+    fn dispatch(
+        &mut self,
+        vm: VmId,
+        id: CallId,
+        target: TargetId,
+        epoch: Epoch,
+    ) {
+        let reachable = !self.is_cut(vm.as_str(), target.as_str());
+        let ends = self.now + self.run_ms;
+        let key = self.key_of(&vm, id);
+        let executor = self.executors.get_mut(&target).filter(|_| reachable);
+        let ended = match executor {
+            None => Some(Attempt::NotSent),
+            Some(executor) => {
+                let run = Run { vm: vm.clone(), id, ends };
+                executor.begin(run, &epoch).err()
+            }
+        };
+        match (ended, key) {
+            (Some(attempt), _) => {
+                let event = Event::Attempted(id, attempt);
+                self.net.push(Message::Event(vm, event));
+            }
+            (None, Some(key)) => {
+                let runs = self.runs.entry(key).or_default();
+                *runs += 1;
+                if *runs > 1 {
+                    self.faults.push(format!("{id:?} ran {runs} times"));
+                }
+            }
+            (None, None) => {}
+        }
+        self.check_leaving(&target);
+    }
+
+    fn check_leaving(&mut self, target: &TargetId) {
+        let Some(executor) = self.executors.get(target) else { return };
+        let Some(left) = executor.left_at else { return };
+        if left + GRACE < self.now
+            && executor.started_at(self.now, self.run_ms)
+        {
+            self.faults.push(format!("{target} was leaving since {left}"));
+        }
+    }
+
+    /// The key of a call, wherever its caller asked.
+    fn key_of(&self, vm: &VmId, id: CallId) -> Option<CallKey> {
+        let mut at = (vm.clone(), id);
+        while let Some(((from, from_id), _)) =
+            self.hops.iter().find(|(_, to)| **to == at)
+        {
+            at = (from.clone(), *from_id);
+        }
+        self.asked.get(&at.1)?.key.clone()
+    }
+
+    fn sync(&mut self, vm: VmId, target: TargetId, request: SyncRequest) {
+        let reachable = !self.is_cut(vm.as_str(), target.as_str());
+        let now = self.now;
+        let worker = self.workers.get_mut(&target).filter(|_| reachable);
+        let result: Result<SyncReply, TargetError> = match worker {
+            None => Err(TargetError::Unreachable),
+            Some(worker) => match worker.sync(now, &request) {
+                Ok(reply) => Ok(reply),
+                Err(Refusal::Stale(e)) => Err(TargetError::Stale(e)),
+                Err(Refusal::Old) => Err(TargetError::Unreachable),
+            },
+        };
+        let (epoch, seq) = (request.epoch, request.seq);
+        let event = Event::Synced { target, epoch, seq, result };
+        self.net.push(Message::Event(vm, event));
+    }
+
+    fn forward(
+        &mut self,
+        from: VmId,
+        id: CallId,
+        to: VmId,
+        scope: Scope,
+        call: Call,
+    ) {
+        if !self.linked(&from, &to) {
+            let event = Event::HopFailed { id, sent: false };
+            self.net.push(Message::Event(from, event));
+            return;
+        }
+        self.next_call += 1;
+        let remote = CallId(self.next_call);
+        let asked = Asked {
+            key: call.key.clone(),
+            answers: Vec::new(),
+            ran_before: 0,
+            entry: VmId::default(),
+            waiting: false,
+        };
+        self.asked.insert(remote, asked);
+        self.hops.insert((from, id), (to.clone(), remote));
+        self.tell(&to, Event::Hop(remote, scope, call));
+    }
+
+    /// Lets time pass for everything that has a clock of its own.
+    pub fn pass(&mut self, span: Millis) {
+        self.now += span;
+        self.platform.expire(self.now);
+        let mut ended = Vec::new();
+        for (target, executor) in &mut self.executors {
+            let now = self.now;
+            let over: Vec<String> = executor
+                .running
+                .iter()
+                .filter(|(_, run)| run.ends <= now)
+                .map(|(id, _)| id.clone())
+                .collect();
+            for id in over {
+                if let Some(run) = executor.running.remove(&id) {
+                    ended.push((target.clone(), run));
+                }
+            }
+        }
+        for (target, run) in ended {
+            if !self.is_cut(run.vm.as_str(), target.as_str()) {
+                let event = Event::Attempted(run.id, Attempt::Answered);
+                self.net.push(Message::Event(run.vm, event));
+            }
+        }
+        for worker in self.workers.values_mut() {
+            worker.tick(self.now);
+        }
+    }
+
+    /// Lets a VM do what its daemon does from time to time.
+    pub fn housekeep(&mut self, vm: &VmId) {
+        let Some(state) = self.vms.get(vm) else { return };
+        if state.paused {
+            return;
+        }
+        if self.platform_answers(vm) {
+            self.renew(vm);
+            self.watch(vm);
+        }
+        self.tell(vm, Event::Tick);
+    }
+
+    /// What a daemon does every second.
+    pub fn gossip(&mut self, vm: &VmId) {
+        let now = self.clocks();
+        let Some(state) = self.vms.get(vm) else { return };
+        if state.paused {
+            return;
+        }
+        let summary = state.node.summary(now);
+        let peers: Vec<VmId> =
+            self.vms.keys().filter(|peer| *peer != vm).cloned().collect();
+        for peer in peers {
+            let message = Message::Summary(vm.clone(), peer, summary.clone());
+            self.net.push(message);
+        }
+        let listed = self.list_seen.values().cloned().collect();
+        self.tell(vm, Event::Listed(listed));
+    }
+
+    fn renew(&mut self, vm: &VmId) {
+        let now = self.now;
+        let Some(state) = self.vms.get_mut(vm) else { return };
+        if state.renewed + LEASE / 3 > now {
+            return;
+        }
+        state.renewed = now;
+        let dc = state.node.dc().clone();
+        let member = Member {
+            dc: dc.clone(),
+            addr: String::new(),
+            admin: String::new(),
+            draining: state.draining,
+        };
+        let had_lease = state.lease;
+        state.lease = true;
+        let alive = self.platform.renew(vm, now + LEASE);
+        if had_lease && !alive {
+            self.tell(vm, Event::LeaseLost);
+        }
+        self.platform.put_member(dc, vm.clone(), member, now + LEASE);
+        self.tell(vm, Event::Renewed { sent_at: now });
+    }
+
+    /// Brings a VM what the platform's watch has for it.
+    pub fn watch(&mut self, vm: &VmId) {
+        let revision = self.platform.revision;
+        let Some(state) = self.vms.get_mut(vm) else { return };
+        let event = match state.watched {
+            None => {
+                let (revision, stored) = self.platform.read();
+                Event::Snapshot { revision, stored }
+            }
+            Some(seen) if seen < revision => self.platform.since(seen),
+            Some(_) => return,
+        };
+        state.watched = Some(revision);
+        self.tell(vm, event);
+    }
+
+    /// Lets time pass in small steps, in which every message is delivered
+    /// in an order that `pick` chooses.
+    pub fn run(&mut self, span: Millis, mut pick: impl FnMut(usize) -> usize) {
+        let until = self.now + span;
+        while self.now < until {
+            self.pass(TICK);
+            let vms: Vec<VmId> = self.vms.keys().cloned().collect();
+            for vm in &vms {
+                self.housekeep(vm);
+            }
+            if self.now % 1_000 == 0 {
+                self.list_seen = self.listed.clone();
+                for vm in &vms {
+                    self.gossip(vm);
+                }
+            }
+            self.deliver_all(&mut pick);
+            self.check();
+            if !self.faults.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn deliver_all(&mut self, pick: &mut impl FnMut(usize) -> usize) {
+        // A read that can't succeed now is put back, so the rounds are
+        // bounded.
+        for _ in 0..MAX_DELIVERIES {
+            let ready: Vec<usize> = (0..self.net.len())
+                .filter(|i| self.deliverable(&self.net[*i]))
+                .filter(|i| self.useful(&self.net[*i]))
+                .collect();
+            if ready.is_empty() {
+                return;
+            }
+            let index = ready[pick(ready.len())];
+            self.deliver(index);
+        }
+    }
+
+    fn useful(&self, message: &Message) -> bool {
+        match message {
+            Message::Read(vm) => {
+                !self.vms.contains_key(vm) || self.platform_answers(vm)
+            }
+            _ => true,
+        }
+    }
+
+    /// Checks what must hold at every moment.
+    pub fn check(&mut self) {
+        let mut places: BTreeMap<&TaskId, &TargetId> = BTreeMap::new();
+        for (target, worker) in &self.workers {
+            if worker.overcommitted > 0 {
+                self.faults.push(format!("{target} is overcommitted"));
+            }
+            for task in worker.running() {
+                if let Some(other) = places.insert(task, target) {
+                    let fault = format!("{task} on {other} and {target}");
+                    self.faults.push(fault);
+                }
+            }
+        }
+        for (target, executor) in &self.executors {
+            if executor.overcommitted > 0 {
+                self.faults.push(format!("{target} is overcommitted"));
+            }
+        }
+    }
+
+    /// The number of tasks that run.
+    pub fn tasks_running(&self) -> usize {
+        self.workers.values().map(|w| w.running().count()).sum()
+    }
+
+    /// The calls whose callers still wait.
+    pub fn waiting(&self) -> Vec<CallId> {
+        let waits = self.asked.iter().filter(|(_, asked)| asked.waiting);
+        waits.map(|(id, _)| *id).collect()
+    }
+
+    /// Puts a file into force, as an operator would.
+    pub fn apply(&mut self, file: &str) -> bool {
+        if self.platform.down || Config::parse(file).is_err() {
+            return false;
+        }
+        self.platform.put(Key::Config, Value::Config(file.to_string()));
+        true
+    }
+
+    /// Ends every fault.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.platform.set_down(false, self.now);
+        self.platform.lose_answers = 0;
+        for vm in self.vms.values_mut() {
+            vm.paused = false;
+            if vm.cut {
+                vm.cut = false;
+                vm.watched = None;
+            }
+        }
+    }
+}
+
+/// A leaving target may be given work for this long.
+const GRACE: Millis = 4_000;
+const MAX_DELIVERIES: usize = 100_000;
+
+impl Executor {
+    fn ask(&mut self, epoch: &Epoch) -> Result<ExecutorInfo, TargetError> {
+        if *epoch < self.highest {
+            return Err(TargetError::Stale(self.highest.clone()));
+        }
+        let previous = std::mem::replace(&mut self.highest, epoch.clone());
+        Ok(ExecutorInfo {
+            previous,
+            slots: self.slots,
+            running: self.running.keys().cloned().collect(),
+            leaving: self.leaving,
+        })
+    }
+
+    fn begin(&mut self, run: Run, epoch: &Epoch) -> Result<(), Attempt> {
+        if *epoch < self.highest {
+            return Err(Attempt::Stale(self.highest.clone()));
+        }
+        self.highest = epoch.clone();
+        if self.running.len() as u32 >= self.slots {
+            self.overcommitted += 1;
+            return Err(Attempt::Refused);
+        }
+        let id = format!("{}:{}", run.vm, run.id.0);
+        self.running.insert(id, run);
+        Ok(())
+    }
+
+    /// Whether a call was started at this moment.
+    fn started_at(&self, now: Millis, run_ms: Millis) -> bool {
+        self.running.values().any(|run| run.ends == now + run_ms)
+    }
+}
