Measure waiting time, packing and decisions in virtual time

An experiment tool that drives the real pool and placer, with baselines beside them in the same run. Causes follow with their mends.

A caller's immediate calls were limited to its share of the reserve whenever only the reserve was left, which kept a lone caller at nine tenths of the slots; what immediate calls use and may use is now divided between the callers that have any.

--- a/puffinknot-core/src/calls.rs
+++ b/puffinknot-core/src/calls.rs
@@ -47,6 +47,12 @@
     pub queue: usize,
 }
 
+impl Default for PoolConfig {
+    fn default() -> PoolConfig {
+        (&Policy::default()).into()
+    }
+}
+
 impl From<&Policy> for PoolConfig {
     fn from(policy: &Policy) -> PoolConfig {
         PoolConfig {
@@ -140,6 +146,8 @@
 
 /// The weight of the newest value in the running mean is one in this many.
 const MEAN_WEIGHT: u64 = 16;
+/// One slot in this many of the reserve is for callers without any.
+const SPARE_PART: u32 = 4;
 /// The shortest and longest advice on when to come back, in milliseconds.
 const RETRY_RANGE: (Millis, Millis) = (20, 60_000);
 
@@ -262,8 +270,7 @@
             let retry = self.retry_after(0);
             return Offer::Refused(Outcome::not_run(Reason::NoSlot, retry));
         }
-        let held = self.held.get(&spec.caller).map_or(0, |h| h.immediate);
-        if held >= self.immediate_cap(free, spec.share_percent) {
+        if !self.within_share(free, spec) {
             let retry = self.retry_after(0);
             let outcome = Outcome::not_run(Reason::CallerLimit, retry);
             return Offer::Refused(outcome);
@@ -274,14 +281,30 @@
         }
     }
 
-    /// The number of immediate calls that one caller may run now. Where
-    /// only the reserve is left, each caller has its share of that alone,
-    /// so that a flood of one caller leaves room for the others.
-    fn immediate_cap(&self, free: u32, share_percent: u32) -> u32 {
+    /// Whether a caller may take one more slot for an immediate call.
+    ///
+    /// Its share of all slots is the limit while there is room. Where only
+    /// the reserve is left, what immediate calls use and may still use is
+    /// divided evenly between the callers that have any, and the last few
+    /// slots are for callers that have next to none, so that the flood of
+    /// one leaves room for the others.
+    fn within_share(&self, free: u32, spec: &CallSpec) -> bool {
+        let held = self.held.get(&spec.caller).map_or(0, |h| h.immediate);
         let slots = self.slots();
+        let share = percent(slots, spec.share_percent).max(1);
         let reserve = self.reserve(slots);
-        let base = if free <= reserve { reserve } else { slots };
-        percent(base, share_percent).max(1)
+        if held >= share {
+            return false;
+        }
+        if free > reserve || held == 0 {
+            return true;
+        }
+        let others = self.held.values().filter(|h| h.immediate > 0);
+        let (callers, total) =
+            others.fold((0, 0), |(n, sum), h| (n + 1, sum + h.immediate));
+        let spare = reserve.div_ceil(SPARE_PART);
+        let fair = (total + free) / callers.max(1);
+        held < fair && (free > spare || held < spare)
     }
 
     fn offer_waiting(
--- /dev/null
+++ b/puffinknot-measure/src/packing.rs
@@ -0,0 +1,439 @@
+//! Experiments on the placement of tasks, through the real [`Placer`] and
+//! the stand-in's worker without its server.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use puffinknot_core::calls::{
+    CallId, CallSpec, Condition, Offer, Pool, PoolConfig,
+};
+use puffinknot_core::config::{
+    ClassKind, Config, Job, Policy, Repeat, Resources, Team,
+};
+use puffinknot_core::ids::{Epoch, Millis, TargetId};
+use puffinknot_core::tasks::{Fit, Placer, PlacerConfig, Progress, WorkerInfo};
+use puffinknot_core::tenure::Tenure;
+use puffinknot_standin::worker::WorkerState;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::report::Report;
+use crate::sim::histogram;
+
+/// A cell's workers.
+#[derive(Clone, Copy)]
+struct Size {
+    name: &'static str,
+    workers: u32,
+    rack: u32,
+    accelerators: u32,
+}
+
+const SIZES: [Size; 3] = [
+    Size { name: "litoral", workers: 50, rack: 6, accelerators: 0 },
+    Size { name: "dar coast", workers: 50, rack: 8, accelerators: 0 },
+    Size { name: "two years", workers: 770, rack: 16, accelerators: 1_700 },
+];
+
+const FITS: [(&str, Fit); 3] =
+    [("chosen", Fit::Best), ("first fit", Fit::First), ("random", Fit::Random)];
+
+const CORES: u32 = 16_000;
+const MEMORY: u32 = 65_536;
+
+/// Workers behind a placer, in virtual time.
+struct Bench {
+    placer: Placer,
+    workers: BTreeMap<TargetId, WorkerState>,
+    now: Millis,
+}
+
+impl Bench {
+    fn new(size: Size, fit: Fit) -> Bench {
+        let epoch = Epoch { number: 1, holder: "vm".into() };
+        let tenure = Tenure::new(epoch, 1, true, Default::default());
+        let config =
+            PlacerConfig { fit, lease: 10_000, ..PlacerConfig::default() };
+        let progress = Progress::default();
+        let mut placer =
+            Placer::new(config, "dc".into(), tenure, None, progress);
+        let mut workers = BTreeMap::new();
+        let equipped = size.accelerators.div_ceil(4);
+        for n in 0..size.workers {
+            let id = TargetId(format!("worker-{n:04}"));
+            let has = if n < equipped { 4 } else { 0 };
+            let info = WorkerInfo {
+                capacity: Resources {
+                    cpu_millis: CORES,
+                    memory_mb: MEMORY,
+                    accelerators: has,
+                },
+                rack: format!("rack-{}", n / size.rack),
+                leaving: false,
+            };
+            placer.add_worker(1, &id);
+            workers.insert(id, WorkerState::new(info));
+        }
+        let mut bench = Bench { placer, workers, now: 1 };
+        bench.round();
+        bench
+    }
+
+    /// One step of the placer and the workers' answers. Returns the time
+    /// that the step took.
+    fn round(&mut self) -> Duration {
+        let start = Instant::now();
+        let syncs = self.placer.step(self.now);
+        let took = start.elapsed();
+        for (id, request) in syncs {
+            let Some(worker) = self.workers.get_mut(&id) else { continue };
+            if let Ok(reply) = worker.sync(self.now, &request) {
+                self.placer.reply(self.now, &id, reply);
+            }
+        }
+        took
+    }
+
+    fn pass(&mut self, span: Millis) -> Duration {
+        self.now += span;
+        for worker in self.workers.values_mut() {
+            worker.tick(self.now);
+        }
+        self.placer.confirm(self.now);
+        self.round()
+    }
+
+    /// The workers that run anything, and the processor time promised.
+    fn used(&self) -> (usize, Resources) {
+        let mut busy = 0;
+        let mut sum = Resources::default();
+        for view in self.placer.workers() {
+            busy += usize::from(!view.tasks.is_empty());
+            sum = sum.plus(&view.capacity.minus(&view.free));
+        }
+        (busy, sum)
+    }
+}
+
+/// Jobs that together ask for a part of all processors.
+fn demand(size: Size, part: f64, seed: u64, run_ms: Millis) -> Vec<Job> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let cores = f64::from(size.workers) * f64::from(CORES);
+    let want = (cores * part) as u64;
+    let mut asked = 0;
+    let mut accelerators = size.accelerators;
+    let mut jobs = Vec::new();
+    while asked < want {
+        let cpu = [500, 1_000, 2_000, 4_000, 8_000][rng.random_range(0..5)];
+        // Memory to processor as on a worker, half of it, or one and a half.
+        let per_core = [2_048, 4_096, 6_144][rng.random_range(0..3)];
+        let wants = u32::from(accelerators > 0 && rng.random_bool(0.3));
+        let tasks = rng.random_range(1..=8);
+        accelerators = accelerators.saturating_sub(wants * tasks);
+        asked += u64::from(cpu) * u64::from(tasks);
+        jobs.push(job(jobs.len(), tasks, run_ms, Resources {
+            cpu_millis: cpu,
+            memory_mb: cpu / 1_000 * per_core + cpu % 1_000 * per_core / 1_000,
+            accelerators: wants,
+        }));
+    }
+    jobs
+}
+
+fn job(n: usize, tasks: u32, run_ms: Millis, need: Resources) -> Job {
+    Job {
+        name: format!("job-{n:05}"),
+        team: format!("team-{}", n % TEAMS),
+        data_centre: "dc".into(),
+        tasks,
+        need,
+        priority: None,
+        repeat: Repeat::Allowed,
+        checkpoint: true,
+        run_ms,
+        enabled: true,
+    }
+}
+
+const TEAMS: usize = 160;
+
+fn file(batch: Vec<Job>) -> Config {
+    let quota = Resources {
+        cpu_millis: u32::MAX,
+        memory_mb: u32::MAX,
+        accelerators: u32::MAX,
+    };
+    let team = |n| Team { name: format!("team-{n}"), quota };
+    Config {
+        cell: "cell".into(),
+        data_centres: vec!["dc".into()],
+        teams: (0..TEAMS).map(team).collect(),
+        batch,
+        policy: Policy::default(),
+        ..Config::default()
+    }
+}
+
+fn total(jobs: &[Job]) -> Resources {
+    let all = jobs.iter().map(|job| job.need.times(job.tasks));
+    all.fold(Resources::default(), |sum, need| sum.plus(&need))
+}
+
+/// The fewest workers that can hold this much, in any dimension.
+fn bound(sum: &Resources) -> f64 {
+    let cpu = sum.cpu_millis.div_ceil(CORES);
+    let memory = sum.memory_mb.div_ceil(MEMORY);
+    f64::from(cpu.max(memory))
+}
+
+/// The demand placed when there is about as much as fits, and the workers
+/// used when there is less.
+pub fn packing(seed: u64) -> Report {
+    let columns = [
+        "placed %",
+        "bound %",
+        "to bound",
+        "workers used",
+        "bound",
+        "to bound used",
+        "idle acc.",
+    ];
+    let mut report = Report::new("packing", &columns);
+    for size in SIZES {
+        for (name, fit) in FITS {
+            let full = demand(size, 1.0, seed, 0);
+            let (placed, best, idle) = fill(size, fit, &full);
+            let some = demand(size, 0.6, seed, 0);
+            let mut bench = Bench::new(size, fit);
+            bench.placer.configure(&file(some.clone()));
+            settle(&mut bench);
+            let (busy, _) = bench.used();
+            let least = bound(&total(&some));
+            report.row(
+                format!("{} {name}", size.name),
+                &[
+                    placed,
+                    best,
+                    placed / best,
+                    busy as f64,
+                    least,
+                    busy as f64 / least,
+                    f64::from(idle),
+                ],
+            );
+        }
+    }
+    report
+}
+
+/// Places a demand. Returns the part of the processor time placed and the
+/// part that could be at best, in percent, and the accelerators left idle
+/// though a waiting task wants one.
+fn fill(size: Size, fit: Fit, jobs: &[Job]) -> (f64, f64, u32) {
+    let mut bench = Bench::new(size, fit);
+    bench.placer.configure(&file(jobs.to_vec()));
+    settle(&mut bench);
+    let asked = total(jobs);
+    let (_, used) = bench.used();
+    let have = Resources {
+        cpu_millis: CORES,
+        memory_mb: MEMORY,
+        accelerators: 0,
+    }
+    .times(size.workers);
+    let part = |have: u32, asked: u32| f64::from(have) / f64::from(asked);
+    let best = part(have.cpu_millis, asked.cpu_millis)
+        .min(part(have.memory_mb, asked.memory_mb))
+        .min(1.0);
+    let placed = part(used.cpu_millis, asked.cpu_millis);
+    let wanted = asked.accelerators.min(size.accelerators);
+    let idle = wanted.saturating_sub(used.accelerators);
+    (placed * 100.0, best * 100.0, idle)
+}
+
+fn settle(bench: &mut Bench) {
+    for _ in 0..4 {
+        bench.pass(200);
+    }
+}
+
+/// Full churn: every second 160 tasks end and as many begin.
+pub fn churn(seed: u64) -> Report {
+    let columns =
+        ["placed %", "starts a second", "p50 us", "p99 us", "waiting"];
+    let mut report = Report::new("churn", &columns);
+    for (name, fit) in FITS {
+        let size = SIZES[2];
+        let mut bench = Bench::new(size, fit);
+        // Tasks of about 131 s keep 21,000 running at 160 starts a second.
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut jobs = Vec::new();
+        for n in 0..2_600 {
+            let cpu = [200, 400, 800][rng.random_range(0..3)];
+            let need = Resources {
+                cpu_millis: cpu,
+                memory_mb: cpu * 4,
+                accelerators: 0,
+            };
+            jobs.push(job(n, 8, 60_000 + rng.random_range(0..142_000), need));
+        }
+        bench.placer.configure(&file(jobs.clone()));
+        settle(&mut bench);
+        let mut times = histogram();
+        let mut started = 0;
+        let seconds = 20;
+        for second in 0..seconds {
+            // Twenty jobs of eight tasks end their time and twenty come.
+            for n in 0..20 {
+                let at = second * 20 + n;
+                let mut next = jobs[at].clone();
+                next.name = format!("next-{at:05}");
+                jobs[at] = next;
+            }
+            bench.placer.configure(&file(jobs.clone()));
+            for _ in 0..10 {
+                let before = bench.placer.waiting();
+                let took = bench.pass(100);
+                let placed = before.saturating_sub(bench.placer.waiting());
+                started += placed;
+                if placed > 0 {
+                    let each = took.as_nanos() as u64 / placed as u64;
+                    let _ = times.record(each);
+                }
+            }
+        }
+        let waiting = bench.placer.waiting();
+        let placed = bench.placer.placed();
+        let part = placed as f64 * 100.0 / (placed + waiting) as f64;
+        report.row(
+            name,
+            &[
+                part,
+                started as f64 / seconds as f64,
+                times.value_at_quantile(0.5) as f64 / 1_000.0,
+                times.value_at_quantile(0.99) as f64 / 1_000.0,
+                waiting as f64,
+            ],
+        );
+    }
+    report
+}
+
+/// The resident memory of this process, in kilobytes.
+pub fn resident_kb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status");
+    let status = status.unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|n| n.parse().ok()).unwrap_or(0.0)
+}
+
+/// What one decision costs, at several sizes.
+pub fn decisions(seed: u64) -> Report {
+    let columns = [
+        "tasks",
+        "p50 us",
+        "p99 us",
+        "all at once ms",
+        "idle step us",
+        "memory KB",
+    ];
+    let mut report = Report::new("decisions", &columns);
+    for workers in [50, 200, 400, 770] {
+        let size =
+            Size { name: "", workers, rack: 8, accelerators: workers * 2 };
+        report.row(format!("place at {workers} workers"), &place(size, seed));
+    }
+    for executors in [4, 17, 50, 200] {
+        let (p50, p99, per_second) = slots(executors);
+        report.row(
+            format!("call at {executors} executors"),
+            &[per_second, p50, p99, 0.0, 0.0, 0.0],
+        );
+    }
+    report
+}
+
+/// The cost of placing single tasks with 27 others on each worker.
+fn place(size: Size, seed: u64) -> [f64; 6] {
+    let before = resident_kb();
+    let mut bench = Bench::new(size, Fit::Best);
+    let tasks = size.workers * 27;
+    let need = Resources {
+        cpu_millis: 500,
+        memory_mb: 2_000,
+        accelerators: 0,
+    };
+    let jobs: Vec<Job> =
+        (0..tasks / 9).map(|n| job(n as usize, 9, 0, need)).collect();
+    bench.placer.configure(&file(jobs.clone()));
+    let start = Instant::now();
+    settle(&mut bench);
+    let all_at_once = start.elapsed();
+    let memory = resident_kb() - before;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut times = histogram();
+    let mut jobs = jobs;
+    for n in 0..200 {
+        let cpu = [100, 200, 300][rng.random_range(0..3)];
+        let need =
+            Resources { cpu_millis: cpu, memory_mb: 100, accelerators: 0 };
+        jobs.push(job(100_000 + n, 1, 0, need));
+        bench.placer.configure(&file(jobs.clone()));
+        let took = bench.pass(10);
+        let _ = times.record(took.as_nanos() as u64);
+    }
+    // Nothing to place and no sync due: what every event costs.
+    settle(&mut bench);
+    let idle = Instant::now();
+    for _ in 0..100 {
+        let _ = bench.placer.step(bench.now);
+    }
+    let idle = idle.elapsed() / 100;
+    [
+        f64::from(tasks),
+        times.value_at_quantile(0.5) as f64 / 1_000.0,
+        times.value_at_quantile(0.99) as f64 / 1_000.0,
+        all_at_once.as_secs_f64() * 1_000.0,
+        idle.as_nanos() as f64 / 1_000.0,
+        memory,
+    ]
+}
+
+/// The cost of deciding about a call, and decisions a second: each starts
+/// one call and ends another, with nine slots in ten used.
+fn slots(executors: u32) -> (f64, f64, f64) {
+    let config = PoolConfig::default();
+    let mut pool = Pool::new(config);
+    for n in 0..executors {
+        let id = TargetId(format!("executor-{n}"));
+        pool.report(&id, Condition::Ready, 8, 0);
+    }
+    let spec = CallSpec {
+        caller: "caller".into(),
+        kind: ClassKind::Immediate,
+        deadline: Millis::MAX,
+        share_percent: 100,
+        queue: 100,
+    };
+    let busy = u64::from(executors * 8 * 9 / 10);
+    let mut times = histogram();
+    let rounds = 100_000;
+    let start = Instant::now();
+    for id in 0..rounds {
+        let one = Instant::now();
+        let offer = pool.offer(id, CallId(id), &spec);
+        assert!(matches!(offer, Offer::Start(_)));
+        if id >= busy {
+            pool.finish(id, CallId(id - busy));
+            let _ = pool.pump(id);
+        }
+        let _ = times.record(one.elapsed().as_nanos() as u64);
+    }
+    let per_second = rounds as f64 / start.elapsed().as_secs_f64();
+    (
+        times.value_at_quantile(0.5) as f64 / 1_000.0,
+        times.value_at_quantile(0.99) as f64 / 1_000.0,
+        per_second.round(),
+    )
+}
