Route by room and wait, let the reserve follow demand, rank jobs once

Contracts now say how much room there is for waiting calls and how long one would wait. - The reserve was a fixed part of the slots, wasted where no immediate calls come and too small in a gust. It now follows the most immediate calls that ran at once lately. - The even share of immediate calls was rounded down, so that in a gust slots stayed free while every caller was refused. Only the last few slots are now kept for callers below an even share.

--- a/puffinknot-core/src/calls.rs
+++ b/puffinknot-core/src/calls.rs
@@ -4,17 +4,22 @@
 An *immediate* call takes a free slot now or is refused at once. A *waiting*
 call may stand in a bounded queue, from which the caller with the fewest
 running calls goes next, and of its calls the one with the earliest deadline.
-Some slots are kept free of waiting calls, so that immediate calls find room
-behind a full overnight load. A call whose predicted wait exceeds its
-deadline is refused at the door.
+Waiting calls leave some slots alone, so that immediate calls find room
+behind a full overnight load. How many follows from the most immediate calls
+that ran at once lately, and what that number may grow by; it is at most what
+the policy says. A call whose predicted wait exceeds its deadline is refused
+at the door.
 
 A slot is counted as used from the decision until the executor's answer
 arrives or the connection is known to be closed, also when the caller has
 been told long ago that its deadline passed.
 */
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
+
 use crate::config::{ClassKind, Policy};
 use crate::ids::{CallerId, Millis, TargetId};
 use crate::outcome::{Outcome, Reason};
@@ -41,8 +46,10 @@
 /// The limits of one holder's slots.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PoolConfig {
-    /// The slots kept free of waiting calls, in percent.
+    /// The most slots kept free of waiting calls, in percent.
     pub reserve_percent: u32,
+    /// The slots kept free even if no immediate call has come lately.
+    pub reserve_least: u32,
     /// The number of calls that may wait.
     pub queue: usize,
 }
@@ -57,6 +64,7 @@
     fn from(policy: &Policy) -> PoolConfig {
         PoolConfig {
             reserve_percent: policy.reserve_percent,
+            reserve_least: policy.reserve_least,
             queue: policy.queue,
         }
     }
@@ -130,6 +138,32 @@
     waiting: u32,
 }
 
+/// How much room there is under a contract.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize,
+)]
+pub struct Load {
+    /// Free slots, which immediate calls may use.
+    pub free: u32,
+    /// Free slots that waiting calls may use.
+    pub room: u32,
+    /// How long a waiting call would wait, in milliseconds.
+    pub wait: Millis,
+}
+
+impl Load {
+    /// What speaks against sending a call of this kind here; the lowest is
+    /// best.
+    pub fn cost(&self, kind: ClassKind) -> (bool, Millis, Reverse<u32>) {
+        match kind {
+            ClassKind::Immediate => (self.free == 0, 0, Reverse(self.free)),
+            ClassKind::Waiting => {
+                (self.room == 0, self.wait, Reverse(self.room))
+            }
+        }
+    }
+}
+
 /// The executors of one contract and their calls.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Pool {
@@ -142,12 +176,18 @@
     queued: BTreeMap<CallId, (CallerId, Millis)>,
     /// A running mean of how long calls take, in 1/16 milliseconds.
     mean: u64,
+    /// Immediate calls that run, and the most that ran lately, which decays.
+    immediate: u32,
+    peak: u32,
+    decayed_at: Millis,
 }
 
 /// The weight of the newest value in the running mean is one in this many.
 const MEAN_WEIGHT: u64 = 16;
-/// One slot in this many of the reserve is for callers without any.
-const SPARE_PART: u32 = 4;
+/// The memory of immediate calls loses one part in `DECAY_PART` in each
+/// span of this length, in milliseconds.
+const DECAY: Millis = 1_000;
+const DECAY_PART: u32 = 20;
 /// The shortest and longest advice on when to come back, in milliseconds.
 const RETRY_RANGE: (Millis, Millis) = (20, 60_000);
 
@@ -162,6 +202,9 @@
             waiting: BTreeMap::new(),
             queued: BTreeMap::new(),
             mean: 0,
+            immediate: 0,
+            peak: 0,
+            decayed_at: 0,
         }
     }
 
@@ -217,6 +260,14 @@
         self.executors.values().map(Executor::free).sum()
     }
 
+    /// How much room there is.
+    pub fn load(&self) -> Load {
+        let room = self.room_for_waiting();
+        let ahead = self.queued.len() as u64 + u64::from(room == 0);
+        let wait = ahead * self.mean_ms() / self.usable();
+        Load { free: self.free(), room, wait }
+    }
+
     /// The number of calls that run, late ones included.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -283,28 +334,24 @@
 
     /// Whether a caller may take one more slot for an immediate call.
     ///
-    /// Its share of all slots is the limit while there is room. Where only
-    /// the reserve is left, what immediate calls use and may still use is
-    /// divided evenly between the callers that have any, and the last few
-    /// slots are for callers that have next to none, so that the flood of
-    /// one leaves room for the others.
+    /// Its share of all slots is the limit. Where waiting calls have all
+    /// they may use, the last few slots are for callers that hold less than
+    /// an even part of what immediate calls use and may still use, so that
+    /// the flood of one leaves room for the others.
     fn within_share(&self, free: u32, spec: &CallSpec) -> bool {
         let held = self.held.get(&spec.caller).map_or(0, |h| h.immediate);
-        let slots = self.slots();
-        let share = percent(slots, spec.share_percent).max(1);
-        let reserve = self.reserve(slots);
+        let share = percent(self.slots(), spec.share_percent).max(1);
         if held >= share {
             return false;
         }
-        if free > reserve || held == 0 {
+        if held == 0 || self.room_for_waiting() > 0 {
             return true;
         }
         let others = self.held.values().filter(|h| h.immediate > 0);
-        let (callers, total) =
-            others.fold((0, 0), |(n, sum), h| (n + 1, sum + h.immediate));
-        let spare = reserve.div_ceil(SPARE_PART);
-        let fair = (total + free) / callers.max(1);
-        held < fair && (free > spare || held < spare)
+        let callers = others.count() as u32;
+        let spare = 1 + self.peak.isqrt() / 2;
+        let fair = (self.immediate + free).div_ceil(callers.max(1));
+        free > spare || held < fair
     }
 
     fn offer_waiting(
@@ -313,7 +360,7 @@
         id: CallId,
         spec: &CallSpec,
     ) -> Offer {
-        if self.queued.is_empty() && self.room_for_waiting() {
+        if self.queued.is_empty() && self.room_for_waiting() > 0 {
             if let Some(executor) =
                 self.start(now, id, &spec.caller, spec.kind)
             {
@@ -347,14 +394,12 @@
     /// How long the caller's next call would wait: its turn comes after its
     /// own calls ahead of it, and every other caller goes once in between.
     pub fn predicted_wait(&self, caller: &CallerId) -> Millis {
-        let slots = self.slots();
-        let usable = u64::from(slots.saturating_sub(self.reserve(slots)));
         let ahead = self.waiting.get(caller).map_or(0, BTreeSet::len) as u64;
         let known = self.waiting.contains_key(caller);
         let callers = self.waiting.len() as u64 + u64::from(!known);
         let turns = (ahead + 1) * callers.max(1);
         let all = self.queued.len() as u64 + 1;
-        turns.min(all) * self.mean_ms() / usable.max(1)
+        turns.min(all) * self.mean_ms() / self.usable()
     }
 
     fn enqueue(&mut self, id: CallId, spec: &CallSpec) {
@@ -423,7 +468,10 @@
         }
         if let Some(held) = self.held.get_mut(&running.caller) {
             match running.kind {
-                ClassKind::Immediate => held.immediate -= 1,
+                ClassKind::Immediate => {
+                    held.immediate -= 1;
+                    self.immediate -= 1;
+                }
                 ClassKind::Waiting => held.waiting -= 1,
             }
             if held.immediate + held.waiting == 0 {
@@ -444,8 +492,9 @@
     /// Starts waiting calls while there is room, and takes those out whose
     /// deadline can't be met any more.
     pub fn pump(&mut self, now: Millis) -> Vec<Dequeued> {
+        self.decay(now);
         let mut out = self.expire(now);
-        while self.room_for_waiting() {
+        while self.room_for_waiting() > 0 {
             let Some((caller, id)) = self.next_waiting() else { break };
             self.withdraw(id);
             let kind = ClassKind::Waiting;
@@ -480,12 +529,37 @@
         Some((caller, id))
     }
 
-    fn room_for_waiting(&self) -> bool {
-        self.free() > self.reserve(self.slots())
+    /// The slots that waiting calls leave to immediate ones.
+    fn kept(&self, slots: u32) -> u32 {
+        let most = percent(slots, self.config.reserve_percent);
+        let growth = self.config.reserve_least + self.peak.isqrt();
+        most.min(self.peak + growth)
+    }
+
+    /// The slots that waiting calls may use, at least one.
+    fn usable(&self) -> u64 {
+        let slots = self.slots();
+        u64::from(slots.saturating_sub(self.kept(slots))).max(1)
     }
 
-    fn reserve(&self, slots: u32) -> u32 {
-        percent(slots, self.config.reserve_percent)
+    /// Free slots that waiting calls may use.
+    fn room_for_waiting(&self) -> u32 {
+        let (slots, free) = (self.slots(), self.free());
+        let used = slots.saturating_sub(free + self.immediate);
+        let limit = slots.saturating_sub(self.kept(slots));
+        free.min(limit.saturating_sub(used))
+    }
+
+    /// Lets the memory of immediate calls fade.
+    fn decay(&mut self, now: Millis) {
+        while self.decayed_at + DECAY <= now {
+            self.decayed_at += DECAY;
+            let faded = self.peak - self.peak.div_ceil(DECAY_PART);
+            self.peak = faded.max(self.immediate);
+            if self.peak == self.immediate {
+                self.decayed_at = now;
+            }
+        }
     }
 
     /// Takes a slot at the executor with the most free ones.
@@ -505,7 +579,11 @@
         let executor = executor.clone();
         let held = self.held.entry(caller.clone()).or_default();
         match kind {
-            ClassKind::Immediate => held.immediate += 1,
+            ClassKind::Immediate => {
+                held.immediate += 1;
+                self.immediate += 1;
+                self.peak = self.peak.max(self.immediate);
+            }
             ClassKind::Waiting => held.waiting += 1,
         }
         let caller = caller.clone();
--- a/puffinknot-core/src/config.rs
+++ b/puffinknot-core/src/config.rs
@@ -243,8 +243,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policy {
-    /// The slots kept free for immediate calls, in percent.
+    /// The most slots kept free for immediate calls, in percent. How many
+    /// are kept follows from how many such calls come.
     pub reserve_percent: u32,
+    /// The slots kept free in each call contract even if no immediate call
+    /// has come lately.
+    pub reserve_least: u32,
     /// Retries may make up this part of first tries, in percent.
     pub retry_percent: u32,
     /// The number of calls that may wait in each queue, over all callers.
@@ -261,7 +265,8 @@
 impl Default for Policy {
     fn default() -> Policy {
         Policy {
-            reserve_percent: 10,
+            reserve_percent: 60,
+            reserve_least: 1,
             retry_percent: 20,
             queue: 1_000,
             body_bytes: 65_536,
@@ -614,7 +619,7 @@
 
     fn policy(&mut self) {
         let policy = &self.config.policy;
-        self.range("reserve_percent", policy.reserve_percent.into(), 0, 90);
+        self.range("reserve_percent", policy.reserve_percent.into(), 0, 100);
         self.range("retry_percent", policy.retry_percent.into(), 0, 100);
         self.range("queue", policy.queue as u64, 0, 1_000_000);
         self.range("body_bytes", policy.body_bytes as u64, 1, 1 << 24);
--- a/puffinknot-core/src/node/homes.rs
+++ b/puffinknot-core/src/node/homes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::calls::{CallId, Condition, Dequeued, Pool};
+use crate::calls::{CallId, Condition, Dequeued, Load, Pool};
 use crate::config::Policy;
 use crate::contract::Scope;
 use crate::ids::{Epoch, Millis, TargetId};
@@ -58,11 +58,12 @@
         self.heir_of = Some(epoch);
     }
 
-    pub(super) fn free(&self) -> u32 {
+    /// How much room there is; none before work may be started.
+    pub(super) fn load(&self) -> Load {
         if self.tenure.may_start() {
-            self.pool.free()
+            self.pool.load()
         } else {
-            0
+            Load::default()
         }
     }
 
--- a/puffinknot-core/src/node/mod.rs
+++ b/puffinknot-core/src/node/mod.rs
@@ -26,7 +26,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::calls::{CallId, Condition};
+use crate::calls::{CallId, Condition, Load};
 use crate::contract::Scope;
 use crate::ids::{CallerId, DcName, Epoch, Millis, Revision, TargetId, VmId};
 use crate::keys::{Key as CallKey, KeyMemory, KeysConfig};
@@ -76,7 +76,7 @@
         NodeConfig {
             vm,
             dc,
-            call_scopes: 3,
+            call_scopes: 1,
             member_ttl: 3_000,
             rebalance_after: 2_000,
             gone_after: 3_000,
@@ -175,8 +175,8 @@
     pub maps: BTreeMap<DcName, Revision>,
     /// The highest epochs it knows for its data centre.
     pub epochs: BTreeMap<Scope, Epoch>,
-    /// The free slots of the contracts it holds.
-    pub free: BTreeMap<Scope, u32>,
+    /// The room under the contracts it holds.
+    pub loads: BTreeMap<Scope, Load>,
     /// Targets that it knows to be leaving.
     pub leaving: BTreeSet<TargetId>,
 }
@@ -525,8 +525,8 @@
 
     /// What this VM tells its peers.
     pub fn summary(&self, now: Now) -> Summary {
-        let free =
-            self.homes.iter().map(|(scope, home)| (*scope, home.free()));
+        let loads =
+            self.homes.iter().map(|(scope, home)| (*scope, home.load()));
         Summary {
             vm: self.config.vm.clone(),
             dc: self.config.dc.clone(),
@@ -535,7 +535,7 @@
             config: self.view.config_revision(),
             maps: self.view.map_revisions(),
             epochs: self.view.epochs(&self.config.dc),
-            free: free.collect(),
+            loads: loads.collect(),
             leaving: self.view.leaving_here(&self.config.dc),
         }
     }
--- a/puffinknot-core/src/node/routing.rs
+++ b/puffinknot-core/src/node/routing.rs
@@ -12,9 +12,10 @@
 //! over another entry VM may have run. Whoever can't ask the home answers
 //! *unknown*.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
-use crate::calls::{CallId, CallSpec, Offer};
+use crate::calls::{CallId, CallSpec, Load, Offer};
 use crate::config::{Class, ClassKind, Repeat};
 use crate::contract::Scope;
 use crate::ids::{DcName, Epoch, Millis, TargetId, VmId};
@@ -205,19 +206,18 @@
         let away = *dc != self.config.dc;
         let home = self.homes.get(&scope).filter(|_| !away);
         if let Some(home) = home {
-            let free = home.free();
-            let full = free == 0;
-            let rank = PlaceRank { full, away, hop: false, free: !free };
+            let load = home.load();
+            let rank = PlaceRank::new(state.kind, load, away, false);
             return Some((rank, Next::Here(scope)));
         }
         let holder = self.view.holder(dc, scope)?;
         if *holder == self.config.vm {
             return None;
         }
-        let free = self.view.free.get(&(dc.clone(), scope)).copied();
-        let free = free.unwrap_or(0);
-        let full = free == 0 || self.view.is_quiet(holder);
-        let rank = PlaceRank { full, away, hop: true, free: !free };
+        let load = self.view.loads.get(&(dc.clone(), scope)).copied();
+        let load = load.filter(|_| !self.view.is_quiet(holder));
+        let load = load.unwrap_or_default();
+        let rank = PlaceRank::new(state.kind, load, away, true);
         Some((rank, Next::Peer(holder.clone(), dc.clone(), scope)))
     }
 
@@ -313,7 +313,7 @@
         state.place = Place::Nowhere;
         state.from_peer = true;
         if let Outcome::NotRun { reason: Reason::NoSlot, .. } = outcome {
-            self.view.free.insert((dc, scope), 0);
+            self.view.loads.insert((dc, scope), Load::default());
         }
         self.attempt_ended(now, id, outcome);
     }
@@ -322,7 +322,7 @@
         let Some(state) = self.calls.get_mut(&id) else { return };
         let Place::Forwarded(dc, scope) = state.place.clone() else { return };
         state.place = Place::Nowhere;
-        self.view.free.insert((dc, scope), 0);
+        self.view.loads.insert((dc, scope), Load::default());
         let outcome = if sent {
             Outcome::unknown(Reason::PeerLost, COME_BACK)
         } else {
@@ -535,9 +535,16 @@
 struct PlaceRank {
     full: bool,
     away: bool,
+    wait: Millis,
     hop: bool,
-    /// The complement of the number of free slots.
-    free: u32,
+    room: Reverse<u32>,
+}
+
+impl PlaceRank {
+    fn new(kind: ClassKind, load: Load, away: bool, hop: bool) -> PlaceRank {
+        let (full, wait, room) = load.cost(kind);
+        PlaceRank { full, away, wait, hop, room }
+    }
 }
 
 /// What may be said of a call with a key. A refusal that does not come from
--- a/puffinknot-core/src/node/view.rs
+++ b/puffinknot-core/src/node/view.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::calls::Load;
 use crate::config::Config;
 use crate::contract::{Contract, ContractMap, Scope};
 use crate::ids::{DcName, Epoch, Millis, Revision, TargetId, VmId};
@@ -50,8 +51,8 @@
     pub(super) peers: BTreeMap<VmId, Peer>,
     /// Peers that have not been heard lately.
     pub(super) quiet: BTreeSet<VmId>,
-    /// Free slots by contract, as their holders said last.
-    pub(super) free: BTreeMap<(DcName, Scope), u32>,
+    /// The room under each contract, as its holder said last.
+    pub(super) loads: BTreeMap<(DcName, Scope), Load>,
     pub(super) listed: BTreeMap<TargetId, Listed>,
     /// Targets of a contract that the VM list has lost, and since when.
     pub(super) missing: BTreeMap<TargetId, Millis>,
@@ -319,8 +320,8 @@
         };
         self.view.quiet.remove(&summary.vm);
         self.view.peers.insert(summary.vm.clone(), peer);
-        for (scope, free) in summary.free {
-            self.view.free.insert((dc.clone(), scope), free);
+        for (scope, load) in summary.loads {
+            self.view.loads.insert((dc.clone(), scope), load);
         }
         let behind = |(dc, revision): (&DcName, &Revision)| {
             let known = self.view.maps.get(dc).map_or(0, |m| m.revision);
--- a/puffinknot-core/src/tasks/fit.rs
+++ b/puffinknot-core/src/tasks/fit.rs
@@ -50,12 +50,17 @@
 
 fn best(candidate: &Candidate, need: &Resources) -> Score {
     let left = candidate.free.minus(need);
+    let whole = &candidate.capacity;
     let wastes = need.accelerators == 0 && left.accelerators > 0;
-    let cpu = share(left.cpu_millis, candidate.capacity.cpu_millis);
-    let memory = share(left.memory_mb, candidate.capacity.memory_mb);
-    // A worker on which one dimension runs out long before the other is
-    // hard to fill, so a lopsided rest counts against a candidate.
-    let rest = cpu + memory + cpu.abs_diff(memory);
+    let cpu = share(left.cpu_millis, whole.cpu_millis);
+    let memory = share(left.memory_mb, whole.memory_mb);
+    // A worker on which one dimension runs out long before another is hard
+    // to fill, so a lopsided rest counts against a candidate.
+    let mut rest = cpu + memory + cpu.abs_diff(memory);
+    if whole.accelerators > 0 {
+        let accelerators = share(left.accelerators, whole.accelerators);
+        rest += accelerators + accelerators.saturating_sub(cpu.min(memory));
+    }
     let (rack, worker) = candidate.neighbours;
     (wastes, rack, worker, rest)
 }
--- a/puffinknot-core/src/tasks/placer.rs
+++ b/puffinknot-core/src/tasks/placer.rs
@@ -186,7 +186,7 @@
     service: bool,
     spec: u64,
     priority: Priority,
-    /// A place in line: the order in which jobs became known.
+    /// A place in line: the revision with which the job became known.
     order: u64,
     /// Indexes of tasks that wait for a place.
     waiting: BTreeSet<u32>,
@@ -272,6 +272,13 @@
     unkept: Vec<(u64, TargetId, TaskId)>,
     /// Tasks that may be started once the write is made.
     intended: Vec<(u64, TaskId)>,
+    /// How often room was set aside, so that most placements need not look
+    /// for it.
+    asides: u64,
+    /// Some tasks run that the file in force does not ask for.
+    unwanted: bool,
+    /// The most that one worker has in each dimension.
+    largest: Resources,
     /// Something changed that may let a task start.
     stirred: bool,
 }
@@ -308,6 +315,9 @@
             progress_kept: 0,
             unkept: Vec::new(),
             intended: Vec::new(),
+            asides: 0,
+            unwanted: false,
+            largest: Resources::default(),
             stirred: true,
         }
     }
@@ -325,6 +335,7 @@
             .filter(here)
             .map(|(job, service)| (job.clone(), service))
             .collect();
+        self.next_order += 1;
         self.drop_jobs(&jobs);
         for (job, service) in jobs {
             self.set_job(job, service);
@@ -361,10 +372,7 @@
         let spec = spec_hash(&job);
         let order = match self.jobs.get(&job.name) {
             Some(known) => known.order,
-            None => {
-                self.next_order += 1;
-                self.next_order
-            }
+            None => self.next_order,
         };
         let name = job.name.clone();
         let state = JobState {
@@ -561,6 +569,9 @@
         state.clock = reply.clock;
         state.read_at = read_at;
         state.info = reply.info;
+        let has = &state.info.capacity;
+        self.largest.cpu_millis = self.largest.cpu_millis.max(has.cpu_millis);
+        self.largest.memory_mb = self.largest.memory_mb.max(has.memory_mb);
         state.counter = reply.counter;
         self.tenure.seen(id);
         self.stirred = true;
--- a/puffinknot-core/src/tasks/schedule.rs
+++ b/puffinknot-core/src/tasks/schedule.rs
@@ -15,6 +15,9 @@
 /// At most one task in this many of a changed job is replaced at a time.
 const ROLLING_PART: u32 = 4;
 
+/// A job's place in line; the lowest is first.
+type Rank = (Reverse<Priority>, u64, u64, Reverse<u64>);
+
 /// A worker on which room can be made, and what that costs.
 struct Victims {
     lost: Millis,
@@ -25,49 +28,69 @@
 impl Placer {
     /// Places waiting tasks until none can be placed: the most urgent job
     /// first, then the team that holds the least of its quota, then the job
-    /// that has been known longest.
+    /// that has been known longest, and of jobs that came together the one
+    /// with the largest tasks, since small ones fit in anywhere.
+    ///
+    /// A placement makes the ranks of its team's jobs worse and none better.
+    /// So the ranks are worked out once, and that of the first job is looked
+    /// at again before it is believed.
     pub(super) fn schedule(&mut self, now: Millis) {
-        self.stop_unwanted();
-        let mut skip = BTreeSet::new();
-        while let Some((name, index)) = self.next(now, &skip) {
-            let id = TaskId::new(&name, index);
-            let job = &self.jobs[&name];
-            let (need, priority) = (job.job.need, job.priority);
-            if let Some(worker) = self.choose(&id, job) {
-                self.place(now, &id, &worker);
+        if self.unwanted {
+            self.stop_unwanted();
+        }
+        let ranked = self.pending.iter().map(|name| (self.rank(name), name));
+        let mut line: BTreeSet<(Rank, String)> =
+            ranked.map(|(rank, name)| (rank, name.clone())).collect();
+        while let Some((rank, name)) = line.pop_first() {
+            let newest = self.rank(&name);
+            if newest > rank {
+                line.insert((newest, name));
                 continue;
             }
-            if priority > Priority::Batch {
-                self.make_room(now, &id, &need, priority);
+            if self.start_next(now, &name) {
+                line.insert((newest, name));
             }
-            // All tasks of a job need the same, so the next one would not
-            // find a place either.
-            skip.insert(name);
         }
     }
 
-    /// The task whose turn it is, leaving out some jobs.
-    fn next(
-        &self,
-        now: Millis,
-        skip: &BTreeSet<String>,
-    ) -> Option<(String, u32)> {
-        let rank = |name: &String| {
-            let job = &self.jobs[name];
-            let held = self.quota_used(job);
-            (Reverse(job.priority), held, job.order)
-        };
-        let ready = |name: &&String| {
-            let job = &self.jobs[*name];
-            let due = job.not_before <= now;
-            due && !skip.contains(*name) && self.within_quota(job)
-        };
-        let start = |name: &String| {
-            let first = self.first_startable(name)?;
-            Some((rank(name), name.clone(), first))
+    fn rank(&self, name: &str) -> Rank {
+        let job = &self.jobs[name];
+        let size = self.size(&job.job.need);
+        (Reverse(job.priority), self.quota_used(job), job.order, size)
+    }
+
+    /// The size of a task: the largest part it takes of a whole worker, in
+    /// thousandths. A task with accelerators counts as larger than any other,
+    /// since it finds a place on few workers.
+    fn size(&self, need: &Resources) -> Reverse<u64> {
+        let part = |need: u32, whole: u32| {
+            u64::from(need) * 1_000 / u64::from(whole.max(1))
         };
-        let jobs = self.pending.iter().filter(ready);
-        jobs.filter_map(start).min().map(|(_, name, first)| (name, first))
+        let cpu = part(need.cpu_millis, self.largest.cpu_millis);
+        let memory = part(need.memory_mb, self.largest.memory_mb);
+        let rare = if need.accelerators > 0 { 1_000 } else { 0 };
+        Reverse(rare + cpu.max(memory))
+    }
+
+    /// Places the next task of a job, or makes room for it. Returns whether
+    /// it was placed; if not, the job's other tasks would fare the same,
+    /// since they need the same.
+    fn start_next(&mut self, now: Millis, name: &str) -> bool {
+        let job = &self.jobs[name];
+        if job.not_before > now || !self.within_quota(job) {
+            return false;
+        }
+        let Some(index) = self.first_startable(name) else { return false };
+        let id = TaskId::new(name, index);
+        let (need, priority) = (job.job.need, job.priority);
+        if let Some(worker) = self.choose(&id, job) {
+            self.place(now, &id, &worker);
+            return true;
+        }
+        if priority > Priority::Batch {
+            self.make_room(now, &id, &need, priority);
+        }
+        false
     }
 
     /// The first waiting task that can't be running elsewhere.
@@ -127,7 +150,7 @@
         let need = &job.job.need;
         let aside = state.set_aside.get(id).copied().unwrap_or_default();
         let free = state.free.plus(&aside);
-        if !state.takes_work() || !free.fits(need) {
+        if !free.fits(need) || !state.takes_work() {
             return None;
         }
         let candidate = Candidate {
@@ -176,6 +199,9 @@
 
     /// Gives back what was set aside for the task.
     fn clear_aside(&mut self, id: &TaskId) {
+        if self.asides == 0 {
+            return;
+        }
         let holds = |(_, state): &(&TargetId, &Worker)| {
             state.set_aside.contains_key(id)
         };
@@ -216,6 +242,7 @@
         }
         if let Some(state) = self.workers.get_mut(&best.worker) {
             state.set_aside.insert(id.clone(), *need);
+            self.asides += 1;
         }
         self.refresh(&best.worker);
     }
@@ -283,6 +310,7 @@
     /// Stops what the file in force does not ask for. The tasks of a
     /// changed service are replaced a few at a time.
     pub(super) fn stop_unwanted(&mut self) {
+        let mut unwanted = false;
         let mut stops = Vec::new();
         let mut rolling: BTreeMap<&str, u32> = BTreeMap::new();
         for (worker, state) in &self.workers {
@@ -290,6 +318,9 @@
                 if self.wanted(id, task.spec) {
                     continue;
                 }
+                // What is left for later, or may come back, is looked at
+                // again.
+                unwanted = true;
                 if let Some(limit) = self.rolling_limit(id) {
                     let count = rolling.entry(id.job()).or_default();
                     *count += 1;
@@ -302,6 +333,7 @@
                 }
             }
         }
+        self.unwanted = unwanted;
         for (worker, id) in stops {
             self.stop(&worker, &id);
         }
--- a/puffinknot-measure/src/calls.rs
+++ b/puffinknot-measure/src/calls.rs
@@ -220,9 +220,8 @@
         for ClassOf { class, .. } in LITORAL {
             let (before, after) =
                 (others(&calm, class), others(&flooded, class));
-            let p99 = |fared: &Fared| {
-                fared.response.value_at_quantile(0.99) as f64
-            };
+            let p99 =
+                |fared: &Fared| fared.response.value_at_quantile(0.99) as f64;
             let refused = after.refused as f64 * 100.0;
             report.row(
                 format!("{name} {class}"),
@@ -264,10 +263,8 @@
         for load in [100, 120, 200] {
             let streams = streams(LITORAL, f64::from(load) / 100.0);
             let all = run(plan(policy, streams, 180_000), seed);
-            let done: f64 = LITORAL
-                .iter()
-                .map(|c| class(&all, c.class).work as f64)
-                .sum();
+            let done: f64 =
+                LITORAL.iter().map(|c| class(&all, c.class).work as f64).sum();
             let could = f64::from(EXECUTORS * SLOTS) * 180_000.0;
             let part = done * 100.0 / could;
             if load == 100 {
--- a/puffinknot-measure/src/packing.rs
+++ b/puffinknot-measure/src/packing.rs
@@ -11,7 +11,9 @@
     ClassKind, Config, Job, Policy, Repeat, Resources, Team,
 };
 use puffinknot_core::ids::{Epoch, Millis, TargetId};
-use puffinknot_core::tasks::{Fit, Placer, PlacerConfig, Progress, WorkerInfo};
+use puffinknot_core::tasks::{
+    Fit, Placer, PlacerConfig, Progress, WorkerInfo,
+};
 use puffinknot_core::tenure::Tenure;
 use puffinknot_standin::worker::WorkerState;
 use rand::rngs::StdRng;
@@ -35,8 +37,11 @@
     Size { name: "two years", workers: 770, rack: 16, accelerators: 1_700 },
 ];
 
-const FITS: [(&str, Fit); 3] =
-    [("chosen", Fit::Best), ("first fit", Fit::First), ("random", Fit::Random)];
+const FITS: [(&str, Fit); 3] = [
+    ("chosen", Fit::Best),
+    ("first fit", Fit::First),
+    ("random", Fit::Random),
+];
 
 const CORES: u32 = 16_000;
 const MEMORY: u32 = 65_536;
@@ -131,11 +136,17 @@
         let tasks = rng.random_range(1..=8);
         accelerators = accelerators.saturating_sub(wants * tasks);
         asked += u64::from(cpu) * u64::from(tasks);
-        jobs.push(job(jobs.len(), tasks, run_ms, Resources {
-            cpu_millis: cpu,
-            memory_mb: cpu / 1_000 * per_core + cpu % 1_000 * per_core / 1_000,
-            accelerators: wants,
-        }));
+        jobs.push(job(
+            jobs.len(),
+            tasks,
+            run_ms,
+            Resources {
+                cpu_millis: cpu,
+                memory_mb: cpu / 1_000 * per_core
+                    + cpu % 1_000 * per_core / 1_000,
+                accelerators: wants,
+            },
+        ));
     }
     jobs
 }
@@ -226,8 +237,8 @@
     report
 }
 
-/// Places a demand. Returns the part of the processor time placed and the
-/// part that could be at best, in percent, and the accelerators left idle
+/// Places a demand. Returns the part placed of the dimension that runs out
+/// first and the part that could be at best, in percent, and the accelerators left idle
 /// though a waiting task wants one.
 fn fill(size: Size, fit: Fit, jobs: &[Job]) -> (f64, f64, u32) {
     let mut bench = Bench::new(size, fit);
@@ -235,17 +246,19 @@
     settle(&mut bench);
     let asked = total(jobs);
     let (_, used) = bench.used();
-    let have = Resources {
-        cpu_millis: CORES,
-        memory_mb: MEMORY,
-        accelerators: 0,
-    }
-    .times(size.workers);
+    let have =
+        Resources { cpu_millis: CORES, memory_mb: MEMORY, accelerators: 0 }
+            .times(size.workers);
     let part = |have: u32, asked: u32| f64::from(have) / f64::from(asked);
-    let best = part(have.cpu_millis, asked.cpu_millis)
-        .min(part(have.memory_mb, asked.memory_mb))
-        .min(1.0);
-    let placed = part(used.cpu_millis, asked.cpu_millis);
+    // What counts is the dimension that runs out first.
+    let cpu = part(have.cpu_millis, asked.cpu_millis);
+    let memory = part(have.memory_mb, asked.memory_mb);
+    let best = cpu.min(memory).min(1.0);
+    let placed = if cpu < memory {
+        part(used.cpu_millis, asked.cpu_millis)
+    } else {
+        part(used.memory_mb, asked.memory_mb)
+    };
     let wanted = asked.accelerators.min(size.accelerators);
     let idle = wanted.saturating_sub(used.accelerators);
     (placed * 100.0, best * 100.0, idle)
@@ -359,11 +372,8 @@
     let before = resident_kb();
     let mut bench = Bench::new(size, Fit::Best);
     let tasks = size.workers * 27;
-    let need = Resources {
-        cpu_millis: 500,
-        memory_mb: 2_000,
-        accelerators: 0,
-    };
+    let need =
+        Resources { cpu_millis: 500, memory_mb: 2_000, accelerators: 0 };
     let jobs: Vec<Job> =
         (0..tasks / 9).map(|n| job(n as usize, 9, 0, need)).collect();
     bench.placer.configure(&file(jobs.clone()));
--- a/puffinknot-measure/src/processes.rs
+++ b/puffinknot-measure/src/processes.rs
@@ -1,4 +1,10 @@
 use crate::report::Report;
-pub fn calls(_: u64) -> Report { Report::new("x", &[]) }
-pub fn control(_: u64) -> Report { Report::new("x", &[]) }
-pub fn config(_: u64) -> Report { Report::new("x", &[]) }
+pub fn calls(_: u64) -> Report {
+    Report::new("x", &[])
+}
+pub fn control(_: u64) -> Report {
+    Report::new("x", &[])
+}
+pub fn config(_: u64) -> Report {
+    Report::new("x", &[])
+}
--- a/puffinknot-measure/src/report.rs
+++ b/puffinknot-measure/src/report.rs
@@ -26,10 +26,7 @@
 
 impl Report {
     /// A report without rows.
-    pub fn new(
-        experiment: &'static str,
-        columns: &[&'static str],
-    ) -> Report {
+    pub fn new(experiment: &'static str, columns: &[&'static str]) -> Report {
         let columns = columns.to_vec();
         Report { experiment, columns, rows: Vec::new() }
     }
--- a/puffinknot-measure/src/sim.rs
+++ b/puffinknot-measure/src/sim.rs
@@ -3,8 +3,8 @@
 //! A fake caller that is refused comes back when it was told to, until its
 //! deadline has passed.
 
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 
 use hdrhistogram::Histogram;
 use puffinknot_core::calls::{
@@ -156,10 +156,7 @@
 }
 
 /// Makes a run. Classes and callers of the result are in order.
-pub fn run(
-    plan: Plan,
-    seed: u64,
-) -> BTreeMap<(&'static str, String), Fared> {
+pub fn run(plan: Plan, seed: u64) -> BTreeMap<(&'static str, String), Fared> {
     Sim::new(plan, seed).run()
 }
 
@@ -453,11 +450,6 @@
     if matches!(policy, Policy::Shares { .. }) {
         return any;
     }
-    let free = |pool: &usize| pools[*pool].free();
-    let best = (0..pools.len()).max_by_key(free).unwrap_or(any);
-    if free(&best) > 0 || spec.kind == ClassKind::Immediate {
-        return best;
-    }
-    let queue = |pool: &usize| pools[*pool].queue_len();
-    (0..pools.len()).min_by_key(queue).unwrap_or(any)
+    let cost = |pool: &usize| pools[*pool].load().cost(spec.kind);
+    (0..pools.len()).min_by_key(cost).unwrap_or(any)
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -49,7 +49,7 @@
     pub secret: String,
     /// The number of call contracts, if this VM is the first of its data
     /// centre ever.
-    #[arg(long, env = "PUFFINKNOT_CALL_SCOPES", default_value_t = 3)]
+    #[arg(long, env = "PUFFINKNOT_CALL_SCOPES", default_value_t = 1)]
     pub call_scopes: u16,
     /// The lease of this VM with the platform, in seconds.
     #[arg(long, env = "PUFFINKNOT_TTL", default_value_t = 3)]
