--- a/tests/cell/mod.rs
+++ b/tests/cell/mod.rs
@@ -787,7 +787,13 @@
         }
     }
 
-    fn useful(&self, message: &Message) -> bool {
+    /// The oldest message that can be delivered.
+    pub fn next_useful(&self) -> Option<usize> {
+        let mut all = self.net.iter();
+        all.position(|m| self.deliverable(m) && self.useful(m))
+    }
+
+    pub fn useful(&self, message: &Message) -> bool {
         match message {
             Message::Read(vm) => {
                 !self.vms.contains_key(vm) || self.platform_answers(vm)
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -3,3 +3,4 @@
 mod cell;
 mod failures;
 mod fuzz;
+mod model;
