--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,3 +4,4 @@
 mod failures;
 mod fuzz;
 mod model;
+mod processes;
