--- a/puffinknot-core/src/config.rs
+++ b/puffinknot-core/src/config.rs
@@ -328,9 +328,9 @@
             ));
         }
         let config: Config = toml::from_str(text).map_err(|err| {
-            let line = err.span().map_or(1, |span| {
-                text[..span.start.min(text.len())].lines().count().max(1)
-            });
+            let start = err.span().map_or(0, |span| span.start);
+            let before = &text.as_bytes()[..start.min(text.len())];
+            let line = 1 + before.iter().filter(|b| **b == b'\n').count();
             ConfigErrors::one(
                 &format!("line {line}"),
                 err.message().to_string(),
--- /dev/null
+++ b/tests/input.rs
@@ -0,0 +1,206 @@
+//! Bad input: files, requests and messages that are wrong in any way.
+
+use std::collections::BTreeMap;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{
+    Config as Runner, RngAlgorithm, TestRng, TestRunner,
+};
+use puffinknot::client::{run, Cli};
+use puffinknot::settings::Settings;
+use puffinknot::vmlist::VmList;
+use puffinknot::wire;
+use puffinknot_core::config::Config;
+use puffinknot_core::store::{Key, Value};
+use serde::Deserialize;
+
+const GOOD: &str = include_str!("../examples/litoral.toml");
+const CASES: u32 = 2_000;
+
+fn runner() -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = Runner {
+        cases: CASES,
+        failure_persistence: None,
+        ..Runner::default()
+    };
+    TestRunner::new_with_rng(config, rng)
+}
+
+/// A change of a few bytes: where, and what comes there.
+fn mutations() -> impl Strategy<Value = Vec<(usize, u8)>> {
+    vec((any::<usize>(), any::<u8>()), 1..8)
+}
+
+fn mutated(good: &[u8], changes: &[(usize, u8)]) -> Vec<u8> {
+    let mut bytes = good.to_vec();
+    for (at, byte) in changes {
+        let at = at % bytes.len();
+        bytes[at] = *byte;
+    }
+    bytes
+}
+
+#[test]
+fn a_mutated_file_is_read_or_refused_with_a_remedy() {
+    let check = |changes: Vec<(usize, u8)>| {
+        let bytes = mutated(GOOD.as_bytes(), &changes);
+        let text = String::from_utf8_lossy(&bytes);
+        if let Err(errors) = Config::parse(&text) {
+            prop_assert!(errors.iter().count() > 0);
+            for error in errors.iter() {
+                prop_assert!(!error.key.is_empty());
+                prop_assert!(!error.remedy.is_empty());
+            }
+        }
+        Ok(())
+    };
+    runner().run(&mutations(), check).expect("no panic");
+}
+
+#[test]
+fn any_text_is_read_or_refused() {
+    let check = |text: String| {
+        let _ = Config::parse(&text);
+        Ok(())
+    };
+    runner().run(&".*", check).expect("no panic");
+}
+
+#[test]
+fn any_bytes_are_no_message_or_a_whole_one() {
+    let check = |bytes: Vec<u8>| {
+        let _ = wire::decode_hello(&bytes);
+        let _ = wire::decode::<wire::Response>(&bytes);
+        if let Ok(request) = wire::decode::<wire::Request>(&bytes) {
+            let again = wire::encode(&request).expect("it was one");
+            prop_assert_eq!(wire::decode(&again), Ok(request));
+        }
+        Ok(())
+    };
+    runner().run(&vec(any::<u8>(), 0..300), check).expect("no panic");
+}
+
+#[test]
+fn a_mutated_message_is_refused_or_a_whole_one() {
+    let request = wire::Request::Hop(wire::Hop {
+        scope: puffinknot_core::contract::Scope::Calls(0),
+        call: puffinknot_core::node::Call {
+            caller: "coop".into(),
+            class: "vent-check".into(),
+            remaining: 1_000,
+            key: None,
+        },
+        body: vec![1; 100],
+    });
+    let good = wire::encode(&request).expect("a message");
+    let check = |changes: Vec<(usize, u8)>| {
+        let _ = wire::decode::<wire::Request>(&mutated(&good, &changes));
+        Ok(())
+    };
+    runner().run(&mutations(), check).expect("no panic");
+}
+
+#[test]
+fn any_value_of_the_platform_is_read_or_refused() {
+    let check = |(path, bytes): (String, Vec<u8>)| {
+        let _ = Key::parse("local", &path);
+        let full = format!("puffinknot/local/{path}");
+        let _ = Key::parse("local", &full);
+        for key in [Key::Contracts("goya".into()), Key::Config] {
+            let _ = Value::parse(&key, &bytes);
+        }
+        let _ = VmList::parse(&bytes);
+        Ok(())
+    };
+    let input = ("[a-z/]{0,30}", vec(any::<u8>(), 0..200));
+    runner().run(&input, check).expect("no panic");
+}
+
+/// A wrong file and the keys that its errors have to name.
+#[derive(Deserialize)]
+struct WrongFile {
+    replace: String,
+    by: String,
+    keys: Vec<String>,
+}
+
+#[test]
+fn wrong_files_name_key_and_remedy_of_every_error() {
+    let table = include_str!("../testdata/wrong-files.toml");
+    let cases: BTreeMap<String, WrongFile> =
+        toml::from_str(table).expect("a table in order");
+    let mut shown = String::new();
+    for (name, case) in cases {
+        assert!(GOOD.contains(&case.replace), "{name}");
+        let file = GOOD.replace(&case.replace, &case.by);
+        let errors = Config::parse(&file).expect_err(&name);
+        let keys: Vec<&str> =
+            errors.iter().map(|error| error.key.as_str()).collect();
+        assert_eq!(keys, case.keys, "{name}");
+        shown.push_str(&format!("{name}:\n{errors}\n"));
+    }
+    insta::assert_snapshot!("wrong-files", shown);
+}
+
+#[test]
+fn wrong_settings_name_flag_and_remedy() {
+    use clap::Parser;
+    let good = [
+        "puffinknotd",
+        "--cell",
+        "litoral",
+        "--dc",
+        "goya",
+        "--vm",
+        "goya-1",
+        "--listen",
+        "127.0.0.1:0",
+        "--link",
+        "127.0.0.1:0",
+        "--admin",
+        "127.0.0.1:0",
+        "--platform",
+        "http://127.0.0.1:1",
+        "--vm-list",
+        "http://127.0.0.1:1/vms",
+        "--secret",
+        "long-enough",
+    ];
+    let cases = [
+        ("--cell", "a cell"),
+        ("--platform", "127.0.0.1:1"),
+        ("--secret", "short"),
+    ];
+    let settings = Settings::parse_from(good);
+    settings.validate().expect("settings in order");
+    let mut shown = String::new();
+    for (flag, value) in cases {
+        let mut args = good;
+        let at = good.iter().position(|arg| *arg == flag).expect("a flag");
+        args[at + 1] = value;
+        let settings = Settings::parse_from(args);
+        let err = settings.validate().expect_err(flag);
+        shown.push_str(&format!("{err}\n"));
+    }
+    insta::assert_snapshot!("wrong-settings", shown);
+}
+
+#[test]
+fn a_client_without_a_platform_says_what_to_do() {
+    use clap::Parser;
+    let cli = Cli::parse_from([
+        "puffinknot",
+        "plan",
+        "examples/litoral.toml",
+        "--platform",
+        "http://127.0.0.1:1",
+        "--cell",
+        "local",
+    ]);
+    let err = actix_rt::System::new()
+        .block_on(run(cli))
+        .expect_err("there is no platform");
+    assert!(err.to_string().contains("check --platform"), "{err}");
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -3,5 +3,6 @@
 mod cell;
 mod failures;
 mod fuzz;
+mod input;
 mod model;
 mod processes;
