--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -8,8 +8,9 @@
 use puffinknot_core::ids::{TargetId, VmId};
 use puffinknot_core::node::Event;
 use puffinknot_core::outcome::{Outcome, Reason};
+use puffinknot_core::store::{Key, Stored, Value};
 
-use crate::cell::Cell;
+use crate::cell::{Cell, Message};
 
 const FILE: &str = include_str!("../testdata/fuzz.toml");
 const DC: &str = "goya";
@@ -420,3 +421,85 @@
     assert!(place(&cell, "api/0").is_some());
     no_faults(&cell);
 }
+
+#[test]
+fn no_task_is_restarted_while_it_may_run_on_a_worker_not_yet_seen() {
+    let (mut cell, vms) = cell(2, 0, 2);
+    let holder = cell.holder(DC, Scope::Tasks).expect("a holder");
+    let heir = other(&vms, &holder);
+    let worker = place(&cell, "api/0").expect("a place");
+    cell.cut(heir.as_str(), worker.as_str(), true);
+    cell.kill(&holder);
+    cell.run_in_order(20_000);
+    no_faults(&cell);
+    cell.heal();
+    cell.run_in_order(10_000);
+    assert_eq!(cell.tasks_running(), 3);
+    no_faults(&cell);
+}
+
+#[test]
+fn a_late_start_of_a_former_holder_is_refused_by_the_worker() {
+    let (mut cell, _) = cell(2, 0, 3);
+    let holder = cell.holder(DC, Scope::Tasks).expect("a holder");
+    cell.held.insert(holder.clone());
+    cell.apply(&FILE.replace("tasks = 2", "tasks = 3"));
+    cell.run_in_order(500);
+    let start = cell.net.iter().find_map(|message| match message {
+        Message::Sync(_, target, request) if !request.start.is_empty() => {
+            Some(target.clone())
+        }
+        _ => None,
+    });
+    let worker = start.expect("a start on its way");
+    // The new holder has to choose the other worker.
+    let listed = cell.listed.get_mut(&worker).expect("a listed worker");
+    listed.leaving = true;
+    cell.pause(&holder, true);
+    cell.platform.lapse(&holder);
+    cell.run_in_order(6_000);
+    assert_ne!(place(&cell, "api/2"), None);
+    cell.held.clear();
+    cell.run_in_order(1_000);
+    no_faults(&cell);
+}
+
+#[test]
+fn a_slot_stays_counted_when_the_connection_is_lost() {
+    let (mut cell, vms) = cell(1, 1, 0);
+    cell.run_ms = 5_000;
+    vent(&mut cell, &vms[0]);
+    vent(&mut cell, &vms[0]);
+    cell.run_in_order(200);
+    cell.cut(vms[0].as_str(), "x0", true);
+    cell.cuts.clear();
+    while let Some(index) = cell.next_useful() {
+        cell.deliver(index);
+    }
+    let third = vent(&mut cell, &vms[0]);
+    while let Some(index) = cell.next_useful() {
+        cell.deliver(index);
+    }
+    cell.check();
+    assert_eq!(reason(&cell, third), Some(Reason::NoSlot));
+    no_faults(&cell);
+}
+
+#[test]
+fn an_older_revision_is_ignored_whoever_sends_it() {
+    let (mut cell, vms) = cell(1, 0, 0);
+    cell.apply(&FILE.replace("tasks = 2", "tasks = 3"));
+    cell.run_in_order(500);
+    let before = cell.vms[&vms[0]].node.view().config_revision();
+    let old = Stored {
+        key: Key::Config,
+        value: Value::Config(FILE.to_string()),
+        revision: before - 1,
+    };
+    cell.tell(&vms[0], Event::Learned(vec![old.clone()]));
+    let stored = vec![old];
+    cell.tell(&vms[0], Event::Snapshot { revision: before, stored });
+    let after = cell.vms[&vms[0]].node.view().config_revision();
+    assert_eq!(after, before);
+    no_faults(&cell);
+}
