Split the placer and the daemon by what they do; remove dead code

No behaviour changes: the exchange with workers, the record and the views of the placer, and the daemon's following of the platform, have modules of their own.

--- a/puffinknot-core/src/config.rs
+++ b/puffinknot-core/src/config.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{CallerId, DcName, Millis, TargetId, TaskId};
+use crate::ids::{CallerId, DcName, Millis, TargetId};
 
 /// An amount of what a worker has.
 #[derive(
@@ -360,18 +360,6 @@
         let services = self.services.iter().map(|job| (job, true));
         services.chain(self.batch.iter().map(|job| (job, false)))
     }
-
-    /// The number of tasks that a job of this name has here, or zero.
-    pub fn task_count(&self, job: &str) -> u32 {
-        self.jobs()
-            .find(|(other, _)| other.name == job)
-            .map_or(0, |(job, _)| job.tasks)
-    }
-
-    /// Whether the file asks for this task.
-    pub fn has_task(&self, task: &TaskId) -> bool {
-        task.index() < self.task_count(task.job())
-    }
 }
 
 impl Job {
--- a/puffinknot-core/src/tasks/placer.rs
+++ b/puffinknot-core/src/tasks/placer/mod.rs
@@ -1,7 +1,9 @@
 /*!
-The state of one data centre's tasks, as its holder sees it, and the exchange
-with the workers. The choice of what starts where is in the sibling module
-`schedule`.
+The state of one data centre's tasks, as its holder sees it.
+
+What is done with the state has modules of its own: `exchange` talks to the
+workers, `schedule` chooses what starts where, `record` keeps what must outlast
+this VM, and `view` shows all of it to operators.
 */
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,15 +12,16 @@
 use crate::contract::hash;
 use crate::ids::{DcName, Epoch, Millis, TargetId, TaskId};
 use crate::tasks::fit::Fit;
-use crate::tasks::message::{
-    StartTask, StopTask, SyncReply, SyncRequest, TaskPhase, TaskReport,
-    WorkerInfo,
-};
+use crate::tasks::message::{SyncRequest, WorkerInfo};
 use crate::tasks::progress::Progress;
 use crate::tenure::Tenure;
 
-#[path = "schedule.rs"]
+mod exchange;
+mod record;
 mod schedule;
+mod view;
+
+pub use self::view::{JobView, WorkerView};
 
 /// How the placer decides.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -205,44 +208,6 @@
     }
 }
 
-/// How a job is doing.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct JobView {
-    /// Its name.
-    pub name: String,
-    /// Its team.
-    pub team: String,
-    /// Whether it is a service.
-    pub service: bool,
-    /// The number of its tasks.
-    pub tasks: u32,
-    /// How many run.
-    pub running: u32,
-    /// How many wait.
-    pub waiting: u32,
-    /// How many are done.
-    pub done: u32,
-    /// How many may have run and are not repeated.
-    pub unknown: u32,
-}
-
-/// How a worker is doing.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkerView {
-    /// Its name.
-    pub id: TargetId,
-    /// Its rack.
-    pub rack: String,
-    /// Whether it answers under this tenure.
-    pub ready: bool,
-    /// What it has, less the room for the old scripts.
-    pub capacity: Resources,
-    /// What is free.
-    pub free: Resources,
-    /// The tasks on it.
-    pub tasks: Vec<TaskId>,
-}
-
 /// The tasks of one data centre.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Placer {
@@ -558,109 +523,6 @@
         self.confirmed_at = self.confirmed_at.max(sent_at);
     }
 
-    /// A worker answered. `read_at` is when the answer arrived.
-    pub fn reply(&mut self, read_at: Millis, id: &TargetId, reply: SyncReply) {
-        let Some(state) = self.workers.get_mut(id) else { return };
-        if state.outstanding.as_ref().map(|o| o.seq) != Some(reply.seq) {
-            return;
-        }
-        state.outstanding = None;
-        state.contact = Contact::Ready;
-        state.clock = reply.clock;
-        state.read_at = read_at;
-        state.info = reply.info;
-        let has = &state.info.capacity;
-        self.largest.cpu_millis = self.largest.cpu_millis.max(has.cpu_millis);
-        self.largest.memory_mb = self.largest.memory_mb.max(has.memory_mb);
-        state.counter = reply.counter;
-        self.tenure.seen(id);
-        self.stirred = true;
-        if let Some(tasks) = reply.tasks {
-            self.reconcile(read_at, id, reply.seq, &tasks);
-        }
-        self.refresh(id);
-        if self.workers[id].info.leaving {
-            self.move_away(id);
-        }
-    }
-
-    /// Compares the worker's list with what was thought to be there.
-    fn reconcile(
-        &mut self,
-        now: Millis,
-        id: &TargetId,
-        seq: u64,
-        tasks: &[TaskReport],
-    ) {
-        let listed: BTreeMap<&TaskId, &TaskReport> =
-            tasks.iter().map(|task| (&task.id, task)).collect();
-        self.drop_missing(id, seq, &listed);
-        for report in tasks {
-            match report.phase {
-                TaskPhase::Running => self.found(now, id, report),
-                TaskPhase::Done => self.ended(now, id, report, true),
-                TaskPhase::Failed => self.ended(now, id, report, false),
-            }
-        }
-        if let Some(state) = self.workers.get_mut(id) {
-            state.ended.retain(|task| listed.contains_key(task));
-        }
-    }
-
-    fn drop_missing(
-        &mut self,
-        id: &TargetId,
-        seq: u64,
-        listed: &BTreeMap<&TaskId, &TaskReport>,
-    ) {
-        let known = |task: &Placed| match task.phase {
-            Phase::Intended => false,
-            Phase::Starting => task.sent.is_some_and(|sent| sent <= seq),
-            Phase::Running | Phase::Stopping => true,
-        };
-        let missing: Vec<TaskId> = self.workers[id]
-            .tasks
-            .iter()
-            .filter(|(task, _)| !listed.contains_key(task))
-            .filter(|(_, placed)| known(placed))
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in missing {
-            self.unplace(id, &task);
-        }
-    }
-
-    /// A task was reported as running.
-    fn found(&mut self, now: Millis, id: &TargetId, report: &TaskReport) {
-        let task = &report.id;
-        let wanted = self.wanted(task, report.spec);
-        let place = self.places.get(task);
-        let elsewhere = place.is_some_and(|place| place != id);
-        let Some(state) = self.workers.get_mut(id) else { return };
-        let known = state.tasks.get_mut(task);
-        if let Some(placed) = known {
-            if placed.phase == Phase::Starting && placed.sent.is_some() {
-                placed.phase = Phase::Running;
-            }
-            return;
-        }
-        let placed = Placed {
-            spec: report.spec,
-            need: report.need,
-            priority: report.priority,
-            phase: Phase::Running,
-            since: now.saturating_sub(report.age_ms),
-            sent: None,
-            team: None,
-        };
-        state.tasks.insert(task.clone(), placed);
-        if wanted && !elsewhere {
-            self.settle_in(id, task, &report.need);
-        } else {
-            self.stop(id, task);
-        }
-    }
-
     /// A task has a place: it waits no more and counts for its team.
     fn settle_in(&mut self, id: &TargetId, task: &TaskId, need: &Resources) {
         self.places.insert(task.clone(), id.clone());
@@ -682,141 +544,6 @@
         self.note_pending(task.job());
     }
 
-    /// A task was reported as ended by itself.
-    fn ended(
-        &mut self,
-        now: Millis,
-        id: &TargetId,
-        report: &TaskReport,
-        done: bool,
-    ) {
-        let task = &report.id;
-        let job = self.jobs.get(task.job());
-        let batch = job.is_some_and(|job| !job.service);
-        let once = job.is_some_and(JobState::never_repeat);
-        if batch && (done || once) {
-            self.keep_done(id, report);
-        } else {
-            if self.forget_ended(id, task) {
-                self.back_off(now, task);
-            }
-        }
-        self.unplace(id, task);
-    }
-
-    /// Delays the next start of a job whose task ended when it should not
-    /// have, longer each time.
-    fn back_off(&mut self, now: Millis, task: &TaskId) {
-        let Some(job) = self.jobs.get_mut(task.job()) else { return };
-        let delay = FIRST_BACKOFF << job.failures.min(MAX_DOUBLINGS);
-        job.failures += 1;
-        job.not_before = now + delay;
-    }
-
-    fn keep_done(&mut self, id: &TargetId, report: &TaskReport) {
-        if self.progress.set_done(&report.id, report.spec) {
-            self.progress_made += 1;
-        }
-        let task = report.id.clone();
-        if let Some(job) = self.jobs.get_mut(task.job()) {
-            if job.spec == report.spec {
-                job.waiting.remove(&task.index());
-                job.unknown.remove(&task.index());
-            }
-        }
-        self.note_pending(task.job());
-        if self.progress_made <= self.progress_kept {
-            self.forget_ended(id, &task);
-        } else {
-            self.unkept.push((self.progress_made, id.clone(), task));
-        }
-    }
-
-    /// Tells the worker that it need not report the ended task any more.
-    /// Returns whether that is new.
-    fn forget_ended(&mut self, id: &TargetId, task: &TaskId) -> bool {
-        let Some(state) = self.workers.get_mut(id) else { return false };
-        let new = state.ended.insert(task.clone());
-        state.dirty |= new;
-        new
-    }
-
-    /// The progress to write, with a number for [`Placer::progress_kept`],
-    /// if there is anything new.
-    pub fn progress(&self) -> Option<(u64, &Progress)> {
-        let new = self.progress_made > self.progress_kept;
-        new.then_some((self.progress_made, &self.progress))
-    }
-
-    /// The progress with this number is kept by the platform.
-    pub fn progress_kept(&mut self, number: u64) {
-        self.progress_kept = self.progress_kept.max(number);
-        let kept = self.progress_kept;
-        let unkept = std::mem::take(&mut self.unkept);
-        for (number, worker, task) in unkept {
-            if number <= kept {
-                self.forget_ended(&worker, &task);
-            } else {
-                self.unkept.push((number, worker, task));
-            }
-        }
-        let intended = std::mem::take(&mut self.intended);
-        for (number, task) in intended {
-            if number <= kept {
-                self.start_intended(&task);
-            } else {
-                self.intended.push((number, task));
-            }
-        }
-    }
-
-    fn start_intended(&mut self, task: &TaskId) {
-        let Some(place) = self.places.get(task) else { return };
-        let Some(state) = self.workers.get_mut(place) else { return };
-        let Some(placed) = state.tasks.get_mut(task) else { return };
-        if placed.phase == Phase::Intended {
-            placed.phase = Phase::Starting;
-            state.dirty = true;
-        }
-    }
-
-    /// Somebody else wrote the progress. What was recorded there may have
-    /// been started by an earlier holder and is not started again.
-    pub fn merge_progress(&mut self, other: &Progress) {
-        let jobs = &self.jobs;
-        let current = |name: &str| jobs.get(name).map(|job| job.spec);
-        self.progress.merge(other, current);
-        self.progress_made += 1;
-        let mut clash = Vec::new();
-        for (id, place) in &self.places {
-            let placed = &self.workers[place].tasks[id];
-            let theirs = other.is_started(id, placed.spec);
-            if placed.phase == Phase::Intended && theirs {
-                clash.push((place.clone(), id.clone()));
-            }
-        }
-        for (place, id) in clash {
-            self.unplace(&place, &id);
-        }
-        let names: Vec<String> = self.jobs.keys().cloned().collect();
-        for name in names {
-            self.recount(&name);
-        }
-    }
-
-    /// A sync was not answered.
-    pub fn failed(&mut self, id: &TargetId, seq: u64) {
-        let Some(state) = self.workers.get_mut(id) else { return };
-        if state.outstanding.as_ref().map(|o| o.seq) != Some(seq) {
-            return;
-        }
-        state.outstanding = None;
-        state.dirty = true;
-        if state.contact == Contact::Ready {
-            state.contact = Contact::Silent;
-        }
-    }
-
     /// Lets time pass: gives up on workers whose lease has lapsed, places
     /// what can be placed, and returns the syncs to send.
     pub fn step(&mut self, now: Millis) -> Vec<(TargetId, SyncRequest)> {
@@ -857,147 +584,10 @@
         }
     }
 
-    fn syncs(&mut self, now: Millis) -> Vec<(TargetId, SyncRequest)> {
-        let every = self.config.lease / PlacerConfig::SYNCS_PER_LEASE;
-        let retry = self.config.lease / PlacerConfig::TIMEOUTS_PER_LEASE;
-        let mut due = Vec::new();
-        for (id, state) in &self.workers {
-            let wait = match state.contact {
-                Contact::Ready if state.dirty => 0,
-                Contact::Ready => every,
-                _ if state.last_sync == 0 => 0,
-                _ => retry,
-            };
-            if state.outstanding.is_none() && state.last_sync + wait <= now {
-                due.push(id.clone());
-            }
-        }
-        let sync = |id: TargetId| {
-            let request = self.sync(now, &id)?;
-            Some((id, request))
-        };
-        due.into_iter().filter_map(sync).collect()
-    }
-
-    fn sync(&mut self, now: Millis, id: &TargetId) -> Option<SyncRequest> {
-        let may_start = self.tenure.may_start();
-        let lease = self.config.lease;
-        let state = self.workers.get_mut(id)?;
-        state.seq += 1;
-        state.dirty = false;
-        state.last_sync = now.max(1);
-        let seq = state.seq;
-        state.outstanding = Some(Outstanding { seq, sent_at: now });
-        // A silent worker gets nothing new, and above all no longer lease,
-        // so that it can be known when the one it has must have lapsed.
-        let active = state.contact == Contact::Ready && may_start;
-        let (mut starts, mut stops) = (Vec::new(), Vec::new());
-        if active {
-            state.until = state.until.max(state.clock_now(now) + lease);
-            starts = self.starts(id, seq);
-            stops = self.stops(id);
-        }
-        let state = self.workers.get_mut(id)?;
-        Some(SyncRequest {
-            epoch: self.tenure.epoch.clone(),
-            seq,
-            until: state.until,
-            counter: state.counter,
-            start: starts,
-            stop: stops,
-            ack: state.ended.iter().cloned().collect(),
-        })
-    }
-
-    fn starts(&mut self, id: &TargetId, seq: u64) -> Vec<StartTask> {
-        let Some(state) = self.workers.get_mut(id) else { return vec![] };
-        let mut starts = Vec::new();
-        for (task, placed) in &mut state.tasks {
-            if placed.phase != Phase::Starting {
-                continue;
-            }
-            placed.sent = Some(seq);
-            let job = self.jobs.get(task.job());
-            starts.push(StartTask {
-                id: task.clone(),
-                spec: placed.spec,
-                need: placed.need,
-                run_ms: job.map_or(0, |job| job.job.run_ms),
-                priority: placed.priority,
-            });
-        }
-        starts
-    }
-
-    fn stops(&self, id: &TargetId) -> Vec<StopTask> {
-        let Some(state) = self.workers.get(id) else { return vec![] };
-        let stopping = state
-            .tasks
-            .iter()
-            .filter(|(_, placed)| placed.phase == Phase::Stopping);
-        let stop = |(task, _): (&TaskId, &Placed)| {
-            let job = self.jobs.get(task.job());
-            let checkpoint = job.is_some_and(|job| job.job.checkpoint);
-            StopTask { id: task.clone(), checkpoint }
-        };
-        stopping.map(stop).collect()
-    }
-
     /// The epoch under which this VM places tasks.
     pub fn epoch(&self) -> &Epoch {
         &self.tenure.epoch
     }
-
-    /// The number of tasks that have a place.
-    pub fn placed(&self) -> usize {
-        self.places.len()
-    }
-
-    /// The number of tasks that wait.
-    pub fn waiting(&self) -> usize {
-        let waiting = |name| self.jobs.get(name).map_or(0, count_waiting);
-        self.pending.iter().map(waiting).sum()
-    }
-
-    /// How each job is doing.
-    pub fn jobs(&self) -> Vec<JobView> {
-        let mut placed: BTreeMap<&str, u32> = BTreeMap::new();
-        for id in self.places.keys() {
-            *placed.entry(id.job()).or_default() += 1;
-        }
-        let view = |(name, state): (&String, &JobState)| {
-            let kept = self.progress.jobs.get(name);
-            let done = kept.filter(|kept| kept.spec == state.spec);
-            JobView {
-                name: name.clone(),
-                team: state.job.team.clone(),
-                service: state.service,
-                tasks: state.job.tasks,
-                running: placed.get(name.as_str()).copied().unwrap_or(0),
-                waiting: state.waiting.len() as u32,
-                done: done.map_or(0, |done| done.done.len()),
-                unknown: state.unknown.len() as u32,
-            }
-        };
-        self.jobs.iter().map(view).collect()
-    }
-
-    /// How each worker is doing.
-    pub fn workers(&self) -> Vec<WorkerView> {
-        let view = |(id, state): (&TargetId, &Worker)| WorkerView {
-            id: id.clone(),
-            rack: state.info.rack.clone(),
-            ready: state.takes_work(),
-            capacity: state.capacity,
-            free: state.free,
-            tasks: state.tasks.keys().cloned().collect(),
-        };
-        self.workers.iter().map(view).collect()
-    }
-}
-
-fn count_waiting(job: &JobState) -> usize {
-    job.waiting.len()
 }
 
 /// A hash of what a running task depends on. A change of it restarts the
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod daemon;
 pub mod entry;
 pub mod error;
+mod follow;
 pub mod http;
 pub mod link;
 pub mod metrics;
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -15,8 +15,6 @@
 use awc::Client;
 use bytes::Bytes;
 use puffinknot_core::calls::CallId;
-use puffinknot_core::contract::Scope;
-use puffinknot_core::ids::Epoch;
 use puffinknot_core::keys::Key;
 use puffinknot_core::node::{Call, Event};
 use puffinknot_core::outcome::{Outcome, Reason};
@@ -144,8 +142,3 @@
 fn key_text(key: &Key) -> String {
     Uuid::from_u128(key.uuid).to_string()
 }
-
-/// A scope and epoch, for logs.
-pub fn describe(scope: Scope, epoch: &Epoch) -> String {
-    format!("{scope} at epoch {epoch}")
-}
