--- a/puffinknot-core/src/lib.rs
+++ b/puffinknot-core/src/lib.rs
@@ -28,9 +28,10 @@
 ```
 use puffinknot_core::config::Config;
 
-let err = Config::parse("cell = 'litoral'\n[[class]]\nname = 'x'\n")
-    .unwrap_err();
-assert!(err.to_string().contains("data_centre"));
+let errors = Config::parse("cell = ''\ndata_centres = []").unwrap_err();
+let keys: Vec<&str> = errors.iter().map(|e| e.key.as_str()).collect();
+assert_eq!(keys, ["cell", "data_centres"]);
+assert!(errors.to_string().contains("list at least one"));
 ```
 */
 #![deny(missing_docs)]
