--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -134,17 +134,8 @@
 
     /// Runs the operators' client and returns its exit code and text.
     fn client(&self, args: &[&str]) -> (u8, String) {
-        use clap::Parser;
-        let mut all = vec!["puffinknot"];
-        all.extend(args);
-        all.extend(["--platform", &self.base, "--cell", "local"]);
-        let cli = Cli::try_parse_from(all).expect("arguments in order");
-        let run = client::run(cli);
-        let report = actix_rt::System::new().block_on(run);
-        match report {
-            Ok(report) => (report.code, report.text),
-            Err(err) => (1, err.to_string()),
-        }
+        let cell = ["--platform", &self.base, "--cell", "local"];
+        command(&[args, &cell].concat())
     }
 
     fn apply(&self, file: &str) -> (u8, String) {
@@ -221,6 +212,17 @@
     }
 }
 
+/// Runs a command of the operators' client.
+fn command(args: &[&str]) -> (u8, String) {
+    use clap::Parser;
+    let all = [&["puffinknot"], args].concat();
+    let cli = Cli::try_parse_from(all).expect("arguments in order");
+    match in_system(client::run(cli)) {
+        Ok(report) => (report.code, report.text),
+        Err(err) => (1, err.to_string()),
+    }
+}
+
 /// What a caller sees.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Answer {
@@ -572,3 +574,37 @@
     assert_eq!(world.executors[0].record().after_leaving, before);
     world.check();
 }
+
+#[test]
+fn operators_see_the_cell_and_stop_a_vm() {
+    let mut world = running(10);
+    let (code, text) = world.client(&["status", "--secret", SECRET]);
+    assert_eq!(code, client::DONE, "{text}");
+    for part in ["holds calls-0", "holds tasks", "job clima-api"] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+    let entry = format!("{}:8080", world.daemons[0].ip);
+    for (token, code) in [("vent-token", client::DONE), ("x", client::WRONG)] {
+        let args = ["call", "--class", "vent-check", "--entry", &entry];
+        let ended = command(&[&args[..], &["--token", token]].concat());
+        assert_eq!(ended.0, code, "{}", ended.1);
+    }
+    let wrong = ["status", "--secret", "another-secret", "--output", "json"];
+    let (_, text) = world.client(&wrong);
+    assert!(text.contains("401"), "{text}");
+    let (code, text) = world.client(&["drain", "goya-9", "--secret", SECRET]);
+    assert_eq!(code, 1);
+    assert!(text.contains("use one of"), "{text}");
+    let (code, text) = world.client(&["drain", "goya-2", "--secret", SECRET]);
+    assert_eq!(code, client::DONE, "{text}");
+    let stopped = world.daemons.iter().position(|d| d.name == "goya-2");
+    let stopped = stopped.expect("a daemon");
+    let ended = world.daemons[stopped].child.wait().expect("it ends");
+    assert!(ended.success(), "{ended}");
+    let entry = (stopped + 1) % 3;
+    wait("the others serve vent checks", || {
+        world.call(entry, "vent-check", Some(&key())).outcome == "answered"
+    });
+    assert_eq!(world.tasks(), 10);
+    world.check();
+}
