--- a/src/entry.rs
+++ b/src/entry.rs
@@ -33,7 +33,6 @@
 
 /// A body must arrive within this time.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// The largest body before any file is in force, in bytes.
 const OUTCOME: &str = "puffinknot-outcome";
 const REASON: &str = "puffinknot-reason";
 const RETRY_MS: &str = "puffinknot-retry-after-ms";
