One read of the platform and one part of a whole, where there were copies

The read that a lost write asks for and the read before a watch were the same loop, of which only one logged unusable values; the watch now uses the other, so both log them, and after a watch that has ended the first wait for the platform begins at 100 ms again. The part of a whole in thousandths was worked out in three places; fit::share now serves all, with the quota of zero still apart.

--- a/puffinknot-core/src/tasks/fit.rs
+++ b/puffinknot-core/src/tasks/fit.rs
@@ -66,6 +66,6 @@
 }
 
 /// A part of a whole, in thousandths.
-fn share(part: u32, whole: u32) -> u64 {
+pub(super) fn share(part: u32, whole: u32) -> u64 {
     u64::from(part) * 1_000 / u64::from(whole.max(1))
 }
--- a/puffinknot-core/src/tasks/placer/schedule.rs
+++ b/puffinknot-core/src/tasks/placer/schedule.rs
@@ -6,7 +6,7 @@
 use crate::config::{Priority, Resources};
 use crate::contract::hash;
 use crate::ids::{Millis, TargetId, TaskId};
-use crate::tasks::fit::{Candidate, Score};
+use crate::tasks::fit::{share, Candidate, Score};
 
 use super::{JobState, Phase, Placed, Placer, Worker};
 
@@ -63,11 +63,8 @@
     /// thousandths. A task with accelerators counts as larger than any other,
     /// since it finds a place on few workers.
     fn size(&self, need: &Resources) -> Reverse<u64> {
-        let part = |need: u32, whole: u32| {
-            u64::from(need) * 1_000 / u64::from(whole.max(1))
-        };
-        let cpu = part(need.cpu_millis, self.largest.cpu_millis);
-        let memory = part(need.memory_mb, self.largest.memory_mb);
+        let cpu = share(need.cpu_millis, self.largest.cpu_millis);
+        let memory = share(need.memory_mb, self.largest.memory_mb);
         let rare = if need.accelerators > 0 { 1_000 } else { 0 };
         Reverse(rare + cpu.max(memory))
     }
@@ -113,7 +110,7 @@
         let Some(held) = self.held.get(&job.job.team) else { return 0 };
         let part = |held: u32, quota: u32| match quota {
             0 => 0,
-            _ => u64::from(held) * 1_000 / u64::from(quota),
+            _ => share(held, quota),
         };
         part(held.cpu_millis, quota.cpu_millis)
             .max(part(held.memory_mb, quota.memory_mb))
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -402,7 +402,9 @@
             }
             Action::Read => {
                 let (platform, control) = self.platform();
-                actix_rt::spawn(read_until_done(platform, control));
+                actix_rt::spawn(async move {
+                    read_until_done(&platform, &control).await;
+                });
             }
             Action::Register { draining } => {
                 let _ = self.register.send(draining);
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use log::{debug, warn};
-use puffinknot_core::ids::VmId;
+use puffinknot_core::ids::{Revision, VmId};
 use puffinknot_core::node::Event;
 use puffinknot_core::store::{Key, Member, Value};
 use rand::Rng;
@@ -44,15 +44,22 @@
     }
 }
 
-/// Reads everything, however long it takes until the platform answers.
-pub(crate) async fn read_until_done(platform: Platform, control: Control) {
+/// Reads everything, however long it takes until the platform answers, and
+/// returns the revision of the read.
+pub(crate) async fn read_until_done(
+    platform: &Platform,
+    control: &Control,
+) -> Revision {
     let mut back_off = BackOff::new();
     loop {
         match platform.read(0).await {
             Ok(read) => {
+                for problem in &read.unusable {
+                    warn!("platform: passed over {problem}.");
+                }
                 let (revision, stored) = (read.revision, read.stored);
                 control.event(Event::Snapshot { revision, stored });
-                return;
+                return revision;
             }
             Err(err) => debug!("platform: {err}."),
         }
@@ -62,23 +69,11 @@
 
 /// Reads everything, then watches; begins anew when the watch ends.
 pub(crate) async fn watch_for_ever(platform: Platform, control: Control) {
-    let mut back_off = BackOff::new();
     loop {
-        match platform.read(0).await {
-            Ok(read) => {
-                for problem in &read.unusable {
-                    warn!("platform: passed over {problem}.");
-                }
-                let revision = read.revision;
-                let stored = read.stored;
-                control.event(Event::Snapshot { revision, stored });
-                back_off = BackOff::new();
-                let ended = watch_from(&platform, &control, revision).await;
-                debug!("platform: {ended}");
-            }
-            Err(err) => debug!("platform: {err}."),
-        }
-        back_off.wait().await;
+        let revision = read_until_done(&platform, &control).await;
+        let ended = watch_from(&platform, &control, revision).await;
+        debug!("platform: {ended}");
+        BackOff::new().wait().await;
     }
 }
 
@@ -86,7 +81,7 @@
 async fn watch_from(
     platform: &Platform,
     control: &Control,
-    revision: u64,
+    revision: Revision,
 ) -> String {
     let newest = Cell::new(revision);
     let watch = platform.watch(revision + 1, |seen| {
