Test: a superseded leader takes no renewed lease for over

The new test plays it in virtual time: a leader that is cut off from an executor, and a successor that renews its lease.

--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -214,3 +214,28 @@
     assert!(world.unfinished().is_empty());
     world.check();
 }
+
+/// A leader that does not know yet that it is superseded can't reach an
+/// executor whose lease its successor renews. It took that lease for over and
+/// started the task once more, where its successor had not been heard yet.
+#[test]
+fn a_superseded_leader_takes_no_lease_for_over() {
+    let mut world = World::new(2);
+    let mut long = step(1, room(3_000, 100));
+    long.estimate = 2 * LEASE;
+    world.submit(job(1, "batch", vec![long]));
+    world.run(300);
+    let task = "0000000000000001.0.0.0".parse().expect("a task");
+    let at = usize::from(!world.executors[0].runs(&task));
+    world.executors[at].cut_from = Some(world.token);
+    world.run(1_000);
+    world.replace_leader();
+    world.executors[1 - at].cut_from = Some(world.token);
+    world.run(LEASE);
+    world.check();
+    world.executors[1 - at].cut_from = None;
+    world.run(2 * LEASE);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    assert_eq!(world.starts.values().sum::<u32>(), 1);
+    world.check();
+}
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -62,6 +62,8 @@
     numbers: u64,
     /// Neither orders nor answers pass.
     pub cut: bool,
+    /// The same for the leader with this token only.
+    pub cut_from: Option<u64>,
     /// The next orders are carried out, but not answered.
     pub mute: u32,
     /// The next orders are carried out this much later, unanswered.
@@ -70,6 +72,11 @@
 }
 
 impl Executor {
+    /// Whether the leader with this token gets no answer from it.
+    fn silent_to(&self, token: u64) -> bool {
+        self.cut || self.dead || self.cut_from == Some(token)
+    }
+
     /// Whether a task runs there.
     pub fn runs(&self, task: &TaskKey) -> bool {
         self.running.contains_key(task)
@@ -88,7 +95,7 @@
 pub struct World {
     pub now: Millis,
     pub scheduler: Scheduler,
-    token: u64,
+    pub token: u64,
     /// Predecessors that do not know yet that they lead no more, and until
     /// when they may order.
     former: BTreeMap<u64, (Scheduler, Millis)>,
@@ -260,6 +267,7 @@
             ended: Vec::new(),
             numbers: 0,
             cut: false,
+            cut_from: None,
             mute: 0,
             late: None,
             dead: false,
@@ -632,7 +640,7 @@
         answer_to: Option<u64>,
     ) {
         let there = &mut self.executors[at];
-        let silent = there.cut || there.dead;
+        let silent = there.silent_to(token);
         if let (Some(late), false) = (there.late, silent) {
             if answer_to.is_some() && !matches!(action, Action::Hold { .. }) {
                 self.unanswered(&action, token);
@@ -774,7 +782,7 @@
     ) {
         let clock = self.now;
         let there = &self.executors[at];
-        if there.cut || there.dead {
+        if there.silent_to(token) {
             let event = Event::Held {
                 executor,
                 sent_at,
