--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -65,6 +65,50 @@
     overdue: Millis,
     /// The node that asks, once it does.
     advisor: Option<String>,
+    /// How many executors should do, once that was worked out.
+    enough: Option<usize>,
+}
+
+impl Call {
+    /// How many executors it asks about if nodes are scarce.
+    fn asks(&self) -> usize {
+        let all = self.executors.len();
+        self.enough.map_or(all, |enough| enough.min(all))
+    }
+}
+
+/// For which calls there may still be a free node.
+struct Free {
+    long: bool,
+    short: bool,
+}
+
+impl Default for Free {
+    fn default() -> Free {
+        Free { long: true, short: true }
+    }
+}
+
+impl Free {
+    fn may(&self, long: bool) -> bool {
+        if long {
+            self.long
+        } else {
+            self.short
+        }
+    }
+
+    fn full(&mut self, long: bool) {
+        if long {
+            self.long = false;
+        } else {
+            self.short = false;
+        }
+    }
+
+    fn none(&self) -> bool {
+        !self.long && !self.short
+    }
 }
 
 impl Scheduler {
@@ -110,6 +154,10 @@
         let Some(state) = live.steps.get(&(key.time, key.step)) else {
             return;
         };
+        // Steps that wait come here again and again.
+        if live.queue.advice.is_none() || state.advice.call.is_some() {
+            return;
+        }
         let step = &live.job.steps[key.step as usize];
         let label = step.label.as_deref();
         let known = &state.advice.asked;
@@ -139,10 +187,7 @@
         let place = (key.time, key.step);
         let Some(state) = live.steps.get_mut(&place) else { return };
         let advice = &mut state.advice;
-        if advice.call.is_some()
-            || executors.is_empty()
-            || now < advice.not_before
-        {
+        if advice.call.is_some() || executors.is_empty() {
             return;
         }
         self.next_call += 1;
@@ -156,6 +201,7 @@
             not_before: now,
             overdue: 0,
             advisor: None,
+            enough: None,
         };
         self.calls.insert(self.next_call, call);
     }
@@ -190,14 +236,29 @@
             .collect();
         open.sort_unstable();
         let crowded = open.len() > CROWDED * self.advisors.len();
+        let mut free = Free::default();
         for (_, _, id) in open {
+            if free.none() {
+                return;
+            }
             if crowded {
-                self.shorten(id);
+                self.work_out_enough(id);
             }
             let call = &self.calls[&id];
-            let cost = call.cost.of(call.executors.len());
+            let asked =
+                if crowded { call.asks() } else { call.executors.len() };
+            let cost = call.cost.of(asked);
             let long = cost > LONG_CALL;
-            let Some(name) = self.free_advisor(long, now) else { continue };
+            if !free.may(long) {
+                continue;
+            }
+            let Some(name) = self.free_advisor(long, now) else {
+                free.full(long);
+                continue;
+            };
+            if crowded {
+                self.shorten(id);
+            }
             self.dispatch(id, name, cost, now);
         }
     }
@@ -234,15 +295,42 @@
         });
     }
 
+    /// Works out how many executors should do for a call.
+    fn work_out_enough(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else { return };
+        if call.enough.is_some() {
+            return;
+        }
+        let key = call.step;
+        let Some(live) = self.jobs.get(&key.job) else { return };
+        let Some(step) = live.job.steps.get(key.step as usize) else { return };
+        let share = self.shares.get(&live.job.queue);
+        let share = share.copied().unwrap_or(FIRST_SHARE).max(0.05);
+        let whole =
+            call.executors.iter().filter_map(|i| self.executors.get(i));
+        let whole = whole.map(|e| times(&e.info.capacity, &step.room()));
+        let mut each = whole.max().unwrap_or(1).max(1);
+        if step.max_per_executor > 0 {
+            each = each.min(step.max_per_executor);
+        }
+        let needed = (f64::from(step.count) / f64::from(each)).ceil() + 1.0;
+        let enough = needed.max(FEWEST) / share * ASK_FACTOR;
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.enough = Some(enough.ceil() as usize);
+        }
+    }
+
     /// Lets a call ask only about those executors that should do: the ones
     /// with the most room for the step.
     fn shorten(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else { return };
+        let most = call.asks();
+        if call.executors.len() <= most {
+            return;
+        }
         let key = call.step;
         let Some(live) = self.jobs.get(&key.job) else { return };
         let Some(step) = live.job.steps.get(key.step as usize) else { return };
-        let share = self.shares.get(&live.job.queue);
-        let share = share.copied().unwrap_or(FIRST_SHARE).max(0.05);
         let mut fits: Vec<(u32, ExecutorIndex)> = call
             .executors
             .iter()
@@ -251,14 +339,6 @@
                 Some((times(&executor.free, &step.room()), *index))
             })
             .collect();
-        let whole = fits.iter().filter_map(|(_, i)| self.executors.get(i));
-        let whole = whole.map(|e| times(&e.info.capacity, &step.room()));
-        let each = whole.max().unwrap_or(1).max(1);
-        let needed = (f64::from(step.count) / f64::from(each)).ceil() + 1.0;
-        let most = (needed.max(FEWEST) / share * ASK_FACTOR).ceil() as usize;
-        if fits.len() <= most {
-            return;
-        }
         fits.sort_unstable_by_key(|&(room, index)| (u32::MAX - room, index));
         fits.truncate(most);
         if let Some(call) = self.calls.get_mut(&id) {
--- a/puffinknot-core/src/jobs/scheduler/live.rs
+++ b/puffinknot-core/src/jobs/scheduler/live.rs
@@ -30,8 +30,6 @@
     pub asked: BTreeSet<ExecutorIndex>,
     /// Whether the first answer has come.
     pub known: bool,
-    /// Not to be asked again before this time.
-    pub not_before: Millis,
 }
 
 /// A step that has begun or may begin.
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -96,6 +96,10 @@
     ready: BTreeSet<StepKey>,
     /// Whether something has changed that may let a task start.
     stale: bool,
+    /// When steps that are not urgent were looked at last.
+    placed_all: Millis,
+    /// Steps that have room kept on executors.
+    reserved: BTreeSet<StepKey>,
     next_run: u64,
     arrivals: u64,
     advisors: BTreeMap<String, Advisor>,
@@ -136,6 +140,8 @@
             next_executor: 0,
             ready: BTreeSet::new(),
             stale: false,
+            placed_all: 0,
+            reserved: BTreeSet::new(),
             arrivals: 0,
             advisors: BTreeMap::new(),
             calls: BTreeMap::new(),
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -28,6 +28,11 @@
 const FAILED_THERE: u64 = 6_000;
 /// The same for one on which most runs fail.
 const SUSPECT: u64 = 8_000;
+/// If more steps than this wait that are not urgent, they are looked at only
+/// so often.
+const FEW_WAIT: usize = 8;
+/// The time between two looks at them, in milliseconds.
+const PLACE_GAP: Millis = 20;
 /// More executors than a gang needs are asked about, by this much.
 const SPARES: usize = 2;
 
@@ -38,7 +43,8 @@
 type Plan = Vec<(ExecutorIndex, u32)>;
 
 impl Scheduler {
-    /// Starts what can be started.
+    /// Starts what can be started. Urgent steps are looked at each time;
+    /// while many others wait, those are looked at less often.
     pub(super) fn place(&mut self, now: Millis) {
         let mut order: Vec<((u32, bool, Millis, u64), StepKey)> = self
             .ready
@@ -48,6 +54,13 @@
                 Some((rank(live, now), *key))
             })
             .collect();
+        let patient = order.iter().filter(|(rank, _)| rank.0 > 0).count();
+        let all = patient <= FEW_WAIT || now >= self.placed_all + PLACE_GAP;
+        if all {
+            self.placed_all = now;
+        } else {
+            order.retain(|(rank, _)| rank.0 == 0);
+        }
         order.sort_unstable();
         let mut kept = Kept::new();
         let mut plans = 0;
@@ -90,12 +103,12 @@
         live.written && !unsettled
     }
 
-    /// The executors that may run the step, and the tickets that hold.
+    /// The executors that may run the step, and whether a ticket holds there.
     fn candidates(
         &self,
         key: StepKey,
         now: Millis,
-    ) -> Vec<(ExecutorIndex, Option<String>)> {
+    ) -> Vec<(ExecutorIndex, bool)> {
         let Some(live) = self.jobs.get(&key.job) else { return Vec::new() };
         let Some(state) = live.steps.get(&(key.time, key.step)) else {
             return Vec::new();
@@ -111,18 +124,23 @@
             let all = self.executors.iter();
             return all
                 .filter(|(_, executor)| may(executor))
-                .map(|(index, _)| (*index, Some(String::new())))
+                .map(|(index, _)| (*index, true))
                 .collect();
         }
         let good = state.advice.good.iter();
         good.filter(|(index, _)| self.executors.get(index).is_some_and(may))
-            .map(|(index, ticket)| {
-                let holds = ticket.until > now;
-                (*index, holds.then(|| ticket.text.clone()))
-            })
+            .map(|(index, ticket)| (*index, ticket.until > now))
             .collect()
     }
 
+    /// The ticket of a step for an executor; empty if it needs none.
+    fn ticket(&self, key: StepKey, at: ExecutorIndex) -> String {
+        let live = self.jobs.get(&key.job);
+        let state = live.and_then(|l| l.steps.get(&(key.time, key.step)));
+        let ticket = state.and_then(|state| state.advice.good.get(&at));
+        ticket.map(|ticket| ticket.text.clone()).unwrap_or_default()
+    }
+
     /// Whether the step has to wait for its first advice.
     fn lacks_advice(&mut self, key: StepKey, now: Millis) -> bool {
         let Some(live) = self.jobs.get(&key.job) else { return true };
@@ -172,22 +190,23 @@
                 open && executor.free.fits(&step.room())
                     && (most == 0 || on.get(at).copied().unwrap_or(0) < most)
             });
-            let mut best: Option<(u64, ExecutorIndex, String)> = None;
-            for (at, ticket) in fits {
-                let Some(ticket) = ticket else {
+            let mut best: Option<(u64, ExecutorIndex)> = None;
+            for (at, holds) in fits {
+                if !holds {
                     stale.insert(*at);
                     continue;
-                };
+                }
                 // Where it has failed it may fail again.
                 let again =
                     if failed_on.contains(at) { FAILED_THERE } else { 0 };
                 let score = self.leftover(*at, &step) + again;
-                if best.as_ref().is_none_or(|(other, _, _)| score < *other) {
-                    best = Some((score, *at, ticket.clone()));
+                if best.is_none_or(|(other, _)| score < other) {
+                    best = Some((score, *at));
                 }
             }
-            let Some((_, at, ticket)) = best else { break };
+            let Some((_, at)) = best else { break };
             let run = self.new_run();
+            let ticket = self.ticket(key, at);
             *on.entry(at).or_default() += 1;
             self.start(at, key.task(index), run, ticket, now);
         }
@@ -252,7 +271,7 @@
             })
             .map(|(at, _)| *at)
             .collect();
-        let tickets: BTreeMap<ExecutorIndex, Option<String>> =
+        let holds: BTreeMap<ExecutorIndex, bool> =
             candidates.into_iter().collect();
         let reserved = |executor: &Executor| {
             let own = executor.reserved.get(&key);
@@ -262,10 +281,10 @@
             self.executors.get(&at).map(reserved).unwrap_or_default()
         };
         if let Some(plan) = self.plan(&step, &open, free) {
-            let fresh = plan.iter().all(|(at, _)| tickets[at].is_some());
+            let fresh = plan.iter().all(|(at, _)| holds[at]);
             if fresh {
                 self.unreserve(key);
-                self.start_gang(key, &plan, &tickets, now);
+                self.start_gang(key, &plan, now);
                 return true;
             }
             // Tickets are too old: keep the room, and ask anew.
@@ -275,7 +294,7 @@
             return false;
         }
         self.unreserve(key);
-        let all: Vec<ExecutorIndex> = tickets.keys().copied().collect();
+        let all: Vec<ExecutorIndex> = holds.keys().copied().collect();
         if keep {
             self.keep_for(key, &step, &all, kept, now);
         }
@@ -323,17 +342,11 @@
         Some(plan)
     }
 
-    fn start_gang(
-        &mut self,
-        key: StepKey,
-        plan: &Plan,
-        tickets: &BTreeMap<ExecutorIndex, Option<String>>,
-        now: Millis,
-    ) {
+    fn start_gang(&mut self, key: StepKey, plan: &Plan, now: Millis) {
         let run = self.new_run();
         let mut index = 0;
         for (at, count) in plan {
-            let ticket = tickets[at].clone().unwrap_or_default();
+            let ticket = self.ticket(key, *at);
             for _ in 0..*count {
                 self.start(*at, key.task(index), run, ticket.clone(), now);
                 index += 1;
@@ -349,25 +362,23 @@
                 executor.reserve(key, step.room().times(*count));
             }
         }
+        self.reserved.insert(key);
     }
 
     fn unreserve(&mut self, key: StepKey) {
+        if !self.reserved.remove(&key) {
+            return;
+        }
         for executor in self.executors.values_mut() {
             executor.unreserve(&key);
         }
     }
 
     pub(super) fn drop_reservations(&mut self, job: JobId) {
-        for executor in self.executors.values_mut() {
-            let steps: Vec<StepKey> = executor
-                .reserved
-                .keys()
-                .filter(|key| key.job == job)
-                .copied()
-                .collect();
-            for step in steps {
-                executor.unreserve(&step);
-            }
+        let of_job = self.reserved.iter().filter(|key| key.job == job);
+        let steps: Vec<StepKey> = of_job.copied().collect();
+        for step in steps {
+            self.unreserve(step);
         }
     }
 
