Scarce advice is asked for only where a step can't do without

Change: while calls wait for nodes, tickets are renewed only for room that is there, and further executors are asked about only if those known could never hold the step. The share of nodes kept for short calls is the square root of their number (as before for six and nine).

--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -23,8 +23,6 @@
 const LONG_CALL: Millis = 160;
 /// A short call goes to a node that should answer within this time.
 const SOON: Millis = 60;
-/// Of this many nodes, one is kept free of long calls; of two as well.
-const SHORT_LANE: usize = 3;
 /// If this many calls wait for each node, they ask about fewer executors.
 const CROWDED: usize = 1;
 /// Then a call asks about this many times the executors that should do.
@@ -226,6 +224,13 @@
             .retain(|_, call| call.step.job != job || call.advisor.is_some());
     }
 
+    /// Whether calls wait for nodes. Then nothing is asked that can do
+    /// without.
+    pub(super) fn advice_scarce(&self) -> bool {
+        let waiting = self.calls.values().filter(|c| c.advisor.is_none());
+        waiting.count() > self.advisors.len() / 2
+    }
+
     /// Hands calls to nodes, the most urgent first.
     pub(super) fn dispatch_advice(&mut self, now: Millis) {
         let open = self.calls.iter().filter(|(_, call)| {
@@ -350,8 +355,7 @@
     /// The node that answers first, of those that take such a call.
     fn free_advisor(&self, long: bool, now: Millis) -> Option<String> {
         let all = self.advisors.len();
-        let lane = (all / SHORT_LANE).max(usize::from(all == 2));
-        let kept = if long { lane } else { 0 };
+        let kept = if long { short_lane(all) } else { 0 };
         let most = if long { 1 } else { PER_ADVISOR };
         self.advisors
             .iter()
@@ -427,3 +431,13 @@
         }
     }
 }
+
+/// How many of so many nodes are kept free of long calls. Short calls are
+/// many but take little, so that a large cell keeps a smaller part.
+fn short_lane(advisors: usize) -> usize {
+    match advisors {
+        0 | 1 => 0,
+        2 | 3 => 1,
+        _ => advisors.isqrt(),
+    }
+}
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -214,12 +214,16 @@
             let state = live.steps.get(&(key.time, key.step))?;
             Some(state.waiting.len())
         });
-        if left.unwrap_or(0) > 0 {
-            if stale.is_empty() {
-                self.ask_all(key, now);
-            } else {
-                self.ask(key, stale.into_iter().collect(), now);
-            }
+        if left.unwrap_or(0) == 0 {
+            return;
+        }
+        if !stale.is_empty() {
+            return self.ask(key, stale.into_iter().collect(), now);
+        }
+        let known: Vec<ExecutorIndex> =
+            candidates.iter().map(|(at, _)| *at).collect();
+        if !self.advice_scarce() || !self.could_hold(&step, &known) {
+            self.ask_all(key, now);
         }
     }
 
@@ -295,10 +299,13 @@
         }
         self.unreserve(key);
         let all: Vec<ExecutorIndex> = holds.keys().copied().collect();
+        let scarce = self.advice_scarce();
         if keep {
-            self.keep_for(key, &step, &all, kept, now);
+            self.keep_for(key, &step, &all, !scarce, kept, now);
+        }
+        if !scarce || !self.could_hold(&step, &all) {
+            self.ask_all(key, now);
         }
-        self.ask_all(key, now);
         false
     }
 
@@ -382,13 +389,28 @@
         }
     }
 
-    /// Finds when a gang should fit on which executors, keeps others off
-    /// them, and asks for tickets in time.
+    /// Whether these executors could hold a whole step if nothing else ran
+    /// there.
+    fn could_hold(&self, step: &Step, executors: &[ExecutorIndex]) -> bool {
+        let known = executors.iter().filter_map(|at| self.executors.get(at));
+        let room = known.map(|executor| {
+            let count = times(&executor.info.capacity, &step.room());
+            match step.max_per_executor {
+                0 => u64::from(count),
+                most => u64::from(count.min(most)),
+            }
+        });
+        room.sum::<u64>() >= u64::from(step.count)
+    }
+
+    /// Finds when a gang should fit on which executors, and keeps others off
+    /// them. Asks for tickets in time, if it may.
     fn keep_for(
         &mut self,
         key: StepKey,
         step: &Step,
         executors: &[ExecutorIndex],
+        may_ask: bool,
         kept: &mut Kept,
         now: Millis,
     ) {
@@ -445,7 +467,9 @@
             left = left.saturating_sub(count);
             chosen.push(at);
         }
-        self.refresh_ahead(key, chosen, when, now);
+        if may_ask {
+            self.refresh_ahead(key, chosen, when, now);
+        }
     }
 
     /// Asks for tickets if those at hand won't hold when they are needed.
