A gang keeps to the executors for which it has tickets

Tasks that wait one by one asked about one executor at a time, whose room was gone by the answer. Change: in a gang's plan, executors where a ticket holds come first; a step whose tickets have aged renews up to 40 of them in one call. Also: executors lie in a vector instead of a tree. Test: a_gang_starts_although_the_best_executors_change, seen failing with the old order.

--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 */
 
 pub mod executor;
+mod executors;
 pub mod message;
 pub mod model;
 pub mod policy;
--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -147,7 +147,7 @@
             let value = record::encode(&self.machines.finished);
             changes.push(Change::Put { name, value });
         }
-        for (index, executor) in &self.executors {
+        for (index, executor) in self.executors.iter() {
             batch.noted.insert(*index, executor.taken);
         }
         let room = MAX_CHANGES.saturating_sub(changes.len());
@@ -258,7 +258,7 @@
             return;
         }
         let mut enrolled = Enrolled::default();
-        for (index, executor) in &self.executors {
+        for (index, executor) in self.executors.iter() {
             enrolled.executors.push(executor.info.clone());
             batch.enrolled.push(*index);
         }
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -50,10 +50,9 @@
     }
 
     pub(super) fn enrol(&mut self, info: ExecutorInfo, now: Millis) {
-        let index = self.next_executor;
-        self.next_executor += 1;
-        self.by_id.insert(info.id.clone(), index);
-        self.executors.insert(index, Executor::new(info, now));
+        let id = info.id.clone();
+        let index = self.executors.add(Executor::new(info, now));
+        self.by_id.insert(id, index);
     }
 
     pub(super) fn unlisted(&mut self, id: &str) {
@@ -74,7 +73,7 @@
         let due: Vec<ExecutorIndex> = due.map(|(index, _)| *index).collect();
         let close: Vec<ExecutorIndex> =
             due.into_iter().filter(|i| self.watched_closely(*i)).collect();
-        for (&index, executor) in &mut self.executors {
+        for (&index, executor) in self.executors.iter_mut() {
             if executor.holding || executor.next_hold > now {
                 // An answer is told from that to the main hold by its time.
                 if executor.probe && executor.held_at < now {
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::ids::Millis;
 use crate::jobs::executor::Executor;
+use crate::jobs::executors::Executors;
 use crate::jobs::message::{
     Action, CallId, Event, ExecutorIndex, Outcome, RequestId,
 };
@@ -89,9 +90,8 @@
     queues: BTreeMap<String, Arc<Queue>>,
     jobs: BTreeMap<JobId, Live>,
     ended: Ended,
-    executors: BTreeMap<ExecutorIndex, Executor>,
+    executors: Executors,
     by_id: BTreeMap<String, ExecutorIndex>,
-    next_executor: ExecutorIndex,
     /// Steps with tasks that may be started.
     ready: BTreeSet<StepKey>,
     /// Whether something has changed that may let a task start.
@@ -135,9 +135,8 @@
             queues: BTreeMap::new(),
             jobs: BTreeMap::new(),
             ended: Ended::default(),
-            executors: BTreeMap::new(),
+            executors: Executors::default(),
             by_id: BTreeMap::new(),
-            next_executor: 0,
             ready: BTreeSet::new(),
             stale: false,
             placed_all: 0,
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -6,7 +6,7 @@
 soonest; what comes after it may use them only if it should end before.
 */
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::config::Resources;
 use crate::ids::Millis;
@@ -33,6 +33,8 @@
 const FEW_WAIT: usize = 8;
 /// The time between two looks at them, in milliseconds.
 const PLACE_GAP: Millis = 20;
+/// The most tickets that are asked for anew in one call.
+const MOST_RENEWED: usize = 40;
 /// More executors than a gang needs are asked about, by this much.
 const SPARES: usize = 2;
 
@@ -181,10 +183,12 @@
         let failed_on = state.failed_on.clone();
         let candidates = self.candidates(key, now);
         let ends = now + step.estimate;
-        let mut stale: BTreeSet<ExecutorIndex> = BTreeSet::new();
+        let mut stale = false;
         for index in waiting {
             let fits = candidates.iter().filter(|(at, _)| {
-                let executor = &self.executors[at];
+                let Some(executor) = self.executors.get(at) else {
+                    return false;
+                };
                 let most = step.max_per_executor;
                 let open = urgent || kept.get(at).is_none_or(|&t| ends <= t);
                 open && executor.free.fits(&step.room())
@@ -193,7 +197,7 @@
             let mut best: Option<(u64, ExecutorIndex)> = None;
             for (at, holds) in fits {
                 if !holds {
-                    stale.insert(*at);
+                    stale = true;
                     continue;
                 }
                 // Where it has failed it may fail again.
@@ -217,8 +221,11 @@
         if left.unwrap_or(0) == 0 {
             return;
         }
-        if !stale.is_empty() {
-            return self.ask(key, stale.into_iter().collect(), now);
+        if stale {
+            // The room may be gone when the answer comes, and be elsewhere.
+            let aged = candidates.iter().filter(|(_, holds)| !holds);
+            let aged = aged.map(|(at, _)| *at).take(MOST_RENEWED).collect();
+            return self.ask(key, aged, now);
         }
         let known: Vec<ExecutorIndex> =
             candidates.iter().map(|(at, _)| *at).collect();
@@ -284,7 +291,7 @@
         let free = |at: ExecutorIndex| {
             self.executors.get(&at).map(reserved).unwrap_or_default()
         };
-        if let Some(plan) = self.plan(&step, &open, free) {
+        if let Some(plan) = self.plan(&step, &open, &holds, free) {
             let fresh = plan.iter().all(|(at, _)| holds[at]);
             if fresh {
                 self.unreserve(key);
@@ -309,14 +316,17 @@
         false
     }
 
-    /// How to spread a gang over these executors, if it fits.
+    /// How to spread a gang over these executors, if it fits. Those where a
+    /// ticket holds come first: while others are asked about, the best
+    /// change, and the gang would never have all tickets at one time.
     fn plan(
         &self,
         step: &Step,
         executors: &[ExecutorIndex],
+        holds: &BTreeMap<ExecutorIndex, bool>,
         free: impl Fn(ExecutorIndex) -> Resources,
     ) -> Option<Plan> {
-        let mut fits: Vec<((bool, u64), ExecutorIndex, u32)> = executors
+        let mut fits: Vec<((bool, bool, u64), ExecutorIndex, u32)> = executors
             .iter()
             .filter_map(|&at| {
                 let room = free(at);
@@ -327,7 +337,8 @@
                 let left = room.minus(&step.room().times(count));
                 let executor = self.executors.get(&at);
                 let suspect = executor.is_some_and(Executor::suspect);
-                let order = (suspect, u64::from(left.cpu_millis));
+                let stale = !holds.get(&at).copied().unwrap_or(false);
+                let order = (suspect, stale, u64::from(left.cpu_millis));
                 (count > 0).then_some((order, at, count))
             })
             .collect();
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -175,7 +175,7 @@
 
     /// Sends stops again that were not confirmed.
     pub(super) fn repeat_stops(&mut self, now: Millis) {
-        for (&index, executor) in &mut self.executors {
+        for (&index, executor) in self.executors.iter_mut() {
             for (task, on) in &mut executor.runs {
                 let due = on.stop_again != 0 && on.stop_again <= now;
                 if on.phase == Phase::Stopping(false) && due {
--- a/puffinknot-core/src/jobs/scheduler/waves.rs
+++ b/puffinknot-core/src/jobs/scheduler/waves.rs
@@ -326,7 +326,7 @@
             .take(most)
             .filter_map(|machine| self.executor_of(machine))
             .collect();
-        for (index, executor) in &mut self.executors {
+        for (index, executor) in self.executors.iter_mut() {
             executor.clearing |= next.contains(index);
         }
     }
--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -1,7 +1,7 @@
 //! Faults that were found on the users' bench, each by the smallest sequence
 //! that brings it about. Each failed before it was mended.
 
-use puffinknot_core::jobs::{JobState, Outcome};
+use puffinknot_core::jobs::{JobId, JobState, Outcome, Request};
 
 use super::world::{job, room, step, World, LEASE, WORK};
 
@@ -239,3 +239,33 @@
     assert_eq!(world.starts.values().sum::<u32>(), 1);
     world.check();
 }
+
+/// A gang had its tickets renewed for the executors that suited it best; by
+/// the time of the answer others suited it better, and so on without end.
+#[test]
+fn a_gang_starts_although_the_best_executors_change() {
+    const EXECUTORS: u64 = 40;
+    let mut world = World::new(EXECUTORS as usize);
+    world.run(50);
+    for id in 0..EXECUTORS {
+        let mut filler = step(1, room(3_900, 100));
+        filler.estimate = 60_000;
+        world.submit(job(100 + id, "batch", vec![filler]));
+        world.run(40);
+    }
+    let mut gang = step(2, room(3_000, 100));
+    gang.gang = true;
+    world.submit(job(1, "advised", vec![gang]));
+    // Its first tickets are too old by now.
+    world.run(3_000);
+    for id in (0..EXECUTORS).rev() {
+        let job = JobId(100 + id);
+        let queue = "batch".to_string();
+        world.request(Request::Cancel { queue, job });
+        world.run(10);
+    }
+    assert_eq!(world.state(1), Some(JobState::Running));
+    world.run(2_000);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
