--- a/puffinknot-standin/src/lib.rs
+++ b/puffinknot-standin/src/lib.rs
@@ -7,6 +7,7 @@
 * [`executor`]: answers calls, and keeps a record of every run.
 * [`worker`]: runs tasks under leases, and keeps a record of every run.
 * [`users`]: the users' platform: a metadata store, executors and advice.
+* [`proxy`]: delays, silences, cuts one way or resets connections.
 * [`load`]: sends calls as callers do, and counts how they end.
 
 Each is an ordinary HTTP server that a test can run on a port of its own, and
@@ -18,6 +19,7 @@
 pub mod executor;
 pub mod load;
 pub mod platform;
+pub mod proxy;
 pub mod record;
 pub mod server;
 pub mod users;
--- /dev/null
+++ b/puffinknot-standin/src/proxy.rs
@@ -0,0 +1,186 @@
+/*!
+A proxy on loopback that harms the connections through it.
+
+Bytes that a fault holds back are kept and go on once it is over, as on a
+network that was cut; a reset ends connections at once.
+*/
+
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+/// How often bytes that are held back are looked at.
+const LOOK: Duration = Duration::from_millis(10);
+/// The most bytes that are passed on at once.
+const CHUNK: usize = 16 << 10;
+
+/// What happens to connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Harm {
+    /// Nothing.
+    #[default]
+    None,
+    /// All that is sent arrives this much later.
+    Delay(Duration),
+    /// Nothing that is sent arrives, in either direction.
+    Silent,
+    /// Requests arrive; answers don't.
+    AnswersLost,
+    /// Requests don't arrive.
+    RequestsLost,
+    /// New connections are closed at once.
+    Refuse,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    Request,
+    Answer,
+}
+
+impl Harm {
+    fn holds(self, direction: Direction) -> bool {
+        match self {
+            Harm::Silent => true,
+            Harm::AnswersLost => direction == Direction::Answer,
+            Harm::RequestsLost => direction == Direction::Request,
+            Harm::None | Harm::Delay(_) | Harm::Refuse => false,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    harm: Harm,
+    /// Grows with each reset; connections from before are over.
+    resets: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Shared(Arc<Mutex<State>>);
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn harm(&self) -> Harm {
+        self.lock().harm
+    }
+
+    fn resets(&self) -> u64 {
+        self.lock().resets
+    }
+}
+
+/// A running proxy. It stops when dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    addr: SocketAddr,
+    shared: Shared,
+    _stop: oneshot::Sender<()>,
+}
+
+impl Proxy {
+    /// Starts a proxy to `target` at any free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// If no port can be listened on.
+    pub fn start(target: SocketAddr) -> std::io::Result<Proxy> {
+        let listener = StdListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let shared = Shared::default();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let own = shared.clone();
+        std::thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                tokio::select! {
+                    () = accept(listener, target, own) => {}
+                    _ = stopped => {}
+                }
+            });
+        });
+        Ok(Proxy { addr, shared, _stop: stop })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets what happens to connections from now on.
+    pub fn set_harm(&self, harm: Harm) {
+        self.shared.lock().harm = harm;
+    }
+
+    /// Resets all connections.
+    pub fn reset(&self) {
+        self.shared.lock().resets += 1;
+    }
+}
+
+async fn accept(listener: StdListener, target: SocketAddr, shared: Shared) {
+    let Ok(listener) = TcpListener::from_std(listener) else { return };
+    while let Ok((client, _)) = listener.accept().await {
+        if shared.harm() != Harm::Refuse {
+            actix_rt::spawn(pass(client, target, shared.clone()));
+        }
+    }
+}
+
+/// Serves one connection until either side closes it or it is reset.
+async fn pass(client: TcpStream, target: SocketAddr, shared: Shared) {
+    let Ok(server) = TcpStream::connect(target).await else { return };
+    let _ = client.set_zero_linger();
+    let _ = server.set_zero_linger();
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let resets = shared.resets();
+    let (client_in, client_out) = client.into_split();
+    let (server_in, server_out) = server.into_split();
+    let up = carry(client_in, server_out, Direction::Request, shared.clone());
+    let down = carry(server_in, client_out, Direction::Answer, shared.clone());
+    tokio::select! {
+        () = up => {}
+        () = down => {}
+        () = until_reset(&shared, resets) => {}
+    }
+}
+
+async fn until_reset(shared: &Shared, resets: u64) {
+    while shared.resets() == resets {
+        sleep(LOOK).await;
+    }
+}
+
+async fn carry(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    direction: Direction,
+    shared: Shared,
+) {
+    let mut bytes = vec![0; CHUNK];
+    loop {
+        let Ok(count) = from.read(&mut bytes).await else { return };
+        if count == 0 {
+            return;
+        }
+        if let Harm::Delay(delay) = shared.harm() {
+            sleep(delay).await;
+        }
+        while shared.harm().holds(direction) {
+            sleep(LOOK).await;
+        }
+        if to.write_all(&bytes[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/puffinknot-standin/src/users.rs
+++ b/puffinknot-standin/src/users.rs
@@ -25,6 +25,8 @@
 const LOOK: Duration = Duration::from_millis(5);
 /// The time that a stop takes, in milliseconds.
 const STOP: u64 = 50;
+/// What the clock of an executor shows at its start.
+const CLOCK_START: u64 = 1_000;
 
 /// How the store fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -385,6 +387,20 @@
     pub ended: Option<Instant>,
     /// How it ended.
     pub how: &'static str,
+    /// When a node took note of its end, if it did so before the lease of
+    /// the executor lapsed.
+    pub noted: Option<Instant>,
+}
+
+/// An end that no node has taken note of yet.
+#[derive(Clone, Debug)]
+struct EndRow {
+    number: u64,
+    task: String,
+    run: u64,
+    how: &'static str,
+    /// The executor's lease has lapsed since.
+    lapsed: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -400,7 +416,7 @@
     due: u64,
     running: BTreeMap<String, Working>,
     sealed: BTreeMap<String, u64>,
-    ended: Vec<(u64, String, u64, &'static str)>,
+    ended: Vec<EndRow>,
     number: u64,
     record: Vec<Run>,
 }
@@ -461,13 +477,19 @@
     }
 
     fn clock(&self) -> u64 {
-        1_000 + self.born.elapsed().as_millis() as u64
+        CLOCK_START + self.born.elapsed().as_millis() as u64
+    }
+
+    /// When its clock shows this.
+    fn instant(&self, clock: u64) -> Instant {
+        self.born + Duration::from_millis(clock.saturating_sub(CLOCK_START))
     }
 
     /// Lets tasks work, and their lease run out.
     fn work(&self, state: &mut ExecutorState) {
         let now = Instant::now();
-        let lapsed = state.due < self.clock();
+        let lapse = self.instant(state.due);
+        let lapsed = lapse < now;
         let over: Vec<String> = state
             .running
             .iter()
@@ -476,17 +498,46 @@
             .collect();
         for task in over {
             let Some(run) = state.running.remove(&task) else { continue };
-            let how = if lapsed { "lapsed" } else { run.how };
+            let how = if run.ends <= lapse { run.how } else { "lapsed" };
+            let sealed = state.sealed.entry(task.clone()).or_default();
+            *sealed = (*sealed).max(run.run);
             state.number += 1;
-            let number = state.number;
-            state.ended.push((number, task.clone(), run.run, how));
+            state.ended.push(EndRow {
+                number: state.number,
+                task: task.clone(),
+                run: run.run,
+                how,
+                lapsed: false,
+            });
             let known = state.record.iter_mut().rev();
             let mut known = known.filter(|r| r.task == task);
             if let Some(record) = known.next() {
-                record.ended = Some(now.min(run.ends));
+                record.ended = Some(run.ends.min(lapse));
                 record.how = how;
             }
         }
+        if lapsed {
+            for end in &mut state.ended {
+                end.lapsed = true;
+            }
+        }
+    }
+
+    /// Takes note of ends up to `seen`.
+    fn forget(&self, state: &mut ExecutorState, seen: u64) {
+        let now = Instant::now();
+        let ended = std::mem::take(&mut state.ended);
+        let (noted, left): (Vec<EndRow>, Vec<EndRow>) =
+            ended.into_iter().partition(|end| end.number <= seen);
+        state.ended = left;
+        for end in noted.iter().filter(|end| !end.lapsed) {
+            let record = state.record.iter_mut();
+            let mut record =
+                record.filter(|r| r.task == end.task && r.run == end.run);
+            if let Some(record) = record.next() {
+                record.noted = Some(now);
+            }
+        }
     }
 
     async fn answer(&self, mut request: Request) -> Reply {
@@ -547,17 +598,20 @@
         let work = body["Spec"].as_str().and_then(|text| text.parse().ok());
         let now = Instant::now();
         let ends = now + Duration::from_millis(work.unwrap_or(100));
-        let running = Working { run, ends, how: "done" };
-        let before = state.running.insert(task.to_string(), running);
-        if before.is_none_or(|before| before.run != run) {
-            state.record.push(Run {
-                task: task.to_string(),
-                run,
-                began: now,
-                ended: None,
-                how: "",
-            });
+        let there = state.running.get(task);
+        if there.is_some_and(|there| there.run == run) {
+            return self.done();
         }
+        let running = Working { run, ends, how: "done" };
+        state.running.insert(task.to_string(), running);
+        state.record.push(Run {
+            task: task.to_string(),
+            run,
+            began: now,
+            ended: None,
+            how: "",
+            noted: None,
+        });
         state.sealed.insert(task.to_string(), run.saturating_sub(1));
         self.done()
     }
@@ -582,7 +636,7 @@
             let mut state = self.lock();
             let due = body["DueMs"].as_u64().unwrap_or(0);
             state.due = state.due.max(due);
-            state.ended.retain(|(number, ..)| *number > seen);
+            self.forget(&mut state, seen);
         }
         let until = Instant::now() + Duration::from_millis(wait);
         loop {
@@ -606,9 +660,7 @@
         let ended: Vec<Value> = state
             .ended
             .iter()
-            .map(|(number, task, run, how)| {
-                json!([number, task, run, how, ""])
-            })
+            .map(|end| json!([end.number, end.task, end.run, end.how, ""]))
             .collect();
         json!({
             "ClockMs": self.clock(), "Running": running, "Ended": ended,
