Idle executors are asked less often, and only those that are due are looked at

Change: executors are looked at when something happened to them or their time has come; at most 64 are asked in a turn; all idle executors together are asked about 500 times a second, each at least every 6 s. Up to 500 executors nothing changes in how often they are asked.

--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -14,6 +14,13 @@
 const WAIT: Millis = 1_000;
 /// The same for an executor whose tasks disturb each other.
 const CLOSE: Millis = 400;
+/// The most executors that are asked in one turn.
+const AT_ONCE: usize = 64;
+/// Idle executors are asked about so often a second, all together.
+const IDLE_HOLDS: Millis = 500;
+/// The longest time that an idle executor is left alone. Its clock may lose
+/// a fiftieth of it, which [`expiry`] covers.
+const LONGEST_PAUSE: Millis = 5_000;
 /// The time between holds to an executor that does not answer.
 const RETRY: Millis = 150;
 /// The time between holds while reports can't be written.
@@ -52,6 +59,7 @@
     pub(super) fn enrol(&mut self, info: ExecutorInfo, now: Millis) {
         let id = info.id.clone();
         let index = self.executors.add(Executor::new(info, now));
+        self.due_holds.touch(index);
         self.by_id.insert(id, index);
     }
 
@@ -63,59 +71,72 @@
         }
     }
 
-    /// Sends the holds that are due.
+    /// Sends the holds that are due, to some executors at a time, so that a
+    /// takeover of many holds nothing else up for long.
     pub(super) fn send_holds(&mut self, now: Millis) {
-        let lease = self.config.lease;
         let idle = self.nothing_to_write();
-        let due = self.executors.iter().filter(|(_, executor)| {
-            !executor.holding && executor.next_hold <= now
-        });
-        let due: Vec<ExecutorIndex> = due.map(|(index, _)| *index).collect();
-        let close: Vec<ExecutorIndex> =
-            due.into_iter().filter(|i| self.watched_closely(*i)).collect();
-        for (&index, executor) in self.executors.iter_mut() {
-            if executor.holding || executor.next_hold > now {
-                // An answer is told from that to the main hold by its time.
-                if executor.probe && executor.held_at < now {
-                    executor.probe = false;
-                    self.actions.push(Action::Hold {
-                        executor: index,
-                        sent_at: now,
-                        due: None,
-                        last_seen: executor.noted,
-                        wait: 0,
-                    });
-                }
-                continue;
-            }
-            // What is reported already would be reported again at once.
-            let fresh = executor.noted == executor.taken;
-            let settled = executor.contact == Contact::Ready;
-            let patient = fresh && settled && !executor.probe;
-            let longest = if close.contains(&index) { CLOSE } else { WAIT };
-            let wait = if patient { longest } else { 0 };
-            if !fresh && !idle && now < executor.held_at + UNWRITTEN {
-                continue;
-            }
-            // An executor that did not answer gets no more time, or what runs
-            // there could never be given up.
-            let clock = executor.clock_at(now);
-            let clock = clock.filter(|_| executor.failures == 0);
-            let due = clock.map(|clock| clock + lease);
-            if due.is_some() {
-                executor.expiry = expiry(now, lease);
+        for index in self.due_holds.take(now, AT_ONCE) {
+            self.send_hold(index, idle, now);
+        }
+    }
+
+    fn send_hold(&mut self, index: ExecutorIndex, idle: bool, now: Millis) {
+        let lease = self.config.lease;
+        let close = self.watched_closely(index);
+        let Some(executor) = self.executors.get_mut(&index) else { return };
+        if executor.holding {
+            // An answer is told from that to the main hold by its time.
+            if executor.probe && executor.held_at < now {
+                executor.probe = false;
+                self.actions.push(Action::Hold {
+                    executor: index,
+                    sent_at: now,
+                    due: None,
+                    last_seen: executor.noted,
+                    wait: 0,
+                });
+            } else if executor.probe {
+                self.due_holds.at(now + 1, index);
             }
-            executor.holding = true;
-            executor.probe = false;
-            executor.held_at = now;
-            self.actions.push(Action::Hold {
-                executor: index,
-                sent_at: now,
-                due,
-                last_seen: executor.noted,
-                wait,
-            });
+            return;
+        }
+        if executor.next_hold > now {
+            return self.due_holds.at(executor.next_hold, index);
         }
+        // What is reported already would be reported again at once.
+        let fresh = executor.noted == executor.taken;
+        let settled = executor.contact == Contact::Ready;
+        let patient = fresh && settled && !executor.probe;
+        let longest = if close { CLOSE } else { WAIT };
+        let wait = if patient { longest } else { 0 };
+        if !fresh && !idle && now < executor.held_at + UNWRITTEN {
+            return self.due_holds.at(executor.held_at + UNWRITTEN, index);
+        }
+        // An executor that did not answer gets no more time, or what runs
+        // there could never be given up.
+        let clock = executor.clock_at(now);
+        let clock = clock.filter(|_| executor.failures == 0);
+        let due = clock.map(|clock| clock + lease);
+        if due.is_some() {
+            executor.expiry = expiry(now, lease);
+        }
+        executor.holding = true;
+        executor.probe = false;
+        executor.held_at = now;
+        self.actions.push(Action::Hold {
+            executor: index,
+            sent_at: now,
+            due,
+            last_seen: executor.noted,
+            wait,
+        });
+    }
+
+    /// How long an executor on which nothing runs is left alone after it has
+    /// answered: all idle executors together are asked only so often.
+    fn idle_pause(&self) -> Millis {
+        let turn = self.by_id.len() as Millis * 1_000 / IDLE_HOLDS;
+        turn.saturating_sub(WAIT).min(LONGEST_PAUSE)
     }
 
     pub(super) fn held(
@@ -126,6 +147,7 @@
         now: Millis,
     ) {
         let Some(executor) = self.executors.get_mut(&index) else { return };
+        self.due_holds.touch(index);
         let main = executor.held_at == sent_at;
         if main {
             executor.holding = false;
@@ -157,6 +179,7 @@
         answer: HoldAnswer,
         now: Millis,
     ) {
+        let pause = self.idle_pause();
         let Some(executor) = self.executors.get_mut(&index) else { return };
         let first = executor.clock.is_none();
         executor.clock = Some((answer.clock, now));
@@ -168,7 +191,10 @@
             .filter(|end| end.number > executor.taken)
             .collect();
         if !executor.holding {
-            executor.next_hold = now;
+            let idle = executor.runs.is_empty() && answer.running.is_empty();
+            let reported = executor.noted == executor.taken;
+            let rest = idle && reported && fresh.is_empty();
+            executor.next_hold = now + if rest { pause } else { 0 };
         }
         self.stale = true;
         for end in fresh {
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -24,6 +24,7 @@
 
 mod advise;
 mod commit;
+mod due;
 mod holds;
 mod live;
 mod pace;
@@ -36,6 +37,7 @@
 
 use self::advise::{Advisor, Call};
 use self::commit::CommitQueue;
+use self::due::DueHolds;
 use self::live::Live;
 use self::waves::Machines;
 
@@ -92,6 +94,8 @@
     ended: Ended,
     executors: Executors,
     by_id: BTreeMap<String, ExecutorIndex>,
+    /// Executors that may be due for a hold.
+    due_holds: DueHolds,
     /// Steps with tasks that may be started.
     ready: BTreeSet<StepKey>,
     /// Whether something has changed that may let a task start.
@@ -136,6 +140,7 @@
             jobs: BTreeMap::new(),
             ended: Ended::default(),
             executors: Executors::default(),
+            due_holds: DueHolds::default(),
             by_id: BTreeMap::new(),
             ready: BTreeSet::new(),
             stale: false,
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -39,6 +39,9 @@
         let checkpoint =
             state.checkpoints.get(&saved).cloned().unwrap_or_default();
         executor.expiry = executor.expiry.max(expiry(now, lease));
+        // Its end is wanted at once, also if it was idle and left alone.
+        executor.next_hold = executor.next_hold.min(now);
+        self.due_holds.touch(index);
         executor.put(
             task,
             RunOn {
@@ -97,6 +100,7 @@
                 // If it has arrived, the next account shows it.
                 on.unsure = Some(now);
                 executor.probe = true;
+                self.due_holds.touch(index);
                 self.count("starts_unknown");
             }
             Err(why) => {
@@ -165,6 +169,7 @@
                 if on.unsure.is_some() {
                     // It may never have been there.
                     executor.probe = true;
+                    self.due_holds.touch(index);
                 }
             }
             Err(OrderFailure::Fenced) => self.deposed(),
