No job is denied before the store has confirmed the leader

A leader that had stood still, or whose key had been taken away, said so from its own memory; only reads were refused once it was unconfirmed, and that by a lease that a revoked key makes worthless. Ruled out: a lost commit (the job ran and ended). Change: 'no such job' is said once the store has shown, after the request came, that the key is still this leader's; otherwise the next leader is asked, or the client told when to come back.

--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -75,6 +75,9 @@
     StoreSilent(PeerId, Millis),
     Leave(PeerId),
     Policy(Arc<Policy>),
+    /// Whether this node still led after a request about an unknown job came,
+    /// if the store says so.
+    Unknown(RequestId, Option<bool>),
     KeyGone,
     HandOver(oneshot::Sender<()>),
     Over,
@@ -421,6 +424,7 @@
                 self.tell_advisors(scheduler);
             }
             Input::Policy(policy) => scheduler.set_policy(policy),
+            Input::Unknown(id, leads) => self.deny(id, leads),
             Input::KeyGone => self.reclaim(),
             Input::HandOver(done) => {
                 self.handed_over = Some(done);
@@ -511,6 +515,38 @@
         self.perform(scheduler, actions).then_some("fenced")
     }
 
+    /// Answers a request. That there is no such job is said only once the
+    /// store has confirmed that nobody else leads: a successor may have
+    /// accepted it.
+    fn answer(&mut self, id: RequestId, outcome: Outcome) {
+        if outcome != Outcome::NoSuchJob {
+            return self.reply(id, outcome);
+        }
+        let shared = self.shared.clone();
+        let handle = self.handle.clone();
+        let lease = self.lease.clone();
+        actix_rt::spawn(async move {
+            let leads = seat::holds_key(&shared, lease.get()).await;
+            handle.send(Input::Unknown(id, leads));
+        });
+    }
+
+    /// Answers a request about a job that this node does not know.
+    fn deny(&mut self, id: RequestId, leads: Option<bool>) {
+        match leads {
+            Some(true) => self.reply(id, Outcome::NoSuchJob),
+            Some(false) => {
+                self.shared.count("asked_again_superseded");
+                self.reply(id, Outcome::Unknown);
+                self.reclaim();
+            }
+            None => {
+                self.shared.count("refused_unconfirmed");
+                self.reply(id, Outcome::Refused(COME_BACK));
+            }
+        }
+    }
+
     fn reply(&mut self, id: RequestId, outcome: Outcome) {
         match self.origins.remove(&id) {
             Some(Origin::Here(reply)) => {
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -44,7 +44,7 @@
         for action in actions {
             decisions::action(scheduler, self.token, &action);
             match action {
-                Action::Reply { id, outcome } => self.reply(id, outcome),
+                Action::Reply { id, outcome } => self.answer(id, outcome),
                 Action::Commit(changes) => self.commit(changes),
                 Action::Deposed => return true,
                 // These are for the logs only.
