A request that was passed on once is not refused by a later leader

Looking for the same in the product found a hole: a node that had passed a request to a leader, lost the link and asked again told the client 'refused' if the next one refused, and that one may be an older leader that does not know its successor.

--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -200,6 +200,12 @@
     match first {
         Ok(Some(ToNode::Welcome(leader, peers))) => {
             shared.peers.borrow_mut().extend(peers);
+            let known = shared.leader().map(|known| known.revision);
+            if known > Some(leader.revision) {
+                // It does not know yet that it leads no more.
+                shared.count("older_leaders_left");
+                return sender.close();
+            }
             shared.learn_leader(leader);
             info!(%address, "leader_linked");
             let link = LinkHandle::new(sender);
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -254,6 +254,11 @@
             match timeout_at(started + ASK_TIMEOUT, answer).await {
                 Ok(Ok(Outcome::Refused(0))) => {}
                 Ok(Ok(Outcome::Unknown) | Err(_)) => sent = true,
+                // Whoever was asked before may have taken it, and this one
+                // may be the older leader.
+                Ok(Ok(Outcome::Refused(_))) if sent => {
+                    return self.give_up(sent);
+                }
                 Ok(Ok(outcome)) => return outcome,
                 Err(_) => return self.give_up(true),
             }
