--- /dev/null
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -0,0 +1,288 @@
+/*!
+Gangs: all members of a step start together, or none.
+
+A gang that fits but lacks tickets keeps its room while it asks for them. One
+that does not fit gets the executors on which it fits soonest; others may use
+them only if they should end before.
+*/
+
+use std::collections::BTreeMap;
+
+use crate::config::Resources;
+use crate::ids::Millis;
+use crate::jobs::executor::Executor;
+use crate::jobs::message::ExecutorIndex;
+use crate::jobs::model::{JobId, Step, StepKey};
+use crate::jobs::scheduler::place::{times, Kept};
+use crate::jobs::scheduler::Scheduler;
+
+/// Tickets are asked for this long before the room should be free, beside
+/// the time of the call.
+const LEAD: Millis = 50;
+/// A run that has overstayed its guess should end within this time.
+const OVERSTAY: Millis = 500;
+/// More executors than a gang needs are asked about, by this much.
+const SPARES: usize = 2;
+
+/// How many members of a gang go to which executors.
+type Plan = Vec<(ExecutorIndex, u32)>;
+
+impl Scheduler {
+    /// Places all members of a gang, or none. Returns whether it is placed.
+    pub(super) fn place_gang(
+        &mut self,
+        key: StepKey,
+        kept: &mut Kept,
+        keep: bool,
+        urgent: bool,
+        now: Millis,
+    ) -> bool {
+        if self.lacks_advice(key, now) {
+            return true;
+        }
+        let Some(live) = self.jobs.get(&key.job) else { return true };
+        let step = live.job.steps[key.step as usize].clone();
+        let state = live.steps.get(&(key.time, key.step));
+        if state.is_none_or(|s| s.waiting.len() as u32 != step.count) {
+            return true;
+        }
+        let candidates = self.candidates(key, now);
+        let ends = now + step.estimate;
+        let open: Vec<ExecutorIndex> = candidates
+            .iter()
+            .filter(|(at, _)| {
+                urgent || kept.get(at).is_none_or(|&t| ends <= t)
+            })
+            .map(|(at, _)| *at)
+            .collect();
+        let holds: BTreeMap<ExecutorIndex, bool> =
+            candidates.into_iter().collect();
+        let reserved = |executor: &Executor| {
+            let own = executor.reserved.get(&key);
+            executor.free.plus(&own.copied().unwrap_or_default())
+        };
+        let free = |at: ExecutorIndex| {
+            self.executors.get(&at).map(reserved).unwrap_or_default()
+        };
+        if let Some(plan) = self.plan(&step, &open, &holds, free) {
+            let fresh = plan.iter().all(|(at, _)| holds[at]);
+            if fresh {
+                self.unreserve(key);
+                self.start_gang(key, &plan, now);
+                return true;
+            }
+            // Tickets are too old: keep the room, and ask anew.
+            self.reserve(key, &step, &plan);
+            let asked = plan.iter().map(|(at, _)| *at).collect();
+            self.ask(key, asked, now);
+            return false;
+        }
+        self.unreserve(key);
+        let all: Vec<ExecutorIndex> = holds.keys().copied().collect();
+        let scarce = self.advice_scarce();
+        if keep {
+            self.keep_for(key, &step, &all, !scarce, kept, now);
+        }
+        if !scarce || !self.could_hold(&step, &all) {
+            self.ask_all(key, now);
+        }
+        false
+    }
+
+    /// How to spread a gang over these executors, if it fits. Those where a
+    /// ticket holds come first: while others are asked about, the best
+    /// change, and the gang would never have all tickets at one time.
+    fn plan(
+        &self,
+        step: &Step,
+        executors: &[ExecutorIndex],
+        holds: &BTreeMap<ExecutorIndex, bool>,
+        free: impl Fn(ExecutorIndex) -> Resources,
+    ) -> Option<Plan> {
+        let mut fits: Vec<((bool, bool, u64), ExecutorIndex, u32)> = executors
+            .iter()
+            .filter_map(|&at| {
+                let room = free(at);
+                let mut count = times(&room, &step.room());
+                if step.max_per_executor > 0 {
+                    count = count.min(step.max_per_executor);
+                }
+                let left = room.minus(&step.room().times(count));
+                let executor = self.executors.get(&at);
+                let suspect = executor.is_some_and(Executor::suspect);
+                let stale = !holds.get(&at).copied().unwrap_or(false);
+                let order = (suspect, stale, u64::from(left.cpu_millis));
+                (count > 0).then_some((order, at, count))
+            })
+            .collect();
+        let total: u64 = fits.iter().map(|f| u64::from(f.2)).sum();
+        if total < u64::from(step.count) {
+            return None;
+        }
+        fits.sort_unstable();
+        let mut plan = Plan::new();
+        let mut left = step.count;
+        for (_, at, count) in fits {
+            if left == 0 {
+                break;
+            }
+            let taken = count.min(left);
+            left -= taken;
+            plan.push((at, taken));
+        }
+        Some(plan)
+    }
+
+    fn start_gang(&mut self, key: StepKey, plan: &Plan, now: Millis) {
+        let run = self.new_run();
+        let mut index = 0;
+        for (at, count) in plan {
+            let ticket = self.ticket(key, *at);
+            for _ in 0..*count {
+                self.start(*at, key.task(index), run, ticket.clone(), now);
+                index += 1;
+            }
+        }
+        self.count("gangs");
+    }
+
+    fn reserve(&mut self, key: StepKey, step: &Step, plan: &Plan) {
+        self.unreserve(key);
+        for (at, count) in plan {
+            if let Some(executor) = self.executors.get_mut(at) {
+                executor.reserve(key, step.room().times(*count));
+            }
+        }
+        self.reserved.insert(key);
+    }
+
+    fn unreserve(&mut self, key: StepKey) {
+        if !self.reserved.remove(&key) {
+            return;
+        }
+        for executor in self.executors.values_mut() {
+            executor.unreserve(&key);
+        }
+    }
+
+    pub(super) fn drop_reservations(&mut self, job: JobId) {
+        let of_job = self.reserved.iter().filter(|key| key.job == job);
+        let steps: Vec<StepKey> = of_job.copied().collect();
+        for step in steps {
+            self.unreserve(step);
+        }
+    }
+
+    /// Whether these executors could hold a whole step if nothing else ran
+    /// there.
+    pub(super) fn could_hold(
+        &self,
+        step: &Step,
+        executors: &[ExecutorIndex],
+    ) -> bool {
+        let known = executors.iter().filter_map(|at| self.executors.get(at));
+        let room = known.map(|executor| {
+            let count = times(&executor.info.capacity, &step.room());
+            match step.max_per_executor {
+                0 => u64::from(count),
+                most => u64::from(count.min(most)),
+            }
+        });
+        room.sum::<u64>() >= u64::from(step.count)
+    }
+
+    /// Finds when a gang should fit on which executors, and keeps others off
+    /// them. Asks for tickets in time, if it may.
+    fn keep_for(
+        &mut self,
+        key: StepKey,
+        step: &Step,
+        executors: &[ExecutorIndex],
+        may_ask: bool,
+        kept: &mut Kept,
+        now: Millis,
+    ) {
+        let mut ends: Vec<(Millis, ExecutorIndex, Resources)> = Vec::new();
+        let mut free: BTreeMap<ExecutorIndex, Resources> = BTreeMap::new();
+        for &at in executors {
+            if kept.contains_key(&at) {
+                continue;
+            }
+            let Some(executor) = self.executors.get(&at) else { continue };
+            free.insert(at, executor.free);
+            for run in executor.runs.values() {
+                let end = run.ends.max(now + OVERSTAY);
+                ends.push((end, at, run.need));
+            }
+        }
+        ends.sort_unstable_by_key(|(end, at, _)| (*end, *at));
+        let mut total: u64 = free
+            .values()
+            .map(|room| u64::from(times(room, &step.room())))
+            .sum();
+        let mut when = now;
+        for (end, at, need) in ends {
+            if total >= u64::from(step.count) {
+                break;
+            }
+            let Some(room) = free.get_mut(&at) else { continue };
+            total -= u64::from(times(room, &step.room()));
+            *room = room.plus(&need);
+            total += u64::from(times(room, &step.room()));
+            when = end;
+        }
+        if total < u64::from(step.count) {
+            return;
+        }
+        let mut most: Vec<(u32, ExecutorIndex)> = free
+            .iter()
+            .map(|(at, room)| (times(room, &step.room()), *at))
+            .filter(|(count, _)| *count > 0)
+            .collect();
+        most.sort_unstable_by_key(|&(count, at)| (u32::MAX - count, at));
+        let mut left = step.count;
+        let mut chosen = Vec::new();
+        let mut spares = SPARES;
+        for (count, at) in most {
+            if left == 0 {
+                if spares == 0 {
+                    break;
+                }
+                spares -= 1;
+            } else {
+                kept.insert(at, when);
+            }
+            left = left.saturating_sub(count);
+            chosen.push(at);
+        }
+        if may_ask {
+            self.refresh_ahead(key, chosen, when, now);
+        }
+    }
+
+    /// Asks for tickets if those at hand won't hold when they are needed.
+    fn refresh_ahead(
+        &mut self,
+        key: StepKey,
+        executors: Vec<ExecutorIndex>,
+        when: Millis,
+        now: Millis,
+    ) {
+        let Some(live) = self.jobs.get(&key.job) else { return };
+        let Some(cost) = live.queue.advice else { return };
+        let Some(state) = live.steps.get(&(key.time, key.step)) else {
+            return;
+        };
+        let call = cost.of(executors.len());
+        if when > now + call + LEAD {
+            return;
+        }
+        let old = executors.iter().any(|at| {
+            let good = state.advice.good.get(at);
+            good.is_none_or(|ticket| ticket.until < when.max(now + call))
+        });
+        if old {
+            self.ask(key, executors, now);
+        }
+    }
+}
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -154,23 +154,31 @@
         }
         match answer {
             Ok(answer) => self.account(index, sent_at, answer, now),
-            Err(OrderFailure::Fenced) => self.deposed(),
-            Err(OrderFailure::Gone) => self.executor_over(index, now),
-            Err(_) if !main => executor.probe = true,
-            Err(_) => {
-                executor.failures += 1;
-                executor.next_hold = now + RETRY;
-                if executor.failures >= FAILURES
-                    && executor.contact == Contact::Ready
-                {
-                    executor.contact = Contact::Silent;
-                    executor.silent_since = now;
-                    self.count("executors_silent");
+            Err(why) => {
+                if !self.ends::<()>(index, Err(why), now) {
+                    self.unanswered(index, main, now);
                 }
             }
         }
     }
 
+    /// An executor has not answered a hold.
+    fn unanswered(&mut self, index: ExecutorIndex, main: bool, now: Millis) {
+        let Some(executor) = self.executors.get_mut(&index) else { return };
+        if !main {
+            executor.probe = true;
+            return;
+        }
+        executor.failures += 1;
+        executor.next_hold = now + RETRY;
+        let silent = executor.failures >= FAILURES;
+        if silent && executor.contact == Contact::Ready {
+            executor.contact = Contact::Silent;
+            executor.silent_since = now;
+            self.count("executors_silent");
+        }
+    }
+
     /// Takes in an executor's account of itself.
     fn account(
         &mut self,
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -3,7 +3,8 @@
 
 What is done with it has modules of its own: `requests` answers clients,
 `holds` takes in what executors report, `runs` follows single runs to their
-ends, `place` chooses what starts where, `advise` spreads the calls for
+ends, `place` chooses what starts where, `gangs` does so for
+gangs, `due` knows which executors to look at, `advise` spreads the calls for
 advice over all nodes, `commit` groups what has to be written, `records` knows
 what of it still matters, `pace` slows tasks that fill beside tasks that serve,
 `waves` takes machines down for their upkeep, and `restore` takes over from a
@@ -25,6 +26,7 @@
 mod advise;
 mod commit;
 mod due;
+mod gangs;
 mod holds;
 mod live;
 mod pace;
--- a/puffinknot-core/src/jobs/scheduler/pace.rs
+++ b/puffinknot-core/src/jobs/scheduler/pace.rs
@@ -111,11 +111,7 @@
         answer: Result<(), OrderFailure>,
         now: Millis,
     ) {
-        match answer {
-            Err(OrderFailure::Fenced) => self.deposed(),
-            Err(OrderFailure::Gone) => self.executor_over(index, now),
-            Ok(()) | Err(_) => {}
-        }
+        self.ends(index, answer, now);
     }
 
     /// Whether an executor has fillers beside serving tasks, so that its
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -81,11 +81,11 @@
         answer: Result<(), OrderFailure>,
         now: Millis,
     ) {
-        let Some(executor) = self.executors.get_mut(&index) else { return };
-        let Some(on) = executor.runs.get_mut(&task) else { return };
-        if on.run != run {
+        if !self.has_run(index, task, run) || self.ends(index, answer, now) {
             return;
         }
+        let Some(executor) = self.executors.get_mut(&index) else { return };
+        let Some(on) = executor.runs.get_mut(&task) else { return };
         match answer {
             Ok(()) => {
                 on.confirmed = now;
@@ -94,8 +94,6 @@
                 }
                 self.begun(task);
             }
-            Err(OrderFailure::Fenced) => self.deposed(),
-            Err(OrderFailure::Gone) => self.executor_over(index, now),
             Err(OrderFailure::Unknown) => {
                 // If it has arrived, the next account shows it.
                 on.unsure = Some(now);
@@ -157,11 +155,11 @@
         answer: Result<(), OrderFailure>,
         now: Millis,
     ) {
-        let Some(executor) = self.executors.get_mut(&index) else { return };
-        let Some(on) = executor.runs.get_mut(&task) else { return };
-        if on.run != run {
+        if !self.has_run(index, task, run) || self.ends(index, answer, now) {
             return;
         }
+        let Some(executor) = self.executors.get_mut(&index) else { return };
+        let Some(on) = executor.runs.get_mut(&task) else { return };
         match answer {
             Ok(()) => {
                 on.phase = Phase::Stopping(true);
@@ -172,10 +170,31 @@
                     self.due_holds.touch(index);
                 }
             }
+            Err(_) => on.stop_again = now + STOP_AGAIN,
+        }
+    }
+
+    /// Whether an executor is thought to have this run.
+    fn has_run(&self, index: ExecutorIndex, task: TaskKey, run: u64) -> bool {
+        let executor = self.executors.get(&index);
+        let on = executor.and_then(|executor| executor.runs.get(&task));
+        on.is_some_and(|on| on.run == run)
+    }
+
+    /// Takes in that the answer to an order shows this tenure, or that life
+    /// of the executor, to be over. Returns whether it does.
+    pub(super) fn ends<T>(
+        &mut self,
+        index: ExecutorIndex,
+        answer: Result<T, OrderFailure>,
+        now: Millis,
+    ) -> bool {
+        match answer {
             Err(OrderFailure::Fenced) => self.deposed(),
             Err(OrderFailure::Gone) => self.executor_over(index, now),
-            Err(_) => on.stop_again = now + STOP_AGAIN,
+            _ => return false,
         }
+        true
     }
 
     /// Sends stops again that were not confirmed.
--- /dev/null
+++ b/puffinknot-standin/src/users/store.rs
@@ -0,0 +1,361 @@
+/*!
+The metadata store of the users' platform.
+*/
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use actix_http::{Method, Request, StatusCode};
+use puffinknot::http::{json, read_body, text, Reply};
+use serde_json::{json, Value};
+use tokio::time::sleep;
+
+use crate::server::Running;
+use crate::users::{LOOK, MAX_BODY};
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It refuses every call; nothing is done.
+    Busy,
+    /// It does not answer; nothing is done.
+    Silent,
+    /// Ranges are answered only after this time.
+    SlowRanges(Duration),
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: String,
+    revision: u64,
+    made: u64,
+    lease: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Lease {
+    ttl: u64,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct StoreState {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Every change, in order: the key, and the item unless it is gone.
+    history: Vec<(u64, String, Option<Item>)>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+    fault: Option<StoreFault>,
+    calls: u64,
+}
+
+impl StoreState {
+    fn put(&mut self, key: &str, value: String, lease: u64) {
+        let made = self.items.get(key).map_or(self.revision, |i| i.made);
+        let revision = self.revision;
+        let item = Item { value, revision, made, lease };
+        self.items.insert(key.to_string(), item.clone());
+        self.history.push((revision, key.to_string(), Some(item)));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.history.push((self.revision, key.to_string(), None));
+        }
+    }
+
+    /// Lets leases run out, and their keys with them.
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.until < now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+}
+
+fn item_json(key: &str, item: &Item) -> Value {
+    json!({
+        "Key": key,
+        "Value": item.value,
+        "Revision": item.revision,
+        "made": item.made,
+        "lease": item.lease,
+    })
+}
+
+/// The metadata store.
+#[derive(Clone, Default)]
+pub struct Store {
+    state: Arc<Mutex<StoreState>>,
+}
+
+impl Store {
+    /// Serves at an address; port 0 takes any free port.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be listened on.
+    pub fn serve(&self, addr: &str) -> std::io::Result<Running> {
+        let store = self.clone();
+        Running::start(addr, move || {
+            let store = store.clone();
+            move |request: Request| {
+                let store = store.clone();
+                async move { store.answer(request).await }
+            }
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Lets the store fail, or not any more.
+    pub fn set_fault(&self, fault: Option<StoreFault>) {
+        self.lock().fault = fault;
+    }
+
+    /// The number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Writes a value as the operator or an executor does.
+    pub fn write(&self, key: &str, value: &Value) {
+        use base64::prelude::{Engine, BASE64_STANDARD};
+        let mut state = self.lock();
+        state.revision += 1;
+        let value = BASE64_STANDARD.encode(value.to_string());
+        state.put(key, value, 0);
+    }
+
+    /// Takes a key away so that no watch shows it.
+    pub fn revoke(&self, key: &str) {
+        self.lock().items.remove(key);
+    }
+
+    /// The text of a value, if there is one.
+    pub fn read(&self, key: &str) -> Option<String> {
+        use base64::prelude::{Engine, BASE64_STANDARD};
+        let state = self.lock();
+        let bytes = BASE64_STANDARD.decode(&state.items.get(key)?.value);
+        String::from_utf8(bytes.ok()?).ok()
+    }
+
+    async fn answer(&self, mut request: Request) -> Reply {
+        let method = request.method().clone();
+        let path = request.path().to_string();
+        let query = parse_query(request.uri().query().unwrap_or_default());
+        let payload = request.take_payload();
+        let within = Duration::from_secs(5);
+        let body = read_body(payload, MAX_BODY, within).await;
+        let body = body.unwrap_or_default();
+        self.lock().calls += 1;
+        if let Some(reply) = self.fail().await {
+            return reply;
+        }
+        let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let field = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let number = |name: &str| field(name).parse().unwrap_or(0);
+        match (method, path.as_str()) {
+            (Method::GET, "/v1/kv-key") => self.key(&field("Key")),
+            (Method::GET, "/v1/kv-range") => {
+                self.delay_range().await;
+                self.range(&field("PathPrefix"), &field("DependsOn"))
+            }
+            (Method::GET, "/v1/kv-watch") => {
+                let (after, wait) = (number("DependsOn"), number("WaitMs"));
+                self.watch(&field("PathPrefix"), after, wait).await
+            }
+            (Method::POST, "/v1/kv-txn") => self.transact(&body),
+            (Method::POST, "/v1/kv-lease") => self.grant(&body),
+            (Method::POST, path) => self.keep(path),
+            (Method::DELETE, path) => self.end(path),
+            _ => text(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    async fn fail(&self) -> Option<Reply> {
+        let fault = self.lock().fault?;
+        match fault {
+            StoreFault::Busy => {
+                Some(text(StatusCode::SERVICE_UNAVAILABLE, "busy"))
+            }
+            StoreFault::Silent => {
+                sleep(Duration::from_secs(3_600)).await;
+                None
+            }
+            StoreFault::SlowRanges(_) => None,
+        }
+    }
+
+    async fn delay_range(&self) {
+        let fault = self.lock().fault;
+        if let Some(StoreFault::SlowRanges(delay)) = fault {
+            sleep(delay).await;
+        }
+    }
+
+    fn key(&self, key: &str) -> Reply {
+        let mut state = self.lock();
+        state.expire();
+        match state.items.get(key) {
+            Some(item) => {
+                let mut value = item_json(key, item);
+                value["at"] = state.revision.into();
+                json(StatusCode::OK, &value)
+            }
+            None => text(StatusCode::NOT_FOUND, "no such key"),
+        }
+    }
+
+    fn range(&self, prefix: &str, after: &str) -> Reply {
+        const PAGE: usize = 50;
+        let mut state = self.lock();
+        state.expire();
+        let all: Vec<Value> = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .map(|(key, item)| item_json(key, item))
+            .collect();
+        let more = all.len() > PAGE;
+        let items: Vec<Value> = all.into_iter().take(PAGE).collect();
+        let at = state.revision;
+        let body = json!({ "items": items, "more": more, "at": at });
+        json(StatusCode::OK, &body)
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: u64) -> Reply {
+        let until = Instant::now() + Duration::from_millis(wait);
+        loop {
+            {
+                let mut state = self.lock();
+                state.expire();
+                let events: Vec<Value> = state
+                    .history
+                    .iter()
+                    .filter(|(revision, key, _)| {
+                        *revision > after && key.starts_with(prefix)
+                    })
+                    .map(|(revision, key, item)| match item {
+                        Some(item) => item_json(key, item),
+                        None => json!({
+                            "Key": key, "Revision": revision, "gone": true,
+                        }),
+                    })
+                    .collect();
+                if !events.is_empty() || Instant::now() >= until {
+                    let body =
+                        json!({ "events": events, "at": state.revision });
+                    return json(StatusCode::OK, &body);
+                }
+            }
+            sleep(LOOK).await;
+            if let Some(reply) = self.fail().await {
+                return reply;
+            }
+        }
+    }
+
+    fn transact(&self, body: &Value) -> Reply {
+        let mut state = self.lock();
+        state.expire();
+        let rows =
+            |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let expected = rows("ExpectedRev");
+        let key = |row: &Value| row["Key"].as_str().unwrap_or("").to_string();
+        let holds = expected.iter().all(|row| {
+            let now = state.items.get(&key(row)).map_or(0, |i| i.revision);
+            row["Revision"].as_u64() == Some(now)
+        });
+        if !holds {
+            let items: Vec<Value> = expected
+                .iter()
+                .filter_map(|row| {
+                    let key = key(row);
+                    Some(item_json(&key, state.items.get(&key)?))
+                })
+                .collect();
+            let body = json!({ "items": items });
+            return json(StatusCode::PRECONDITION_FAILED, &body);
+        }
+        let puts = rows("put");
+        let lease = |row: &Value| row["lease"].as_u64().unwrap_or(0);
+        let over = puts
+            .iter()
+            .map(lease)
+            .any(|id| id != 0 && !state.leases.contains_key(&id));
+        if over {
+            return text(StatusCode::NOT_FOUND, "no such lease");
+        }
+        state.revision += 1;
+        for row in &puts {
+            let value = row["Value"].as_str().unwrap_or("").to_string();
+            state.put(&key(row), value, lease(row));
+        }
+        for row in rows("Remove") {
+            state.remove(row.as_str().unwrap_or(""));
+        }
+        json(StatusCode::OK, &json!({ "Revision": state.revision }))
+    }
+
+    fn grant(&self, body: &Value) -> Reply {
+        let ttl = body["ttl_ms"].as_u64().unwrap_or(1_000);
+        let mut state = self.lock();
+        state.next_lease += 1;
+        let id = state.next_lease;
+        let until = Instant::now() + Duration::from_millis(ttl);
+        state.leases.insert(id, Lease { ttl, until });
+        json(StatusCode::OK, &json!({ "lease": id, "ttl_ms": ttl }))
+    }
+
+    fn keep(&self, path: &str) -> Reply {
+        let id = path.strip_prefix("/v1/kv-keep/");
+        let id = id.and_then(|id| id.parse().ok()).unwrap_or(0);
+        let mut state = self.lock();
+        state.expire();
+        let Some(lease) = state.leases.get_mut(&id) else {
+            return text(StatusCode::NOT_FOUND, "no such lease");
+        };
+        lease.until = Instant::now() + Duration::from_millis(lease.ttl);
+        json(StatusCode::OK, &json!({ "ttl_ms": lease.ttl }))
+    }
+
+    fn end(&self, path: &str) -> Reply {
+        let id = path.strip_prefix("/v1/kv-lease-end/");
+        let id = id.and_then(|id| id.parse().ok()).unwrap_or(0);
+        self.lock().end_lease(id);
+        json(StatusCode::OK, &json!({}))
+    }
+}
+
+fn parse_query(query: &str) -> BTreeMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(key, value)| (key.into(), value.into())).collect()
+}
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -7,7 +7,6 @@
 */
 
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -22,10 +21,13 @@
     WaveInfo,
 };
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, timeout, MissedTickBehavior};
+use tokio::time::{sleep, timeout};
 use tracing::info;
 
+mod answers;
 mod executors;
+mod lease;
+mod offer;
 mod orders;
 mod seat;
 mod takeover;
@@ -33,34 +35,14 @@
 use crate::cell::channel::Sender;
 use crate::cell::decisions;
 use crate::cell::journal::Journal;
-use crate::cell::link::ToNode;
 use crate::cell::node::{Shared, UNCONFIRMED};
 use crate::cell::ports::Platform;
 use crate::clock;
 
 /// How often the scheduler is told that time has passed.
 const TICK: Millis = 50;
-/// The lease of the leader is renewed this often within its length.
-const RENEWALS: Millis = 5;
-/// The leader's key is read if nothing has confirmed it for so long.
-const CONFIRM_AFTER: Millis = 350;
 /// The pause after a call to the store that failed.
 const PAUSE: Duration = Duration::from_millis(100);
-/// If the store has not answered for so long, another node is asked to lead.
-const INVITE_AFTER: Millis = 550;
-/// The same, if so many calls in a row have failed.
-const INVITE_FAILURES: u32 = 3;
-/// The time until the next node is asked.
-const INVITE_AGAIN: Millis = 250;
-/// A node with at least this many times the processor time is offered the
-/// lead by one that could lead on.
-const MUCH_LARGER: u32 = 2;
-/// The time until such an offer is made again.
-const MAKE_WAY_AGAIN: Millis = 1_000;
-/// Nodes that the store has answered about as lately as any are asked first.
-const SERVED: Millis = 1_500;
-/// When a client is to come back that asks what is not sure now.
-const COME_BACK: Millis = 1_000;
 /// The most time that is waited for open requests at a hand-over.
 const HAND_OVER: Duration = Duration::from_millis(300);
 
@@ -330,47 +312,6 @@
         "handed over"
     }
 
-    /// Renews the lease for as long as the tenure lasts. That the lease
-    /// stands does not show that the key does: if no commit has confirmed
-    /// the lead lately, the key is read.
-    fn spawn_renewals(&self) {
-        let shared = self.shared.clone();
-        let handle = self.handle.clone();
-        let lease = self.lease.clone();
-        let confirmed = self.confirmed.clone();
-        actix_rt::spawn(async move {
-            let ttl = shared.settings.borrow().leader_lease;
-            let pause = Duration::from_millis(ttl / RENEWALS);
-            let mut turns = tokio::time::interval(pause);
-            turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
-            while !handle.is_over() {
-                turns.tick().await;
-                match shared.store.renew(lease.get()).await {
-                    Ok(true) => {}
-                    Ok(false) => {
-                        handle.send(Input::KeyGone);
-                        continue;
-                    }
-                    Err(_) => {
-                        shared.count("renewals_failed");
-                        continue;
-                    }
-                }
-                let sent_at = clock::mono();
-                if sent_at < confirmed.get() + CONFIRM_AFTER {
-                    continue;
-                }
-                match seat::holds_key(&shared, lease.get()).await {
-                    Some(true) => {
-                        confirmed.set(confirmed.get().max(sent_at));
-                    }
-                    Some(false) => handle.send(Input::KeyGone),
-                    None => shared.count("confirmations_failed"),
-                }
-            }
-        });
-    }
-
     fn tell_advisors(&self, scheduler: &mut Scheduler) {
         let own = self.shared.settings.borrow().node.clone();
         let mut names = vec![own];
@@ -398,7 +339,7 @@
                 }
                 if self.unsure(&request) {
                     self.shared.count("refused_unconfirmed");
-                    self.reply(id, Outcome::Refused(COME_BACK));
+                    self.reply(id, Outcome::Refused(answers::COME_BACK));
                     return None;
                 }
                 return self.event(scheduler, Event::Request { id, request });
@@ -440,71 +381,6 @@
         None
     }
 
-    /// Whether the store does not serve this node.
-    fn turned_away(&self, now: Millis) -> bool {
-        let store = &self.shared.store;
-        let silent = now > store.answered() + INVITE_AFTER
-            && now > self.confirmed.get() + INVITE_AFTER;
-        silent || store.failures() >= INVITE_FAILURES
-    }
-
-    /// Asks another node to lead in this one's place, one after the other.
-    /// This one leads on until another does.
-    fn invite(&mut self, now: Millis) {
-        if now < self.invited + INVITE_AGAIN || self.peers.is_empty() {
-            return;
-        }
-        let Some(leader) = self.shared.leader() else { return };
-        let least = self.peers.values().map(|peer| peer.store_silent).min();
-        let least = least.unwrap_or_default();
-        let mut served: Vec<(&PeerId, &Peer)> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.store_silent <= least + SERVED)
-            .collect();
-        served.sort_unstable_by_key(|(id, peer)| {
-            (Reverse(peer.cpu_millis), **id)
-        });
-        let Some((_, peer)) = served.get(self.turn % served.len()) else {
-            return;
-        };
-        self.offer(peer, leader.revision);
-        self.invited = now;
-        self.turn += 1;
-    }
-
-    /// Offers the lead to a much larger machine that the store serves.
-    fn make_way(&mut self, now: Millis) {
-        if now < self.invited + MAKE_WAY_AGAIN {
-            return;
-        }
-        let own = self.shared.settings.borrow().cpu_millis;
-        let larger = self.peers.values().filter(|peer| {
-            peer.store_silent <= SERVED
-                && peer.cpu_millis >= own.saturating_mul(MUCH_LARGER)
-        });
-        let Some(peer) = larger.max_by_key(|peer| peer.cpu_millis) else {
-            return;
-        };
-        let Some(leader) = self.shared.leader() else { return };
-        self.offer(peer, leader.revision);
-        self.invited = now;
-    }
-
-    fn offer(&self, peer: &Peer, revision: Revision) {
-        info!(node = peer.node, cpu = peer.cpu_millis, "lead_offered");
-        peer.sender.send(&ToNode::Lead(revision));
-        self.shared.count("lead_offered");
-    }
-
-    /// Whether the answer might be wrong, since somebody else may lead.
-    fn unsure(&self, request: &Request) -> bool {
-        let lease = self.shared.settings.borrow().leader_lease;
-        let read =
-            matches!(request, Request::State { .. } | Request::Pending { .. });
-        read && clock::mono() > self.confirmed.get() + lease
-    }
-
     fn event(
         &mut self,
         scheduler: &mut Scheduler,
@@ -514,57 +390,4 @@
         let actions = scheduler.handle(event, clock::mono());
         self.perform(scheduler, actions).then_some("fenced")
     }
-
-    /// Answers a request. That there is no such job is said only once the
-    /// store has confirmed that nobody else leads: a successor may have
-    /// accepted it.
-    fn answer(&mut self, id: RequestId, outcome: Outcome) {
-        if outcome != Outcome::NoSuchJob {
-            return self.reply(id, outcome);
-        }
-        let shared = self.shared.clone();
-        let handle = self.handle.clone();
-        let lease = self.lease.clone();
-        actix_rt::spawn(async move {
-            let leads = seat::holds_key(&shared, lease.get()).await;
-            handle.send(Input::Unknown(id, leads));
-        });
-    }
-
-    /// Answers a request about a job that this node does not know.
-    fn deny(&mut self, id: RequestId, leads: Option<bool>) {
-        match leads {
-            Some(true) => self.reply(id, Outcome::NoSuchJob),
-            Some(false) => {
-                self.shared.count("asked_again_superseded");
-                self.reply(id, Outcome::Unknown);
-                self.reclaim();
-            }
-            None => {
-                self.shared.count("refused_unconfirmed");
-                self.reply(id, Outcome::Refused(COME_BACK));
-            }
-        }
-    }
-
-    fn reply(&mut self, id: RequestId, outcome: Outcome) {
-        match self.origins.remove(&id) {
-            Some(Origin::Here(reply)) => {
-                let _ = reply.send(outcome);
-            }
-            Some(Origin::Peer(peer, id)) => {
-                if let Some(peer) = self.peers.get(&peer) {
-                    peer.sender.send(&ToNode::Reply(id, outcome));
-                }
-            }
-            None => {}
-        }
-    }
-
-    fn give_up_requests(&mut self) {
-        let open: Vec<RequestId> = self.origins.keys().copied().collect();
-        for id in open {
-            self.reply(id, Outcome::Unknown);
-        }
-    }
 }
