--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -269,3 +269,21 @@
     assert_eq!(world.state(1), Some(JobState::Succeeded));
     world.check();
 }
+
+/// One hold a second to each of thousands of idle executors was more than
+/// the leader's machine could send.
+#[test]
+fn idle_executors_of_a_large_cell_are_asked_less_often() {
+    const SECONDS: u64 = 6;
+    let mut world = World::new(1_000);
+    world.run(2_000);
+    world.holds = 0;
+    world.run(SECONDS * 1_000);
+    assert!(world.holds <= 600 * SECONDS, "{} holds", world.holds);
+    assert!(world.holds >= 400 * SECONDS, "{} holds", world.holds);
+    // Where something runs, its end is heard of at once.
+    world.submit(job(1, "batch", vec![step(1, room(500, 100))]));
+    world.run(WORK + 150);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -138,6 +138,8 @@
     /// The next calls for advice are never answered.
     pub lost_advice: u32,
     pub most_down: usize,
+    /// Holds that were sent so far.
+    pub holds: u64,
     submitted: BTreeMap<u64, JobId>,
 }
 
@@ -240,6 +242,7 @@
             late_upkeeps: 0,
             lost_advice: 0,
             most_down: 0,
+            holds: 0,
             submitted: BTreeMap::new(),
         };
         for number in 0..executors {
@@ -426,6 +429,8 @@
                 Action::Hold { executor, .. }
                 | Action::Start { executor, .. }
                 | Action::Stop { executor, .. } => {
+                    let hold = matches!(action, Action::Hold { .. });
+                    self.holds += u64::from(hold);
                     let Some(at) = self.index_of(token, *executor) else {
                         continue;
                     };
