--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -68,44 +68,35 @@
 }
 
 impl Call {
-    /// How many executors it asks about if nodes are scarce.
-    fn asks(&self) -> usize {
+    /// How many executors it asks about: all, or if nodes are scarce as many
+    /// as should do.
+    fn asks(&self, scarce: bool) -> usize {
         let all = self.executors.len();
-        self.enough.map_or(all, |enough| enough.min(all))
+        let enough = self.enough.filter(|_| scarce);
+        enough.map_or(all, |enough| enough.min(all))
     }
 }
 
-/// For which calls there may still be a free node.
-struct Free {
+/// Which calls no node can take in this turn.
+#[derive(Default)]
+struct Full {
     long: bool,
     short: bool,
 }
 
-impl Default for Free {
-    fn default() -> Free {
-        Free { long: true, short: true }
-    }
-}
-
-impl Free {
-    fn may(&self, long: bool) -> bool {
-        if long {
-            self.long
-        } else {
-            self.short
-        }
-    }
-
-    fn full(&mut self, long: bool) {
+impl Full {
+    /// The entry for long or for short calls.
+    fn of(&mut self, long: bool) -> &mut bool {
         if long {
-            self.long = false;
+            &mut self.long
         } else {
-            self.short = false;
+            &mut self.short
         }
     }
 
-    fn none(&self) -> bool {
-        !self.long && !self.short
+    /// Whether no call at all can be taken.
+    fn all(&self) -> bool {
+        self.long && self.short
     }
 }
 
@@ -241,24 +232,22 @@
             .collect();
         open.sort_unstable();
         let crowded = open.len() > CROWDED * self.advisors.len();
-        let mut free = Free::default();
+        let mut full = Full::default();
         for (_, _, id) in open {
-            if free.none() {
+            if full.all() {
                 return;
             }
             if crowded {
                 self.work_out_enough(id);
             }
             let call = &self.calls[&id];
-            let asked =
-                if crowded { call.asks() } else { call.executors.len() };
-            let cost = call.cost.of(asked);
+            let cost = call.cost.of(call.asks(crowded));
             let long = cost > LONG_CALL;
-            if !free.may(long) {
+            if *full.of(long) {
                 continue;
             }
             let Some(name) = self.free_advisor(long, now) else {
-                free.full(long);
+                *full.of(long) = true;
                 continue;
             };
             if crowded {
@@ -329,7 +318,7 @@
     /// with the most room for the step.
     fn shorten(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else { return };
-        let most = call.asks();
+        let most = call.asks(true);
         if call.executors.len() <= most {
             return;
         }
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -59,7 +59,7 @@
     Policy(Arc<Policy>),
     /// Whether this node still led after a request about an unknown job came,
     /// if the store says so.
-    Unknown(RequestId, Option<bool>),
+    Confirmed(RequestId, Option<bool>),
     KeyGone,
     HandOver(oneshot::Sender<()>),
     Over,
@@ -365,7 +365,7 @@
                 self.tell_advisors(scheduler);
             }
             Input::Policy(policy) => scheduler.set_policy(policy),
-            Input::Unknown(id, leads) => self.deny(id, leads),
+            Input::Confirmed(id, leads) => self.deny(id, leads),
             Input::KeyGone => self.reclaim(),
             Input::HandOver(done) => {
                 self.handed_over = Some(done);
--- a/src/cell/lead/answers.rs
+++ b/src/cell/lead/answers.rs
@@ -34,7 +34,7 @@
         let lease = self.lease.clone();
         actix_rt::spawn(async move {
             let leads = seat::holds_key(&shared, lease.get()).await;
-            handle.send(Input::Unknown(id, leads));
+            handle.send(Input::Confirmed(id, leads));
         });
     }
 
