A node that can serve nobody says so, and answers at once

Ruled out: that clients themselves were cut off (their requests are logged).

Change: a node knows whether it hears a leader that the store has confirmed (Reach). If not, it isn't ready; if the store doesn't answer it either, it is cut off, and requests are answered at once, with when to come back if they were not passed on. And what hung since before the store went away (writes, renewals, watches, connections to the leader) is made again when it answers.

--- a/src/cell/follow.rs
+++ b/src/cell/follow.rs
@@ -110,7 +110,13 @@
             let prefix = platform.watched_prefix();
             let seat = self.seat.clone();
             let store = self.shared.store.clone();
-            match store.watch(prefix, revision, wait).await {
+            let changes = tokio::select! {
+                biased;
+                changes = store.watch(prefix, revision, wait) => changes,
+                // The watch may never be answered.
+                () = store.regained() => return,
+            };
+            match changes {
                 Ok(Changes { written, removed, revision: at }) => {
                     revision = at;
                     for key in &removed {
--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -23,6 +23,7 @@
 
 use crate::cell::node::Shared;
 use crate::cell::ports::{Call, ClientAnswer, Platform, Refusal};
+use crate::cell::reach;
 use crate::clock;
 use crate::http::{read_body, BodyError};
 
@@ -76,7 +77,9 @@
 ) {
     serve(listener, move |request: Request| {
         let known = request.path() == shared.platform.ready_path();
-        let ready = shared.policy().is_some() && !shared.draining.get();
+        let ready = shared.policy().is_some()
+            && !shared.draining.get()
+            && reach::serves(&shared);
         let status = match (known, ready) {
             (false, _) => StatusCode::NOT_FOUND,
             (true, true) => StatusCode::OK,
@@ -115,7 +118,8 @@
             shared.under_way.set(shared.under_way.get() + 1);
             let answer = answer(&shared, request).await;
             shared.under_way.set(shared.under_way.get() - 1);
-            render(answer, shared.draining.get())
+            let close = shared.draining.get() || !reach::serves(&shared);
+            render(answer, close)
         }
     })
     .await;
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -107,7 +107,7 @@
                 return Err(Superseded);
             }
             transaction.expect = vec![(head.clone(), self.head.get())];
-            match self.store.write(&transaction).await {
+            match self.attempt(&transaction).await {
                 Ok(revision) => {
                     self.head.set(revision);
                     return Ok(());
@@ -126,10 +126,27 @@
                 }
                 Err(error) => {
                     warn!(?error, sequence, "write_retried");
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(LAST_PAUSE);
+                    let regained = self.store.regained();
+                    let waited = tokio::time::timeout(pause, regained).await;
+                    pause = match waited {
+                        Ok(()) => FIRST_PAUSE,
+                        Err(_) => (pause * 2).min(LAST_PAUSE),
+                    };
                 }
             }
         }
     }
+
+    /// Writes once. An attempt that was made before the store went away is
+    /// given up when it is back.
+    async fn attempt(
+        &self,
+        transaction: &Transaction,
+    ) -> Result<Revision, WriteError> {
+        tokio::select! {
+            biased;
+            answer = self.store.write(transaction) => answer,
+            () = self.store.regained() => Err(WriteError::Unknown),
+        }
+    }
 }
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -77,6 +77,7 @@
     inputs: mpsc::UnboundedSender<Input>,
     peers: Rc<Cell<PeerId>>,
     over: Rc<Cell<bool>>,
+    confirmed: Rc<Cell<Millis>>,
 }
 
 impl LeadHandle {
@@ -139,6 +140,11 @@
         self.send(Input::Over);
     }
 
+    /// When the store was last asked and confirmed that nobody else leads.
+    pub fn confirmed(&self) -> Millis {
+        self.confirmed.get()
+    }
+
     /// Whether the tenure is over.
     pub fn is_over(&self) -> bool {
         self.over.get()
@@ -175,8 +181,13 @@
     confirmed: Millis,
 ) {
     let (inputs, received) = mpsc::unbounded_channel();
-    let handle =
-        LeadHandle { inputs, peers: Rc::default(), over: Rc::default() };
+    let confirmed = Rc::new(Cell::new(confirmed));
+    let handle = LeadHandle {
+        inputs,
+        peers: Rc::default(),
+        over: Rc::default(),
+        confirmed: confirmed.clone(),
+    };
     *shared.lead.borrow_mut() = Some(handle.clone());
     shared.count("tenures");
     let tenure = Tenure {
@@ -189,7 +200,7 @@
         handle: handle.clone(),
         token,
         lease: Rc::new(Cell::new(lease)),
-        confirmed: Rc::new(Cell::new(confirmed)),
+        confirmed,
         executors: Rc::default(),
         peers: HashMap::new(),
         origins: HashMap::new(),
--- a/src/cell/lead/lease.rs
+++ b/src/cell/lead/lease.rs
@@ -32,7 +32,12 @@
             turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
             while !handle.is_over() {
                 turns.tick().await;
-                match shared.store.renew(lease.get()).await {
+                let renewed = tokio::select! {
+                    biased;
+                    renewed = shared.store.renew(lease.get()) => renewed,
+                    () = shared.store.regained() => continue,
+                };
+                match renewed {
                     Ok(true) => {}
                     Ok(false) => {
                         handle.send(Input::KeyGone);
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -27,6 +27,7 @@
 use crate::cell::lead::LeadHandle;
 use crate::cell::node::Shared;
 use crate::cell::ports::{Leader, Platform};
+use crate::cell::reach;
 
 /// How often a node tells the leader that it is there.
 const PING: Duration = Duration::from_millis(350);
@@ -81,8 +82,11 @@
     Lead(Revision),
     /// The policy as it stands in the store.
     Policy(Vec<u8>),
-    /// The leader is there.
-    Pong,
+    /// The leader is there, and is sure to lead or not.
+    Pong {
+        /// Whether the store has confirmed it lately.
+        sure: bool,
+    },
 }
 
 /// The way to the leader.
@@ -184,6 +188,8 @@
         // Somebody else leads than was thought: a node that does not answer
         // must not hold up the way to it.
         () = elsewhere(shared, address) => return,
+        // What was tried while the node was cut off may never succeed.
+        () = shared.reach.regained() => return,
     };
     let Ok((sender, mut receiver)) = opened else { return };
     let hello = {
@@ -210,9 +216,11 @@
             info!(%address, "leader_linked");
             let link = LinkHandle::new(sender);
             *shared.link.borrow_mut() = Some(link.clone());
+            shared.reach.heard(true);
             shared.leader_changed.notify_waiters();
             follow(shared, &link, receiver).await;
             *shared.link.borrow_mut() = None;
+            shared.reach.lost();
             link.sender.close();
             link.give_up();
             shared.count("links_lost");
@@ -291,7 +299,8 @@
             actix_rt::spawn(accept_lead(shared.clone(), revision));
         }
         ToNode::Policy(value) => shared.learn_policy(&value),
-        ToNode::Welcome(..) | ToNode::NotLeading(_) | ToNode::Pong => {}
+        ToNode::Pong { sure } => shared.reach.heard(sure),
+        ToNode::Welcome(..) | ToNode::NotLeading(_) => {}
     }
 }
 
@@ -352,7 +361,8 @@
             ToLeader::Advised(call, answer) => lead.advised(call, answer),
             ToLeader::Ping { policy: version, store_silent } => {
                 lead.store_silent(peer, store_silent);
-                sender.send(&ToNode::Pong);
+                let sure = reach::is_sure(lead.confirmed());
+                sender.send(&ToNode::Pong { sure });
                 let ours = shared.policy().map(|policy| policy.version);
                 if version >= ours {
                     behind = false;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -28,6 +28,7 @@
 pub mod logs;
 pub mod node;
 pub mod ports;
+pub mod reach;
 pub mod stats;
 pub mod store;
 
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -24,6 +24,7 @@
 use crate::cell::lead::{self, LeadHandle};
 use crate::cell::link::{self, LinkHandle};
 use crate::cell::ports::{Leader, Platform};
+use crate::cell::reach::{self, Reach};
 use crate::cell::stats::Stats;
 use crate::cell::store::Store;
 use crate::cell::{follow, ingress};
@@ -96,6 +97,8 @@
     pub lead: RefCell<Option<LeadHandle>>,
     /// The way to the leader, while another node leads.
     pub link: RefCell<Option<LinkHandle>>,
+    /// Whether the leader and the store can be reached.
+    pub reach: Reach,
     /// Where other nodes have been seen.
     pub peers: RefCell<BTreeSet<SocketAddr>>,
     /// Whether the node is about to stop.
@@ -122,6 +125,7 @@
             claiming: Cell::new(false),
             lead: RefCell::default(),
             link: RefCell::default(),
+            reach: Reach::default(),
             peers: RefCell::new(settings.seeds.iter().copied().collect()),
             draining: Cell::new(false),
             under_way: Cell::new(0),
@@ -238,26 +242,49 @@
 
     /// Asks the leader. A request whose answer does not come since the
     /// leader is gone is asked again of the next one: asking twice does what
-    /// asking once does.
+    /// asking once does. A node that is cut off answers at once.
     pub async fn ask(&self, request: Request) -> Outcome {
+        if self.reach.is_cut_off() {
+            self.count("refused_cut_off");
+            return Outcome::Refused(NO_LEADER);
+        }
+        let sent = Cell::new(false);
+        tokio::select! {
+            biased;
+            outcome = self.ask_leader(request, &sent) => outcome,
+            () = self.reach.cut_off() => {
+                self.count("given_up_cut_off");
+                self.give_up(sent.get())
+            }
+        }
+    }
+
+    /// Asks the leader, and tells by `sent` whether any leader may have
+    /// taken the request.
+    async fn ask_leader(
+        &self,
+        request: Request,
+        sent: &Cell<bool>,
+    ) -> Outcome {
         let started = Instant::now();
-        let mut sent = false;
         loop {
-            let most = if sent { ASK_TIMEOUT } else { NO_LEADER_TIMEOUT };
+            let before = sent.get();
+            let most = if before { ASK_TIMEOUT } else { NO_LEADER_TIMEOUT };
             if !self.wait_for_way(started + most).await {
-                return self.give_up(sent);
+                return self.give_up(before);
             }
             let (reply, answer) = oneshot::channel();
             if !self.pass_on(request.clone(), reply) {
                 continue;
             }
+            sent.set(true);
             match timeout_at(started + ASK_TIMEOUT, answer).await {
-                Ok(Ok(Outcome::Refused(0))) => {}
-                Ok(Ok(Outcome::Unknown) | Err(_)) => sent = true,
+                Ok(Ok(Outcome::Refused(0))) => sent.set(before),
+                Ok(Ok(Outcome::Unknown) | Err(_)) => {}
                 // Whoever was asked before may have taken it, and this one
                 // may be the older leader.
-                Ok(Ok(Outcome::Refused(_))) if sent => {
-                    return self.give_up(sent);
+                Ok(Ok(Outcome::Refused(_))) if before => {
+                    return self.give_up(before);
                 }
                 Ok(Ok(outcome)) => return outcome,
                 Err(_) => return self.give_up(true),
@@ -385,6 +412,7 @@
     actix_rt::spawn(link::serve(control, shared.clone()));
     actix_rt::spawn(link::keep(shared.clone()));
     actix_rt::spawn(follow::run(shared.clone()));
+    actix_rt::spawn(reach::watch(shared.clone()));
     let reload = reload(shared.clone(), orders.clone());
     actix_rt::spawn(reload);
     orders.stop.notified().await;
--- a/src/cell/store.rs
+++ b/src/cell/store.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use puffinknot_core::ids::{Millis, Revision};
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::cell::ports::{
@@ -27,6 +28,10 @@
 const FIRST_RANGE: Millis = 900;
 /// The most time for reading a range.
 const LAST_RANGE: Millis = 4_000;
+/// A store that has answered nothing for so long, in milliseconds, and then
+/// answers, was away. Less than the least patience with a call, more than
+/// what passes between two calls of a leader.
+const AWAY: Millis = 400;
 
 /// The store of a platform.
 pub struct Store<P> {
@@ -37,6 +42,8 @@
     answered: Cell<Millis>,
     /// Calls in a row without a usable answer.
     failures: Cell<u32>,
+    /// Told when the store answers after it was away.
+    regained: Notify,
 }
 
 impl<P: Platform> Store<P> {
@@ -49,6 +56,7 @@
             range_within: Cell::new(FIRST_RANGE),
             answered: Cell::new(0),
             failures: Cell::new(0),
+            regained: Notify::new(),
         }
     }
 
@@ -62,11 +70,21 @@
         self.failures.get()
     }
 
+    /// Waits until the store answers after it was away. A call that was
+    /// made before may never be answered; it is better made again.
+    pub async fn regained(&self) {
+        self.regained.notified().await;
+    }
+
     fn note(&self, answered: bool) {
         if answered {
-            self.failures.set(0);
+            let now = clock::mono();
+            let failed = self.failures.replace(0) > 0;
+            let before = self.answered.replace(now);
             self.within.set(FIRST);
-            self.answered.set(clock::mono());
+            if failed && now > before + AWAY {
+                self.regained.notify_waiters();
+            }
         } else {
             self.failures.set(self.failures.get() + 1);
         }
