Answers of executors are waited for by their round trips

Change: the wait follows smoothed round trips and their deviation (RFC 6298), between 120 and 300 ms, doubled while nothing answers.

--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -29,9 +29,11 @@
 mod lease;
 mod offer;
 mod orders;
+pub mod patience;
 mod seat;
 mod takeover;
 
+use self::patience::Patience;
 use crate::cell::channel::Sender;
 use crate::cell::decisions;
 use crate::cell::journal::Journal;
@@ -206,6 +208,7 @@
         origins: HashMap::new(),
         requests: 0,
         handed_over: None,
+        patience: Rc::default(),
         invited: 0,
         turn: 0,
     };
@@ -248,6 +251,8 @@
     requests: RequestId,
     /// Told when open requests are answered, once a hand-over has begun.
     handed_over: Option<oneshot::Sender<()>>,
+    /// How long answers of executors are waited for.
+    patience: Rc<Patience>,
     /// When another node was asked last to lead in this one's place.
     invited: Millis,
     /// Which node is asked next.
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -9,11 +9,13 @@
 use puffinknot_core::jobs::message::{AdviceFailure, CallId, ExecutorIndex};
 use puffinknot_core::jobs::model::StepKey;
 use puffinknot_core::jobs::{
-    Action, Change, Event, ExecutorInfo, Scheduler, TaskKey, UpkeepFailure,
+    Action, Change, Event, ExecutorInfo, OrderFailure, Scheduler, TaskKey,
+    UpkeepFailure,
 };
 use tokio::time::{sleep, timeout};
 use tracing::info;
 
+use super::patience::Patience;
 use super::{Input, LeadHandle, Tenure, PAUSE};
 use crate::cell::decisions;
 use crate::cell::journal::Superseded;
@@ -21,6 +23,20 @@
 use crate::cell::ports::{Hold, Platform, Start, Transaction};
 use crate::clock;
 
+/// Takes in how long an order took.
+fn learn<T>(
+    patience: &Patience,
+    answer: &Result<T, OrderFailure>,
+    took: Millis,
+) {
+    match answer {
+        Err(OrderFailure::Unknown) => patience.unanswered(),
+        // A connection that was refused says nothing about answers.
+        Err(OrderFailure::NotSent) => {}
+        _ => patience.answered(took),
+    }
+}
+
 impl<P: Platform> Tenure<P> {
     fn executor(
         &self,
@@ -53,7 +69,8 @@
                     self.advise(call, &advisor, step, executors);
                 }
                 Action::Hold { executor, sent_at, due, last_seen, wait } => {
-                    let hold = Hold { due, last_seen, wait };
+                    let within = wait + self.patience.within();
+                    let hold = Hold { due, last_seen, wait, within };
                     self.hold(scheduler, executor, sent_at, hold);
                 }
                 Action::Start {
@@ -71,6 +88,8 @@
                     let (platform, handle) = self.ways();
                     let token = self.token;
                     let shared = self.shared.clone();
+                    let patience = self.patience.clone();
+                    let within = patience.within();
                     actix_rt::spawn(async move {
                         let sent_at = clock::mono();
                         let start = Start {
@@ -80,10 +99,12 @@
                             due,
                             checkpoint: &checkpoint,
                             ticket: &ticket,
+                            within,
                         };
                         let answer = platform.start(&info, token, start).await;
                         let took = clock::mono() - sent_at;
                         shared.stats.took("start_order", took);
+                        learn(&patience, &answer, took);
                         let event =
                             Event::Started { executor, task, run, answer };
                         handle.send(Input::Event(event));
@@ -140,8 +161,12 @@
         let Some(info) = self.executor(scheduler, executor) else { return };
         let (platform, handle) = self.ways();
         let token = self.token;
+        let patience = self.patience.clone();
         actix_rt::spawn(async move {
             let answer = platform.hold(&info, token, hold).await;
+            if hold.wait == 0 {
+                learn(&patience, &answer, clock::mono() - sent_at);
+            }
             let event = Event::Held { executor, sent_at, answer };
             handle.send(Input::Event(event));
         });
@@ -157,8 +182,13 @@
         let Some(info) = self.executor(scheduler, executor) else { return };
         let (platform, handle) = self.ways();
         let token = self.token;
+        let patience = self.patience.clone();
+        let within = patience.within();
         actix_rt::spawn(async move {
-            let answer = platform.stop(&info, token, task, run).await;
+            let sent_at = clock::mono();
+            let stopped = platform.stop(&info, token, task, run, within);
+            let answer = stopped.await;
+            learn(&patience, &answer, clock::mono() - sent_at);
             let event = Event::Stopped { executor, task, run, answer };
             handle.send(Input::Event(event));
         });
--- a/src/cell/ports.rs
+++ b/src/cell/ports.rs
@@ -100,6 +100,8 @@
     pub checkpoint: &'a str,
     /// The ticket, empty for none.
     pub ticket: &'a str,
+    /// How long to wait for the answer, in milliseconds.
+    pub within: Millis,
 }
 
 /// A request for an executor's account, which extends its lease.
@@ -109,8 +111,10 @@
     pub due: Option<Millis>,
     /// Ends up to this one may be forgotten.
     pub last_seen: u64,
-    /// How long to wait for an end.
+    /// How long the executor may wait for an end, in milliseconds.
     pub wait: Millis,
+    /// How long to wait for the answer, in milliseconds.
+    pub within: Millis,
 }
 
 /// A client's request, as far as it is about jobs.
@@ -255,7 +259,7 @@
         token: u64,
         start: Start<'_>,
     ) -> Result<(), OrderFailure>;
-    /// Stops a run.
+    /// Stops a run. The answer is waited for `within` milliseconds.
     ///
     /// # Errors
     ///
@@ -266,6 +270,7 @@
         token: u64,
         task: TaskKey,
         run: u64,
+        within: Millis,
     ) -> Result<(), OrderFailure>;
 
     /// Lets a run work at a share of the time, in percent.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -7,5 +7,6 @@
 mod input;
 mod jobs;
 mod model;
+mod patience;
 mod processes;
 mod regression;
