Nothing is started at executors and data centres in doubt

Change: an executor that has left an order unanswered gets no starts until it answers; two of one data centre without an answer in between put all of it under suspicion, until one of its executors answers.

Test: a_data_centre_that_is_cut_off_takes_few_tasks_with_it.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -122,6 +122,10 @@
     pub going: bool,
     /// When tasks there were slowed or let on last.
     pub paced_at: Millis,
+    /// It has left an order unanswered, and nothing was heard of it since.
+    pub doubted: bool,
+    /// Its whole data centre may be out of reach.
+    pub dc_suspected: bool,
     /// Ends of runs there that failed lately; it fades.
     pub faults: f64,
     /// Ends of runs there that were done lately; it fades.
@@ -152,6 +156,8 @@
             clearing: false,
             going: false,
             paced_at: 0,
+            doubted: false,
+            dc_suspected: false,
             faults: 0.0,
             dones: 0.0,
         }
@@ -171,6 +177,8 @@
             && !self.info.draining
             && !self.clearing
             && !self.going
+            && !self.doubted
+            && !self.dc_suspected
             && self.clock.is_some()
     }
 
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -153,7 +153,10 @@
             executor.holding = false;
         }
         match answer {
-            Ok(answer) => self.account(index, sent_at, answer, now),
+            Ok(answer) => {
+                self.heard(index);
+                self.account(index, sent_at, answer, now);
+            }
             Err(why) => {
                 if !self.ends::<()>(index, Err(why), now) {
                     self.unanswered(index, main, now);
@@ -177,6 +180,7 @@
             executor.silent_since = now;
             self.count("executors_silent");
         }
+        self.doubted(index);
     }
 
     /// Takes in an executor's account of itself.
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -4,7 +4,8 @@
 What is done with it has modules of its own: `requests` answers clients,
 `holds` takes in what executors report, `runs` follows single runs to their
 ends, `place` chooses what starts where, `gangs` does so for
-gangs, `due` knows which executors to look at, `advise` spreads the calls for
+gangs, `domains` finds data centres that are out of reach, `due` knows
+which executors to look at, `advise` spreads the calls for
 advice over all nodes, `commit` groups what has to be written, `records` knows
 what of it still matters, `pace` slows tasks that fill beside tasks that serve,
 `waves` takes machines down for their upkeep, and `restore` takes over from a
@@ -25,6 +26,7 @@
 
 mod advise;
 mod commit;
+mod domains;
 mod due;
 mod gangs;
 mod holds;
@@ -39,6 +41,7 @@
 
 use self::advise::{Advisor, Call};
 use self::commit::CommitQueue;
+use self::domains::Domains;
 use self::due::DueHolds;
 use self::live::Live;
 use self::waves::Machines;
@@ -115,6 +118,7 @@
     shares: BTreeMap<String, f64>,
     commits: CommitQueue,
     machines: Machines,
+    domains: Domains,
     /// Until when what a predecessor ordered may be unknown, if it may.
     unsettled: Option<Millis>,
     /// When the store was last asked and confirmed that nobody else leads.
@@ -136,6 +140,7 @@
             next_run: config.token * RUNS_PER_TOKEN,
             commits: CommitQueue::new(config.token),
             machines: Machines::default(),
+            domains: Domains::default(),
             config,
             policy: Arc::default(),
             queues: BTreeMap::new(),
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -93,6 +93,7 @@
                     on.phase = Phase::Running;
                 }
                 self.begun(task);
+                self.heard(index);
             }
             Err(OrderFailure::Unknown) => {
                 // If it has arrived, the next account shows it.
@@ -100,6 +101,7 @@
                 executor.probe = true;
                 self.due_holds.touch(index);
                 self.count("starts_unknown");
+                self.doubted(index);
             }
             Err(why) => {
                 self.count(match why {
--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -287,3 +287,39 @@
     assert_eq!(world.state(1), Some(JobState::Succeeded));
     world.check();
 }
+
+/// Each executor of a data centre that was cut off was found out by an
+/// unanswered start of its own, and each such start left a task in doubt
+/// until the cut was over.
+#[test]
+fn a_data_centre_that_is_cut_off_takes_few_tasks_with_it() {
+    let mut world = World::new(8);
+    for executor in &mut world.executors[4..] {
+        executor.info.dc = "e".into();
+    }
+    world.tell_all();
+    world.run(100);
+    for executor in &mut world.executors[4..] {
+        executor.cut = true;
+    }
+    for id in 1..=60 {
+        world.submit(job(id, "urgent", vec![step(4, room(500, 100))]));
+        world.run(50);
+    }
+    let waits = |(_, state): &(u64, Option<JobState>)| {
+        *state != Some(JobState::Succeeded)
+    };
+    world.run(2 * WORK);
+    let states = (1..=60).map(|id| (id, world.state(id)));
+    let stranded =
+        states.collect::<Vec<_>>().iter().filter(|s| waits(s)).count();
+    assert!(stranded <= 8, "{stranded} jobs wait");
+    for executor in &mut world.executors[4..] {
+        executor.cut = false;
+    }
+    world.run(LEASE + 2_000);
+    for id in 1..=60 {
+        assert_eq!(world.state(id), Some(JobState::Succeeded));
+    }
+    world.check();
+}
