Overdue advice is asked of another node

Change: a call is overdue half its time and 200 ms after it should be answered; then another node makes it, and the first one gets none for 1.5 s. The slack doubles with each overdue call and shrinks with each answer, so that a service slower than it says is not asked twice.

Test: overdue_advice_is_asked_of_another_node.

--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -36,8 +36,22 @@
 const FIRST_SHARE: f64 = 0.4;
 /// A ticket is used only if it holds for this long still.
 const TICKET_MARGIN: Millis = 100;
-/// A call without answer is given up after this time; nodes give up before.
-const OVERDUE: Millis = 6_000;
+/// A call is overdue if it is not answered this long after its time, in
+/// milliseconds: some round trips, and a slice of a busy processor.
+const OVERDUE: Millis = 200;
+/// The same in shares of its time, which is only what the service says.
+const OVERDUE_SHARE: f64 = 0.5;
+/// By how much the slack grows with each call that is overdue: the service
+/// may be slower than it says.
+const SLACK_GROWS: f64 = 2.0;
+/// By how much it shrinks with each answer.
+const SLACK_SHRINKS: f64 = 0.9;
+/// The most that it grows to; the slack is then over three seconds, longer
+/// than clients wait for anything.
+const MOST_SLACK: f64 = 16.0;
+/// A node whose call was overdue gets none for this time, in milliseconds. A
+/// link to a node that is out of reach is given up sooner.
+const AVOIDED: Millis = 1_500;
 /// The time until a call that failed is made again.
 const CALL_AGAIN: Millis = 100;
 
@@ -48,6 +62,14 @@
     busy_until: Millis,
     /// Its calls that are under way.
     calls: usize,
+    /// It gets no calls until then.
+    avoided_until: Millis,
+}
+
+impl Advisor {
+    fn avoided(&self, now: Millis) -> bool {
+        self.avoided_until > now
+    }
 }
 
 /// A call for advice.
@@ -195,8 +217,8 @@
         self.calls.insert(self.next_call, call);
     }
 
-    /// Gives up calls whose answers never came: a node may have lost them
-    /// with its link.
+    /// Gives up calls whose answers have not come in time, and has other
+    /// nodes make them: a node may be out of reach, or have lost its link.
     pub(super) fn expire_advice(&mut self, now: Millis) {
         let over = self
             .calls
@@ -204,6 +226,13 @@
             .filter(|(_, call)| call.advisor.is_some() && call.overdue < now);
         let over: Vec<CallId> = over.map(|(id, _)| *id).collect();
         for id in over {
+            let name = self.calls[&id].advisor.clone().unwrap_or_default();
+            if let Some(advisor) = self.advisors.get_mut(&name) {
+                advisor.avoided_until = now + AVOIDED;
+            }
+            self.advice_slack =
+                (self.advice_slack * SLACK_GROWS).min(MOST_SLACK);
+            self.count("advice_overdue");
             self.advised(id, Err(AdviceFailure::Unknown), now);
         }
     }
@@ -266,7 +295,6 @@
     ) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.advisor = Some(name.clone());
-        call.overdue = now + OVERDUE;
         let key = call.step;
         let asked = call.executors.clone();
         let known = asked.iter().filter_map(|i| self.executors.get(i));
@@ -274,6 +302,12 @@
         let advisor = self.advisors.entry(name.clone()).or_default();
         advisor.calls += 1;
         advisor.busy_until = advisor.busy_until.max(now) + cost;
+        let time = advisor.busy_until - now;
+        let slack = time as f64 * OVERDUE_SHARE + OVERDUE as f64;
+        let slack = (slack * self.advice_slack) as Millis;
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.overdue = advisor.busy_until + slack;
+        }
         let live = self.jobs.get_mut(&key.job);
         let state = live.and_then(|l| l.steps.get_mut(&(key.time, key.step)));
         if let Some(state) = state {
@@ -346,10 +380,12 @@
         let all = self.advisors.len();
         let kept = if long { short_lane(all) } else { 0 };
         let most = if long { 1 } else { PER_ADVISOR };
+        let all_avoided = self.advisors.values().all(|a| a.avoided(now));
         self.advisors
             .iter()
             .skip(kept)
             .filter(|(_, advisor)| advisor.calls < most)
+            .filter(|(_, advisor)| all_avoided || !advisor.avoided(now))
             .filter(|(_, advisor)| {
                 long || advisor.busy_until < now + SOON || all == 1
             })
@@ -379,13 +415,16 @@
         let advice = &mut state.advice;
         let rows = match answer {
             Ok(rows) => rows,
-            Err(_) => {
+            Err(failure) => {
                 self.count("advice_failed");
-                call.not_before = now + CALL_AGAIN;
+                let busy = failure == AdviceFailure::Busy;
+                call.not_before = now + if busy { CALL_AGAIN } else { 0 };
                 self.calls.insert(id, call);
                 return;
             }
         };
+        let shrunk = self.advice_slack * SLACK_SHRINKS;
+        self.advice_slack = shrunk.max(1.0);
         advice.call = None;
         advice.known = true;
         let until = now + call.cost.valid.saturating_sub(TICKET_MARGIN);
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -114,6 +114,8 @@
     advisors: BTreeMap<String, Advisor>,
     calls: BTreeMap<CallId, Call>,
     next_call: CallId,
+    /// By how much more calls for advice are waited for than usual.
+    advice_slack: f64,
     /// The share of executors that may run the steps of a queue.
     shares: BTreeMap<String, f64>,
     commits: CommitQueue,
@@ -157,6 +159,7 @@
             advisors: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: 0,
+            advice_slack: 1.0,
             shares: BTreeMap::new(),
             unsettled: None,
             confirmed: 0,
--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -323,3 +323,18 @@
     }
     world.check();
 }
+
+/// Advice that was asked through a node out of reach was waited for until the
+/// link to it was given up.
+#[test]
+fn overdue_advice_is_asked_of_another_node() {
+    let mut world = World::new(2);
+    let nodes = vec!["a".to_string(), "b".to_string()];
+    world.event(puffinknot_core::jobs::Event::Advisors(nodes));
+    world.run(50);
+    world.lost_advice = 1;
+    world.submit(job(1, "advised", vec![step(1, room(500, 100))]));
+    world.run(500 + WORK);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
