The way to a new leader is found sooner, and a dead one is replaced

Nodes try the leader and, every other time, one that may know it. Now a leader that was not tried yet comes first. 2. When the process of a leader was killed, its address refused connections at once, but the lead stayed vacant for the rest of its lease of a second. Now a node that finds nobody listening there claims the lead at the leader's revision, at most once in 8 s. What nobody fences (upkeep) a new leader orders only after a lease, so that a predecessor is done by then.

Tests: a_leader_that_was_just_heard_of_is_tried_first, a_leader_whose_process_is_gone_is_replaced_before_its_lease_is_over.

--- a/src/cell/channel.rs
+++ b/src/cell/channel.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tracing::debug;
 
 use crate::wire;
 
@@ -87,19 +88,41 @@
     }
 }
 
+/// Why a channel can't be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenError {
+    /// The machine answers, but nobody listens there: the process is gone.
+    NobodyListens,
+    /// There is no answer in time, or it breaks off.
+    Unreachable,
+}
+
 /// Opens a channel to another node.
 ///
 /// # Errors
 ///
 /// Why it can't be opened.
-pub async fn open(peer: SocketAddr) -> Result<(Sender, Receiver), String> {
+pub async fn open(peer: SocketAddr) -> Result<(Sender, Receiver), OpenError> {
     let opened = timeout(CONNECT_TIMEOUT, connect(peer)).await;
-    opened.unwrap_or_else(|_| Err("no connection in time".into()))
+    opened.unwrap_or(Err(OpenError::Unreachable))
+}
+
+async fn connect(peer: SocketAddr) -> Result<(Sender, Receiver), OpenError> {
+    let tcp = TcpStream::connect(peer).await.map_err(|err| {
+        if err.kind() == std::io::ErrorKind::ConnectionRefused {
+            OpenError::NobodyListens
+        } else {
+            OpenError::Unreachable
+        }
+    })?;
+    handshake(tcp).await.map_err(|problem| {
+        debug!(%peer, problem, "channel_not_opened");
+        OpenError::Unreachable
+    })
 }
 
-async fn connect(peer: SocketAddr) -> Result<(Sender, Receiver), String> {
+async fn handshake(tcp: TcpStream) -> Result<(Sender, Receiver), String> {
     let text = |err: &dyn std::fmt::Display| err.to_string();
-    let tcp = TcpStream::connect(peer).await.map_err(|e| text(&e))?;
     tcp.set_nodelay(true).map_err(|e| text(&e))?;
     let (client, connection) = h2::client::Builder::new()
         .initial_window_size(WINDOW)
--- a/src/cell/follow.rs
+++ b/src/cell/follow.rs
@@ -143,22 +143,13 @@
         match self.seat {
             Seat::Stale(_) => 1,
             _ if self.may_claim() => {
-                VACANT + self.deference() + rand::random_range(0..JITTER)
+                let deference = deference(&self.shared);
+                VACANT + deference + rand::random_range(0..JITTER)
             }
             _ => WATCH,
         }
     }
 
-    /// How much longer than others this node waits before it claims.
-    fn deference(&self) -> Millis {
-        let cpu = self.shared.settings.borrow().cpu_millis;
-        if cpu < LARGE_ENOUGH {
-            DEFERENCE
-        } else {
-            0
-        }
-    }
-
     fn may_claim(&self) -> bool {
         let vacant = matches!(self.seat, Seat::Vacant | Seat::Stale(_));
         vacant
@@ -226,6 +217,16 @@
     }
 }
 
+/// How much longer than others this node waits before it claims.
+fn deference<P: Platform>(shared: &Shared<P>) -> Millis {
+    let cpu = shared.settings.borrow().cpu_millis;
+    if cpu < LARGE_ENOUGH {
+        DEFERENCE
+    } else {
+        0
+    }
+}
+
 /// What came of a claim.
 enum Claimed {
     /// This node leads since this revision.
@@ -249,6 +250,26 @@
     claim(&shared, expected).await;
 }
 
+/// The process of the leader is gone, though its lease still runs: leads in
+/// its place, if no other node comes first. Its key is at `expected`.
+pub async fn replace_leader<P: Platform>(
+    shared: Rc<Shared<P>>,
+    expected: Revision,
+) {
+    if !shared.may_replace_leader() {
+        return;
+    }
+    let pause = deference(&shared) + rand::random_range(0..JITTER);
+    tokio::time::sleep(Duration::from_millis(pause)).await;
+    let known = shared.leader().map(|leader| leader.revision);
+    let leads = shared.lead.borrow().is_some();
+    if known != Some(expected) || leads || shared.draining.get() {
+        return;
+    }
+    shared.count("leaders_replaced");
+    claim(&shared, expected).await;
+}
+
 /// Claims the lead, and leads if the claim succeeds. The key of the leader
 /// must be at `expected`.
 async fn claim<P: Platform>(
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -201,6 +201,7 @@
         shared: shared.clone(),
         handle: handle.clone(),
         token,
+        begun: clock::mono(),
         lease: Rc::new(Cell::new(lease)),
         confirmed,
         executors: Rc::default(),
@@ -241,6 +242,8 @@
     handle: LeadHandle,
     journal: Rc<Journal<P>>,
     token: u64,
+    /// When its claim was made.
+    begun: Millis,
     lease: Rc<Cell<u64>>,
     /// When the last call was sent by which the store has confirmed that
     /// nobody else leads.
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -23,6 +23,9 @@
 use crate::cell::ports::{Hold, Platform, Start, Transaction};
 use crate::clock;
 
+/// The clocks of two machines run apart by one part in this many at most.
+const CLOCK_DRIFT: Millis = 50;
+
 /// Takes in how long an order took.
 fn learn<T>(
     patience: &Patience,
@@ -226,10 +229,14 @@
         let holder = self.shared.settings.borrow().node.clone();
         let confirmed = self.confirmed.get();
         let lease = self.shared.settings.borrow().leader_lease;
+        let begun = self.begun;
         actix_rt::spawn(async move {
             // Nobody may check the token of this call, so that it is made
-            // only while nobody else can lead.
-            let sure = clock::mono() < confirmed + lease;
+            // only while nobody else can lead: a predecessor may think so
+            // for the length of its lease after it was replaced.
+            let now = clock::mono();
+            let alone = now > begun + lease + lease / CLOCK_DRIFT;
+            let sure = alone && now < confirmed + lease;
             let answer = if sure {
                 platform.upkeep(&holder, token, &machine, wave).await
             } else {
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -22,12 +22,13 @@
 use tokio::time::{interval, sleep, timeout, Instant};
 use tracing::{info, warn};
 
-use crate::cell::channel::{self, Receiver, Sender};
-use crate::cell::follow::accept_lead;
+use crate::cell::channel::{self, OpenError, Receiver, Sender};
+use crate::cell::follow::{accept_lead, replace_leader};
 use crate::cell::lead::LeadHandle;
 use crate::cell::node::Shared;
 use crate::cell::ports::{Leader, Platform};
 use crate::cell::reach;
+use crate::cell::search::Search;
 
 /// How often a node tells the leader that it is there.
 const PING: Duration = Duration::from_millis(350);
@@ -132,40 +133,30 @@
 
 /// Keeps a channel to the leader, for ever.
 pub async fn keep<P: Platform>(shared: Rc<Shared<P>>) {
-    let mut others = 0;
+    let mut search = Search::default();
     loop {
         if shared.lead.borrow().is_some() {
             let _ = timeout(PAUSE, shared.leader_changed.notified()).await;
             continue;
         }
-        let target = target(&shared, &mut others);
-        if let Some(address) = target {
+        if let Some(address) = target(&shared, &mut search) {
             connect(&shared, address).await;
         }
         let _ = timeout(PAUSE, shared.leader_changed.notified()).await;
     }
 }
 
-/// The leader, and every other time one of the nodes that may know it.
+/// The node to be tried next on the way to the leader.
 fn target<P: Platform>(
     shared: &Shared<P>,
-    turn: &mut usize,
+    search: &mut Search,
 ) -> Option<SocketAddr> {
     let own = shared.settings.borrow().control;
-    *turn += 1;
-    if *turn % 2 == 1 {
-        let leader = shared.leader().map(|leader| leader.address);
-        if let Some(address) = leader.filter(|address| *address != own) {
-            return Some(address);
-        }
-    }
+    let leader = shared.leader().filter(|leader| leader.address != own);
     let peers = shared.peers.borrow();
     let others: Vec<SocketAddr> =
         peers.iter().copied().filter(|peer| *peer != own).collect();
-    if others.is_empty() {
-        return None;
-    }
-    others.get((*turn / 2) % others.len()).copied()
+    search.next(leader.as_ref(), &others)
 }
 
 /// Waits until another leader is known than now, at another address.
@@ -182,6 +173,15 @@
     }
 }
 
+/// Nobody listens at an address. If it is the leader's, its process is gone
+/// while its lease still runs; this node may lead in its place.
+fn nobody_listens<P: Platform>(shared: &Rc<Shared<P>>, address: SocketAddr) {
+    let Some(leader) = shared.leader() else { return };
+    if leader.address == address {
+        actix_rt::spawn(replace_leader(shared.clone(), leader.revision));
+    }
+}
+
 async fn connect<P: Platform>(shared: &Rc<Shared<P>>, address: SocketAddr) {
     let opened = tokio::select! {
         opened = channel::open(address) => opened,
@@ -191,7 +191,13 @@
         // What was tried while the node was cut off may never succeed.
         () = shared.reach.regained() => return,
     };
-    let Ok((sender, mut receiver)) = opened else { return };
+    let (sender, mut receiver) = match opened {
+        Ok(channel) => channel,
+        Err(OpenError::NobodyListens) => {
+            return nobody_listens(shared, address)
+        }
+        Err(OpenError::Unreachable) => return,
+    };
     let hello = {
         let settings = shared.settings.borrow();
         ToLeader::Hello {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -13,6 +13,8 @@
 * [`store`] makes calls to the store with as much patience as it needs.
 * [`journal`] writes the leader's changes, each under a condition.
 * [`link`] carries requests to the leader; [`channel`] is what it uses.
+* [`reach`] knows whether this node can serve clients, and [`search`] whom to
+  try on the way to the leader.
 * [`logs`] and [`stats`] are what on-call engineers look at.
 * [`decisions`] logs what the leader decides, and from what.
 * [`ingress`] answers clients, and whoever asks whether the node is ready.
@@ -29,6 +31,7 @@
 pub mod node;
 pub mod ports;
 pub mod reach;
+pub mod search;
 pub mod stats;
 pub mod store;
 
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -28,6 +28,7 @@
 use crate::cell::stats::Stats;
 use crate::cell::store::Store;
 use crate::cell::{follow, ingress};
+use crate::clock;
 use crate::error::{Error, ErrorKind, Result};
 
 /// What a node is told at its start.
@@ -70,6 +71,9 @@
 const ASK_AGAIN: Duration = Duration::from_millis(20);
 /// When a client is to come back if nobody leads, in milliseconds.
 const NO_LEADER: Millis = 1_000;
+/// The time until a node may again replace a leader whose lease still runs,
+/// in milliseconds. Longer than a cut that only this node sees should last.
+const REPLACE_AGAIN: Millis = 8_000;
 /// At a planned stop, requests are taken for this part of the time for it.
 const DRAIN_PART: f64 = 0.6;
 
@@ -93,6 +97,8 @@
     pub leader_changed: Notify,
     /// Whether a claim of this node is under way.
     pub claiming: Cell<bool>,
+    /// When this node may replace a leader whose lease still runs.
+    replaces_from: Cell<Millis>,
     /// The way to the scheduler, while this node leads.
     pub lead: RefCell<Option<LeadHandle>>,
     /// The way to the leader, while another node leads.
@@ -123,6 +129,7 @@
             waves: RefCell::default(),
             leader_changed: Notify::new(),
             claiming: Cell::new(false),
+            replaces_from: Cell::new(0),
             lead: RefCell::default(),
             link: RefCell::default(),
             reach: Reach::default(),
@@ -294,6 +301,17 @@
         }
     }
 
+    /// Whether this node may replace a leader whose lease still runs. Not
+    /// often: that nobody listens there may be true only of its own way.
+    pub fn may_replace_leader(&self) -> bool {
+        let now = clock::mono();
+        let may = now >= self.replaces_from.get();
+        if may {
+            self.replaces_from.set(now + REPLACE_AGAIN);
+        }
+        may
+    }
+
     fn give_up(&self, sent: bool) -> Outcome {
         if sent {
             self.count("unknown_no_answer");
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -10,3 +10,4 @@
 mod patience;
 mod processes;
 mod regression;
+mod search;
