Executors that fail what they run are kept from running

Change: a circuit breaker for each executor (jobs::health). Three failures in a row trip it, of tasks that had not failed before, so that a poisoned task condemns nobody; then one run at a time tries it, after 1 s, doubled up to 8. At most a quarter of a service is kept out. A gang takes executors on which it has failed last. The fading counts are gone.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -8,6 +8,7 @@
 
 use crate::config::Resources;
 use crate::ids::Millis;
+use crate::jobs::health::Health;
 use crate::jobs::model::{StepKey, TaskKey};
 
 /// What an executor says of itself in the store.
@@ -31,11 +32,6 @@
     pub remaining: Option<Millis>,
 }
 
-/// An executor with fewer failures than this is not suspected.
-const SUSPECT_FAULTS: f64 = 2.5;
-/// What is left of past failures after a tick.
-const FADING: f64 = 0.985;
-
 /// Where a run is in its life on an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -126,10 +122,8 @@
     pub doubted: bool,
     /// Its whole data centre may be out of reach.
     pub dc_suspected: bool,
-    /// Ends of runs there that failed lately; it fades.
-    pub faults: f64,
-    /// Ends of runs there that were done lately; it fades.
-    pub dones: f64,
+    /// Whether runs there end well.
+    pub health: Health,
 }
 
 impl Executor {
@@ -158,8 +152,7 @@
             paced_at: 0,
             doubted: false,
             dc_suspected: false,
-            faults: 0.0,
-            dones: 0.0,
+            health: Health::default(),
         }
     }
 
@@ -220,17 +213,6 @@
         self.free = self.info.capacity.minus(&used);
     }
 
-    /// Whether most of what it ran lately has failed.
-    pub fn suspect(&self) -> bool {
-        self.faults >= SUSPECT_FAULTS && self.faults > self.dones
-    }
-
-    /// Lets what has happened fade, once for each tick.
-    pub fn fade(&mut self) {
-        self.faults *= FADING;
-        self.dones *= FADING;
-    }
-
     /// Whether it bears a label.
     pub fn has_label(&self, label: &str) -> bool {
         self.info.labels.iter().any(|l| l == label)
--- /dev/null
+++ b/puffinknot-core/src/jobs/mechanism.rs
@@ -0,0 +1,117 @@
+/*!
+The mechanisms that decide, each of which can be switched off.
+
+That is for measuring what each of them is worth; docs/ABLATION.md has the
+figures. A cell is run with all of them.
+*/
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::str::FromStr;
+
+/// A mechanism that can be switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Mechanism {
+    /// Steps are placed by the end of their objective; else by arrival.
+    OrderByObjective,
+    /// Tasks go where least is left over; else where there is room.
+    BestFit,
+    /// Gangs that wait get room kept for them.
+    RoomForGangs,
+    /// Tickets are asked for before the room is free.
+    TicketsAhead,
+    /// Calls for advice ask about fewer executors when nodes are scarce.
+    ShorterAdvice,
+    /// Some nodes are kept free of long calls for advice.
+    ShortLane,
+    /// Overdue calls for advice are made by other nodes.
+    OverdueAdvice,
+    /// An executor with an unanswered order gets no starts.
+    DoubtedExecutors,
+    /// A data centre that falls silent gets no starts.
+    SuspectedDcs,
+    /// Executors that fail what they run get no starts.
+    Breaker,
+    /// A task avoids executors on which its step has failed.
+    FailedThere,
+    /// Answers of executors are waited for by their round trips.
+    OrderPatience,
+    /// A node that can serve nobody is not ready.
+    Readiness,
+    /// A node that is cut off answers at once.
+    CutOffAnswers,
+    /// What hung while the store was away is made again at its return.
+    MadeAgain,
+    /// A leader whose process is gone is replaced before its lease ends.
+    ReplacedLeader,
+    /// A leader that the store turns away offers the lead.
+    OfferedLead,
+    /// Larger machines are preferred to lead.
+    LargerLeader,
+}
+
+use Mechanism::*;
+
+/// All mechanisms and their names.
+const NAMES: [(Mechanism, &str); 18] = [
+    (OrderByObjective, "order-by-objective"),
+    (BestFit, "best-fit"),
+    (RoomForGangs, "room-for-gangs"),
+    (TicketsAhead, "tickets-ahead"),
+    (ShorterAdvice, "shorter-advice"),
+    (ShortLane, "short-lane"),
+    (OverdueAdvice, "overdue-advice"),
+    (DoubtedExecutors, "doubted-executors"),
+    (SuspectedDcs, "suspected-dcs"),
+    (Breaker, "breaker"),
+    (FailedThere, "failed-there"),
+    (OrderPatience, "order-patience"),
+    (Readiness, "readiness"),
+    (CutOffAnswers, "cut-off-answers"),
+    (MadeAgain, "made-again"),
+    (ReplacedLeader, "replaced-leader"),
+    (OfferedLead, "offered-lead"),
+    (LargerLeader, "larger-leader"),
+];
+
+impl Mechanism {
+    /// All of them.
+    pub fn all() -> impl Iterator<Item = Mechanism> {
+        NAMES.iter().map(|(mechanism, _)| *mechanism)
+    }
+}
+
+impl fmt::Display for Mechanism {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = NAMES.iter().find(|(mechanism, _)| mechanism == self);
+        f.write_str(name.map_or("unnamed", |(_, name)| name))
+    }
+}
+
+impl FromStr for Mechanism {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Mechanism, String> {
+        let known = NAMES.iter().find(|(_, name)| *name == text);
+        known.map(|(mechanism, _)| *mechanism).ok_or_else(|| {
+            let names: Vec<&str> = NAMES.iter().map(|(_, n)| *n).collect();
+            format!("no mechanism {text}; give one of {}", names.join(", "))
+        })
+    }
+}
+
+/// Which mechanisms are switched off.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Without(BTreeSet<Mechanism>);
+
+impl Without {
+    /// Without these.
+    pub fn new(off: impl IntoIterator<Item = Mechanism>) -> Without {
+        Without(off.into_iter().collect())
+    }
+
+    /// Whether a mechanism is on.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        !self.0.contains(&mechanism)
+    }
+}
--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -21,6 +21,8 @@
 
 pub mod executor;
 mod executors;
+pub mod health;
+pub mod mechanism;
 pub mod message;
 pub mod model;
 pub mod policy;
@@ -28,6 +30,7 @@
 pub mod scheduler;
 
 pub use self::executor::ExecutorInfo;
+pub use self::mechanism::{Mechanism, Without};
 pub use self::message::{
     Action, AdviceFailure, AdviceRow, Change, EndKind, EndRow, Event,
     HoldAnswer, MachineInfo, MachineState, OrderFailure, Outcome, Request,
--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -8,6 +8,7 @@
 */
 
 use crate::ids::Millis;
+use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{
     Action, AdviceFailure, AdviceRow, CallId, ExecutorIndex,
 };
@@ -41,6 +42,9 @@
 const OVERDUE: Millis = 200;
 /// The same in shares of its time, which is only what the service says.
 const OVERDUE_SHARE: f64 = 0.5;
+/// A call is given up after this time in any case, in milliseconds; nodes
+/// give up before.
+const NEVER_ANSWERED: Millis = 6_000;
 /// By how much the slack grows with each call that is overdue: the service
 /// may be slower than it says.
 const SLACK_GROWS: f64 = 2.0;
@@ -260,7 +264,8 @@
             .map(|(id, call)| (!call.urgent, call.deadline, *id))
             .collect();
         open.sort_unstable();
-        let crowded = open.len() > CROWDED * self.advisors.len();
+        let crowded = open.len() > CROWDED * self.advisors.len()
+            && self.has(Mechanism::ShorterAdvice);
         let mut full = Full::default();
         for (_, _, id) in open {
             if full.all() {
@@ -306,7 +311,11 @@
         let slack = time as f64 * OVERDUE_SHARE + OVERDUE as f64;
         let slack = (slack * self.advice_slack) as Millis;
         if let Some(call) = self.calls.get_mut(&id) {
-            call.overdue = advisor.busy_until + slack;
+            if self.config.without.has(Mechanism::OverdueAdvice) {
+                call.overdue = advisor.busy_until + slack;
+            } else {
+                call.overdue = now + NEVER_ANSWERED;
+            }
         }
         let live = self.jobs.get_mut(&key.job);
         let state = live.and_then(|l| l.steps.get_mut(&(key.time, key.step)));
@@ -378,7 +387,8 @@
     /// The node that answers first, of those that take such a call.
     fn free_advisor(&self, long: bool, now: Millis) -> Option<String> {
         let all = self.advisors.len();
-        let kept = if long { short_lane(all) } else { 0 };
+        let lane = long && self.has(Mechanism::ShortLane);
+        let kept = if lane { short_lane(all) } else { 0 };
         let most = if long { 1 } else { PER_ADVISOR };
         let all_avoided = self.advisors.values().all(|a| a.avoided(now));
         self.advisors
--- a/puffinknot-core/src/jobs/scheduler/domains.rs
+++ b/puffinknot-core/src/jobs/scheduler/domains.rs
@@ -11,6 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::jobs::executor::Executor;
+use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::scheduler::Scheduler;
 
@@ -69,9 +70,11 @@
     /// An executor has left an order unanswered: nothing more is started
     /// there until it answers.
     pub(super) fn doubted(&mut self, index: ExecutorIndex) {
+        let by_dc = self.has(Mechanism::SuspectedDcs);
+        let by_executor = self.has(Mechanism::DoubtedExecutors);
         let Some(executor) = self.executors.get_mut(&index) else { return };
-        executor.doubted = true;
-        if self.domains.doubted(&executor.info.dc, index) {
+        executor.doubted = by_executor;
+        if by_dc && self.domains.doubted(&executor.info.dc, index) {
             let dc = executor.info.dc.clone();
             self.suspect_dc(&dc, true);
             self.count("dcs_suspected");
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -6,13 +6,15 @@
 them only if they should end before.
 */
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::config::Resources;
 use crate::ids::Millis;
 use crate::jobs::executor::Executor;
+use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::model::{JobId, Step, StepKey};
+use crate::jobs::scheduler::live::StepRun;
 use crate::jobs::scheduler::place::{times, Kept};
 use crate::jobs::scheduler::Scheduler;
 
@@ -43,8 +45,11 @@
         let Some(live) = self.jobs.get(&key.job) else { return true };
         let step = live.job.steps[key.step as usize].clone();
         let state = live.steps.get(&(key.time, key.step));
-        if state.is_none_or(|s| s.waiting.len() as u32 != step.count) {
-            return true;
+        let waiting = |s: &&StepRun| s.waiting.len() as u32 == step.count;
+        let Some(state) = state.filter(waiting) else { return true };
+        let mut failed_on = state.failed_on.clone();
+        if !self.has(Mechanism::FailedThere) {
+            failed_on.clear();
         }
         let candidates = self.candidates(key, now);
         let ends = now + step.estimate;
@@ -64,7 +69,8 @@
         let free = |at: ExecutorIndex| {
             self.executors.get(&at).map(reserved).unwrap_or_default()
         };
-        if let Some(plan) = self.plan(&step, &open, &holds, free) {
+        let plan = self.plan(&step, &open, &holds, &failed_on, free);
+        if let Some(plan) = plan {
             let fresh = plan.iter().all(|(at, _)| holds[at]);
             if fresh {
                 self.unreserve(key);
@@ -89,14 +95,15 @@
         false
     }
 
-    /// How to spread a gang over these executors, if it fits. Those where a
-    /// ticket holds come first: while others are asked about, the best
+    /// How to spread a gang over these executors, if it fits. Those where it
+    /// has failed come last, and those where a ticket holds first: while others are asked about, the best
     /// change, and the gang would never have all tickets at one time.
     fn plan(
         &self,
         step: &Step,
         executors: &[ExecutorIndex],
         holds: &BTreeMap<ExecutorIndex, bool>,
+        failed_on: &BTreeSet<ExecutorIndex>,
         free: impl Fn(ExecutorIndex) -> Resources,
     ) -> Option<Plan> {
         let mut fits: Vec<((bool, bool, u64), ExecutorIndex, u32)> = executors
@@ -108,10 +115,9 @@
                     count = count.min(step.max_per_executor);
                 }
                 let left = room.minus(&step.room().times(count));
-                let executor = self.executors.get(&at);
-                let suspect = executor.is_some_and(Executor::suspect);
+                let again = failed_on.contains(&at);
                 let stale = !holds.get(&at).copied().unwrap_or(false);
-                let order = (suspect, stale, u64::from(left.cpu_millis));
+                let order = (again, stale, u64::from(left.cpu_millis));
                 (count > 0).then_some((order, at, count))
             })
             .collect();
@@ -255,7 +261,7 @@
             left = left.saturating_sub(count);
             chosen.push(at);
         }
-        if may_ask {
+        if may_ask && self.has(Mechanism::TicketsAhead) {
             self.refresh_ahead(key, chosen, when, now);
         }
     }
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -5,7 +5,7 @@
 use crate::ids::Millis;
 use crate::jobs::executor::{Contact, Executor, ExecutorInfo, Phase, RunOn};
 use crate::jobs::message::{
-    Action, EndKind, EndRow, ExecutorIndex, HoldAnswer, OrderFailure, RunRow,
+    Action, EndRow, ExecutorIndex, HoldAnswer, OrderFailure, RunRow,
 };
 use crate::jobs::model::TaskKey;
 use crate::jobs::scheduler::Scheduler;
@@ -213,7 +213,7 @@
             if let Some(executor) = self.executors.get_mut(&index) {
                 executor.taken = executor.taken.max(end.number);
             }
-            self.run_ended(index, end);
+            self.run_ended(index, end, now);
         }
         for row in &answer.running {
             self.run_seen(index, row, now);
@@ -323,15 +323,9 @@
     }
 
     /// An executor reports the end of a run.
-    fn run_ended(&mut self, index: ExecutorIndex, end: EndRow) {
+    fn run_ended(&mut self, index: ExecutorIndex, end: EndRow, now: Millis) {
         self.begun(end.task);
-        if let Some(executor) = self.executors.get_mut(&index) {
-            match end.how {
-                EndKind::Done => executor.dones += 1.0,
-                EndKind::Failed => executor.faults += 1.0,
-                _ => {}
-            }
-        }
+        self.judge(index, &end, now);
         self.vacate(index, end.task, end.run, Some(&end));
     }
 
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -4,7 +4,8 @@
 What is done with it has modules of its own: `requests` answers clients,
 `holds` takes in what executors report, `runs` follows single runs to their
 ends, `place` chooses what starts where, `gangs` does so for
-gangs, `domains` finds data centres that are out of reach, `due` knows
+gangs, `domains` finds data centres that are out of reach, `judge` executors
+that fail what they run, `due` knows
 which executors to look at, `advise` spreads the calls for
 advice over all nodes, `commit` groups what has to be written, `records` knows
 what of it still matters, `pace` slows tasks that fill beside tasks that serve,
@@ -18,6 +19,7 @@
 use crate::ids::Millis;
 use crate::jobs::executor::Executor;
 use crate::jobs::executors::Executors;
+use crate::jobs::mechanism::{Mechanism, Without};
 use crate::jobs::message::{
     Action, CallId, Event, ExecutorIndex, Outcome, RequestId,
 };
@@ -30,6 +32,7 @@
 mod due;
 mod gangs;
 mod holds;
+mod judge;
 mod live;
 mod pace;
 mod place;
@@ -62,6 +65,8 @@
     pub advice_batch: usize,
     /// The least time between two writes to the store, in milliseconds.
     pub commit_gap: Millis,
+    /// The mechanisms that are switched off.
+    pub without: Without,
 }
 
 /// The jobs that have ended, as long as they have to be known.
@@ -257,9 +262,6 @@
 
     fn tick(&mut self, now: Millis) {
         self.ended.forget(now);
-        for executor in self.executors.values_mut() {
-            executor.fade();
-        }
         self.expire(now);
         self.expire_advice(now);
         self.repeat_stops(now);
@@ -285,6 +287,11 @@
         self.executors.get(&index)
     }
 
+    /// Whether a mechanism is on.
+    fn has(&self, mechanism: Mechanism) -> bool {
+        self.config.without.has(mechanism)
+    }
+
     fn count(&mut self, name: &'static str) {
         *self.counters.entry(name).or_default() += 1;
     }
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -11,6 +11,7 @@
 use crate::config::Resources;
 use crate::ids::Millis;
 use crate::jobs::executor::Executor;
+use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::model::{Step, StepKey};
 use crate::jobs::scheduler::live::{Live, StepRun};
@@ -21,8 +22,6 @@
 /// An executor on which a run of the step has failed is as bad as so many
 /// thousandths of an executor left over.
 const FAILED_THERE: u64 = 6_000;
-/// The same for one on which most runs fail.
-const SUSPECT: u64 = 8_000;
 /// If more steps than this wait that are not urgent, they are looked at only
 /// so often.
 const FEW_WAIT: usize = 8;
@@ -43,7 +42,8 @@
             .iter()
             .filter_map(|key| {
                 let live = self.jobs.get(&key.job)?;
-                Some((rank(live, now), *key))
+                let by_objective = self.has(Mechanism::OrderByObjective);
+                Some((rank(live, by_objective, now), *key))
             })
             .collect();
         let patient = order.iter().filter(|(rank, _)| rank.0 > 0).count();
@@ -63,7 +63,9 @@
             }
             let gang = self.step(key).is_some_and(|s| s.gang && s.count > 1);
             if gang {
-                let keep = !urgent && plans < MAX_PLANS;
+                let keep = !urgent
+                    && plans < MAX_PLANS
+                    && self.has(Mechanism::RoomForGangs);
                 if !self.place_gang(key, &mut kept, keep, urgent, now) {
                     plans += 1;
                 }
@@ -109,6 +111,7 @@
         let label = step.label.as_deref();
         let may = |executor: &Executor| {
             executor.usable()
+                && executor.health.admits(now)
                 && executor.info.service == live.queue.service
                 && label.is_none_or(|label| executor.has_label(label))
         };
@@ -170,7 +173,10 @@
         for (index, _) in state.places.values() {
             *on.entry(*index).or_default() += 1;
         }
-        let failed_on = state.failed_on.clone();
+        let mut failed_on = state.failed_on.clone();
+        if !self.has(Mechanism::FailedThere) {
+            failed_on.clear();
+        }
         let candidates = self.candidates(key, now);
         let ends = now + step.estimate;
         let mut stale = false;
@@ -182,6 +188,7 @@
                 let most = step.max_per_executor;
                 let open = urgent || kept.get(at).is_none_or(|&t| ends <= t);
                 open && executor.free.fits(&step.room())
+                    && executor.health.admits(now)
                     && (most == 0 || on.get(at).copied().unwrap_or(0) < most)
             });
             let mut best: Option<(u64, ExecutorIndex)> = None;
@@ -228,6 +235,9 @@
     /// tasks find room elsewhere. The wrong rack counts as much as a whole
     /// executor.
     fn leftover(&self, at: ExecutorIndex, step: &Step) -> u64 {
+        if !self.has(Mechanism::BestFit) {
+            return 0;
+        }
         let Some(executor) = self.executors.get(&at) else { return u64::MAX };
         let left = executor.free.minus(&step.room());
         let whole = executor.info.capacity;
@@ -238,9 +248,7 @@
             Some(rack) if !executor.has_label(rack) => 2_000,
             _ => 0,
         };
-        let suspect = if executor.suspect() { SUSPECT } else { 0 };
-        suspect
-            + part(left.cpu_millis, whole.cpu_millis)
+        part(left.cpu_millis, whole.cpu_millis)
             + part(left.memory_mb, whole.memory_mb)
             + far
     }
@@ -258,8 +266,15 @@
 
 /// The order of steps: urgent queues, then objectives that can be met, then
 /// the others; each by the end of its objective.
-fn rank(live: &Live, now: Millis) -> (u32, bool, Millis, u64) {
+fn rank(
+    live: &Live,
+    by_objective: bool,
+    now: Millis,
+) -> (u32, bool, Millis, u64) {
     let urgency = live.queue.priority.min(1);
+    if !by_objective {
+        return (urgency, false, 0, live.arrival);
+    }
     let late = live.deadline < now;
     (urgency, late, live.deadline, live.arrival)
 }
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -42,6 +42,7 @@
         // Its end is wanted at once, also if it was idle and left alone.
         executor.next_hold = executor.next_hold.min(now);
         self.due_holds.touch(index);
+        executor.health.started(now);
         executor.put(
             task,
             RunOn {
--- a/src/cell/follow.rs
+++ b/src/cell/follow.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use puffinknot_core::ids::{Millis, Revision};
+use puffinknot_core::jobs::Mechanism;
 use serde::{Deserialize, Serialize};
 use tracing::{info, warn};
 
@@ -220,7 +221,7 @@
 /// How much longer than others this node waits before it claims.
 fn deference<P: Platform>(shared: &Shared<P>) -> Millis {
     let cpu = shared.settings.borrow().cpu_millis;
-    if cpu < LARGE_ENOUGH {
+    if cpu < LARGE_ENOUGH && shared.has(Mechanism::LargerLeader) {
         DEFERENCE
     } else {
         0
--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -79,7 +79,7 @@
         let known = request.path() == shared.platform.ready_path();
         let ready = shared.policy().is_some()
             && !shared.draining.get()
-            && reach::serves(&shared);
+            && reach::is_ready(&shared);
         let status = match (known, ready) {
             (false, _) => StatusCode::NOT_FOUND,
             (true, true) => StatusCode::OK,
@@ -118,7 +118,7 @@
             shared.under_way.set(shared.under_way.get() + 1);
             let answer = answer(&shared, request).await;
             shared.under_way.set(shared.under_way.get() - 1);
-            let close = shared.draining.get() || !reach::serves(&shared);
+            let close = shared.draining.get() || !reach::is_ready(&shared);
             render(answer, close)
         }
     })
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -17,8 +17,8 @@
     AdviceFailure, AdviceRow, CallId, ExecutorIndex,
 };
 use puffinknot_core::jobs::{
-    Event, ExecutorInfo, Outcome, Policy, Request, RequestId, Scheduler,
-    WaveInfo,
+    Event, ExecutorInfo, Mechanism, Outcome, Policy, Request, RequestId,
+    Scheduler, WaveInfo,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
@@ -209,7 +209,7 @@
         origins: HashMap::new(),
         requests: 0,
         handed_over: None,
-        patience: Rc::default(),
+        patience: Rc::new(Patience::new(shared.has(Mechanism::OrderPatience))),
         invited: 0,
         turn: 0,
     };
--- a/src/cell/lead/offer.rs
+++ b/src/cell/lead/offer.rs
@@ -6,6 +6,7 @@
 use std::cmp::Reverse;
 
 use puffinknot_core::ids::{Millis, Revision};
+use puffinknot_core::jobs::Mechanism;
 use tracing::info;
 
 use super::{Peer, PeerId, Tenure};
@@ -41,6 +42,9 @@
         if now < self.invited + INVITE_AGAIN || self.peers.is_empty() {
             return;
         }
+        if !self.shared.has(Mechanism::OfferedLead) {
+            return;
+        }
         let Some(leader) = self.shared.leader() else { return };
         let least = self.peers.values().map(|peer| peer.store_silent).min();
         let least = least.unwrap_or_default();
@@ -65,6 +69,9 @@
         if now < self.invited + MAKE_WAY_AGAIN {
             return;
         }
+        if !self.shared.has(Mechanism::LargerLeader) {
+            return;
+        }
         let own = self.shared.settings.borrow().cpu_millis;
         let larger = self.peers.values().filter(|peer| {
             peer.store_silent <= SERVED
--- a/src/cell/lead/patience.rs
+++ b/src/cell/lead/patience.rs
@@ -34,9 +34,17 @@
     seen: Cell<Option<(f64, f64)>>,
     /// Orders in a row that were not answered.
     unanswered: Cell<u32>,
+    /// Whether round trips are followed at all.
+    follows: bool,
 }
 
 impl Patience {
+    /// Nothing was seen yet. If round trips are not followed, each answer is
+    /// waited for as long.
+    pub fn new(follows: bool) -> Patience {
+        Patience { follows, ..Patience::default() }
+    }
+
     /// An order was answered after this time.
     pub fn answered(&self, took: Millis) {
         let took = took as f64;
@@ -61,7 +69,8 @@
 
     /// How long the answer to an order is waited for.
     pub fn within(&self) -> Millis {
-        let Some((mean, deviation)) = self.seen.get() else { return MOST };
+        let seen = self.seen.get().filter(|_| self.follows);
+        let Some((mean, deviation)) = seen else { return MOST };
         let time = mean + DEVIATIONS * deviation;
         let least = (time.ceil() as Millis).max(LEAST);
         let doubled = 1 << self.unanswered.get().min(MOST_DOUBLINGS);
--- a/src/cell/lead/takeover.rs
+++ b/src/cell/lead/takeover.rs
@@ -65,6 +65,7 @@
             inherited_for,
             advice_batch: ADVICE_BATCH,
             commit_gap: COMMIT_GAP,
+            without: settings.without,
         };
         let policy = self.shared.policy().unwrap_or_default();
         let now = clock::mono();
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -15,7 +15,9 @@
 
 use puffinknot_core::ids::Millis;
 use puffinknot_core::jobs::policy::Router;
-use puffinknot_core::jobs::{Outcome, Policy, Request, WaveInfo};
+use puffinknot_core::jobs::{
+    Mechanism, Outcome, Policy, Request, WaveInfo, Without,
+};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{timeout_at, Instant};
@@ -59,6 +61,8 @@
     /// The processor time that its machine gives it, in thousandths of a
     /// core. A larger machine is preferred to lead.
     pub cpu_millis: u32,
+    /// The mechanisms that are switched off.
+    pub without: Without,
 }
 
 /// How long a leader may order without the store having confirmed it.
@@ -119,7 +123,10 @@
     fn new(platform: P, settings: NodeSettings) -> Shared<P> {
         let platform = Rc::new(platform);
         Shared {
-            store: Rc::new(Store::new(platform.clone())),
+            store: Rc::new(Store::new(
+                platform.clone(),
+                settings.without.has(Mechanism::MadeAgain),
+            )),
             platform,
             life: rand::random(),
             policy: RefCell::default(),
@@ -141,6 +148,11 @@
         }
     }
 
+    /// Whether a mechanism is on.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        self.settings.borrow().without.has(mechanism)
+    }
+
     /// Counts an event.
     pub fn count(&self, name: &'static str) {
         self.stats.count(name);
@@ -305,7 +317,8 @@
     /// often: that nobody listens there may be true only of its own way.
     pub fn may_replace_leader(&self) -> bool {
         let now = clock::mono();
-        let may = now >= self.replaces_from.get();
+        let may = now >= self.replaces_from.get()
+            && self.has(Mechanism::ReplacedLeader);
         if may {
             self.replaces_from.set(now + REPLACE_AGAIN);
         }
--- a/src/cell/reach.rs
+++ b/src/cell/reach.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use puffinknot_core::ids::Millis;
+use puffinknot_core::jobs::Mechanism;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use tracing::{info, warn};
@@ -108,8 +109,13 @@
     clock::mono() <= confirmed + SURE_FOR
 }
 
+/// Whether a node is to say that it is ready.
+pub fn is_ready<P: Platform>(shared: &Shared<P>) -> bool {
+    serves(shared) || !shared.has(Mechanism::Readiness)
+}
+
 /// Whether requests that come to this node can be served.
-pub fn serves<P: Platform>(shared: &Shared<P>) -> bool {
+fn serves<P: Platform>(shared: &Shared<P>) -> bool {
     match shared.lead.borrow().as_ref() {
         Some(lead) => is_sure(lead.confirmed()),
         None => shared.reach.hears(),
@@ -137,7 +143,8 @@
     let asked_at = clock::mono();
     let answer = shared.store.get(shared.platform.leader_key()).await;
     let answered = answer.is_ok() || shared.store.answered() > asked_at;
-    let cut_off = !answered && !serves(&shared);
+    let answers_at_once = shared.has(Mechanism::CutOffAnswers);
+    let cut_off = answers_at_once && !answered && !serves(&shared);
     if cut_off && !shared.reach.is_cut_off() {
         shared.count("cut_off");
     }
--- a/src/cell/store.rs
+++ b/src/cell/store.rs
@@ -44,11 +44,13 @@
     failures: Cell<u32>,
     /// Told when the store answers after it was away.
     regained: Notify,
+    /// Whether anybody is to be told.
+    tells_regained: bool,
 }
 
 impl<P: Platform> Store<P> {
     /// The store of this platform.
-    pub fn new(platform: Rc<P>) -> Store<P> {
+    pub fn new(platform: Rc<P>, tells_regained: bool) -> Store<P> {
         let within = Cell::new(FIRST);
         Store {
             platform,
@@ -57,6 +59,7 @@
             answered: Cell::new(0),
             failures: Cell::new(0),
             regained: Notify::new(),
+            tells_regained,
         }
     }
 
@@ -82,7 +85,7 @@
             let failed = self.failures.replace(0) > 0;
             let before = self.answered.replace(now);
             self.within.set(FIRST);
-            if failed && now > before + AWAY {
+            if self.tells_regained && failed && now > before + AWAY {
                 self.regained.notify_waiters();
             }
         } else {
--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -1,7 +1,9 @@
 //! Faults that were found on the users' bench, each by the smallest sequence
 //! that brings it about. Each failed before it was mended.
 
-use puffinknot_core::jobs::{JobId, JobState, Outcome, Request};
+use puffinknot_core::jobs::{
+    JobId, JobState, Mechanism, Outcome, Request, Without,
+};
 
 use super::world::{job, room, step, World, LEASE, WORK};
 
@@ -288,40 +290,80 @@
     world.check();
 }
 
-/// Each executor of a data centre that was cut off was found out by an
-/// unanswered start of its own, and each such start left a task in doubt
-/// until the cut was over.
-#[test]
-fn a_data_centre_that_is_cut_off_takes_few_tasks_with_it() {
-    let mut world = World::new(8);
-    for executor in &mut world.executors[4..] {
+/// Jobs that still wait some time after a data centre was cut off.
+fn stranded_by_a_cut(without: Without) -> usize {
+    let mut world = World::without(16, without);
+    for executor in &mut world.executors[8..] {
         executor.info.dc = "e".into();
     }
     world.tell_all();
     world.run(100);
-    for executor in &mut world.executors[4..] {
+    for executor in &mut world.executors[8..] {
         executor.cut = true;
     }
-    for id in 1..=60 {
-        world.submit(job(id, "urgent", vec![step(4, room(500, 100))]));
+    for id in 1..=40 {
+        world.submit(job(id, "urgent", vec![step(8, room(500, 100))]));
         world.run(50);
     }
-    let waits = |(_, state): &(u64, Option<JobState>)| {
-        *state != Some(JobState::Succeeded)
-    };
     world.run(2 * WORK);
-    let states = (1..=60).map(|id| (id, world.state(id)));
-    let stranded =
-        states.collect::<Vec<_>>().iter().filter(|s| waits(s)).count();
-    assert!(stranded <= 8, "{stranded} jobs wait");
-    for executor in &mut world.executors[4..] {
+    let waits = |id: &u64| world.state(*id) != Some(JobState::Succeeded);
+    let stranded = (1..=40).filter(waits).count();
+    for executor in &mut world.executors[8..] {
         executor.cut = false;
     }
     world.run(LEASE + 2_000);
-    for id in 1..=60 {
+    for id in 1..=40 {
         assert_eq!(world.state(id), Some(JobState::Succeeded));
     }
     world.check();
+    stranded
+}
+
+/// Each executor of a data centre that was cut off was found out by an
+/// unanswered start of its own, and each such start left a task in doubt
+/// until the cut was over.
+#[test]
+fn a_data_centre_that_is_cut_off_takes_few_tasks_with_it() {
+    let off = [Mechanism::DoubtedExecutors, Mechanism::SuspectedDcs];
+    let before = stranded_by_a_cut(Without::new(off));
+    let after = stranded_by_a_cut(Without::default());
+    assert!(2 * after < before, "{after} jobs wait, {before} without");
+}
+
+/// Executors that fail all that they start took run after run, until their
+/// tasks had used up their attempts.
+#[test]
+fn an_executor_that_fails_all_gets_few_runs() {
+    let mut world = World::new(8);
+    world.executors[0].fails = true;
+    world.run(100);
+    for id in 1..=60 {
+        world.submit(job(id, "urgent", vec![step(4, room(500, 100))]));
+        world.run(50);
+    }
+    world.run(4 * WORK);
+    let failed = world.scheduler.counters()["runs_failed"];
+    assert!(failed <= 12, "{failed} runs failed");
+    for id in 1..=60 {
+        assert_eq!(world.state(id), Some(JobState::Succeeded), "job {id}");
+    }
+    world.check();
+}
+
+/// The members of a gang went back to the executor that had failed them.
+#[test]
+fn a_gang_avoids_executors_on_which_it_has_failed() {
+    let mut world = World::new(4);
+    world.executors[0].fails = true;
+    world.run(100);
+    let mut gang = step(4, room(2_000, 100));
+    gang.gang = true;
+    world.submit(job(1, "batch", vec![gang]));
+    world.run(6 * WORK);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    let most = world.starts.values().copied().max();
+    assert_eq!(most, Some(2), "the second run is the last");
+    world.check();
 }
 
 /// Advice that was asked through a node out of reach was waited for until the
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -13,7 +13,7 @@
     Action, AdviceCost, Change, EndKind, EndRow, Event, ExecutorInfo,
     HoldAnswer, Job, JobId, JobState, MachineInfo, MachineState, OrderFailure,
     Outcome, Policy, Queue, Request, RunRow, Scheduler, SchedulerConfig, Step,
-    TaskKey, UpkeepFailure,
+    TaskKey, UpkeepFailure, Without,
 };
 
 /// The longest lease of an executor.
@@ -37,6 +37,8 @@
 const UPKEEP: Millis = 2_000;
 /// How late a call for upkeep may be carried out.
 const UPKEEP_LATE: Millis = 1_500;
+/// How long a task works on an executor that fails all.
+const FAILS_AFTER: Millis = 20;
 /// How long each task works.
 pub const WORK: Millis = 500;
 
@@ -69,6 +71,8 @@
     /// The next orders are carried out this much later, unanswered.
     pub late: Option<Millis>,
     pub dead: bool,
+    /// All that it starts fails.
+    pub fails: bool,
 }
 
 impl Executor {
@@ -141,6 +145,7 @@
     /// Holds that were sent so far.
     pub holds: u64,
     submitted: BTreeMap<u64, JobId>,
+    without: Without,
 }
 
 pub fn room(cpu_millis: u32, memory_mb: u32) -> Resources {
@@ -193,7 +198,7 @@
     }
 }
 
-fn scheduler_config(token: u64) -> SchedulerConfig {
+fn scheduler_config(token: u64, without: Without) -> SchedulerConfig {
     SchedulerConfig {
         token,
         lease: LEASE,
@@ -201,15 +206,23 @@
         inherited_for: INHERITED,
         advice_batch: 100,
         commit_gap: 20,
+        without,
     }
 }
 
 impl World {
     pub fn new(executors: usize) -> World {
+        World::without(executors, Without::default())
+    }
+
+    /// A world whose leaders do without some mechanisms.
+    pub fn without(executors: usize, without: Without) -> World {
         let policy = Arc::new(policy());
+        let config = scheduler_config(1, without.clone());
         let mut world = World {
             now: 1_000,
-            scheduler: Scheduler::new(scheduler_config(1), policy.clone()),
+            scheduler: Scheduler::new(config, policy.clone()),
+            without,
             token: 1,
             former: BTreeMap::new(),
             policy,
@@ -274,6 +287,7 @@
             mute: 0,
             late: None,
             dead: false,
+            fails: false,
         });
     }
 
@@ -499,7 +513,7 @@
                 revision: 0,
             })
             .collect();
-        let config = scheduler_config(self.token);
+        let config = scheduler_config(self.token, self.without.clone());
         let policy = self.policy.clone();
         let restored = Scheduler::restore(config, policy, &kept, self.now);
         let restored = restored.expect("readable values");
@@ -840,7 +854,9 @@
             *left -= u32::from(fails);
             fails
         });
+        let fails = fails || there.fails;
         let how = if fails { EndKind::Failed } else { EndKind::Done };
+        let work = if there.fails { FAILS_AFTER } else { work };
         // A gang works once all are there.
         let forever = gang || lasting;
         let ends_at = if forever { Millis::MAX } else { now + work };
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod failures;
 mod fuzz;
+mod health;
 mod input;
 mod jobs;
 mod model;
--- a/tests/patience.rs
+++ b/tests/patience.rs
@@ -4,7 +4,7 @@
 
 /// Answers after these times, in milliseconds.
 fn after(round_trips: impl IntoIterator<Item = u64>) -> Patience {
-    let patience = Patience::default();
+    let patience = Patience::new(true);
     for took in round_trips {
         patience.answered(took);
     }
@@ -15,7 +15,7 @@
 /// two.
 #[test]
 fn quick_answers_are_not_waited_for_long() {
-    let before = Patience::default().within();
+    let before = Patience::new(true).within();
     let within = after([2; 20]).within();
     assert!(within < before, "{within} is not below {before}");
 }
@@ -39,7 +39,7 @@
     for _ in 0..100 {
         patience.unanswered();
     }
-    assert_eq!(patience.within(), Patience::default().within());
+    assert_eq!(patience.within(), Patience::new(true).within());
     patience.answered(2);
     assert_eq!(patience.within(), quick);
 }
