A write whose answer is lost is made again after a few round trips

Cause: while answers of the store are lost (platform_lost), a commit whose answer is lost was made again after 450 ms, then 900; urgent jobs wait for two commits and have some 500 ms of slack.

Change: a write is waited for by the round trips seen, at least 150 ms, with time for its bytes on a slow link. Safe, since a write is conditioned on the head and made any number of times.

Tests: what_turns_slow_is_answered_in_the_end and the rest of tests/patience.

--- a/puffinknot-core/src/jobs/mechanism.rs
+++ b/puffinknot-core/src/jobs/mechanism.rs
@@ -36,6 +36,8 @@
     FailedThere,
     /// Answers of executors are waited for by their round trips.
     OrderPatience,
+    /// Answers of the store are waited for by their round trips.
+    StorePatience,
     /// A node that can serve nobody is not ready.
     Readiness,
     /// A node that is cut off answers at once.
@@ -53,7 +55,7 @@
 use Mechanism::*;
 
 /// All mechanisms and their names.
-const NAMES: [(Mechanism, &str); 18] = [
+const NAMES: [(Mechanism, &str); 19] = [
     (OrderByObjective, "order-by-objective"),
     (BestFit, "best-fit"),
     (RoomForGangs, "room-for-gangs"),
@@ -66,6 +68,7 @@
     (Breaker, "breaker"),
     (FailedThere, "failed-there"),
     (OrderPatience, "order-patience"),
+    (StorePatience, "store-patience"),
     (Readiness, "readiness"),
     (CutOffAnswers, "cut-off-answers"),
     (MadeAgain, "made-again"),
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -29,15 +29,14 @@
 mod lease;
 mod offer;
 mod orders;
-pub mod patience;
 mod seat;
 mod takeover;
 
-use self::patience::Patience;
 use crate::cell::channel::Sender;
 use crate::cell::decisions;
 use crate::cell::journal::Journal;
 use crate::cell::node::{Shared, UNCONFIRMED};
+use crate::cell::patience::{Bounds, Patience};
 use crate::cell::ports::Platform;
 use crate::clock;
 
@@ -48,6 +47,10 @@
 /// The most time that is waited for open requests at a hand-over.
 const HAND_OVER: Duration = Duration::from_millis(300);
 
+/// How long answers of executors are waited for. A machine's share of its
+/// processor may be given to it in slices a tenth of a second apart.
+const ORDERS: Bounds = Bounds { least: 120, first: 300, most: 300 };
+
 /// The number of a peer within one tenure.
 pub type PeerId = u64;
 
@@ -209,7 +212,10 @@
         origins: HashMap::new(),
         requests: 0,
         handed_over: None,
-        patience: Rc::new(Patience::new(shared.has(Mechanism::OrderPatience))),
+        patience: Rc::new(Patience::new(
+            ORDERS,
+            shared.has(Mechanism::OrderPatience),
+        )),
         invited: 0,
         turn: 0,
     };
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -15,11 +15,11 @@
 use tokio::time::{sleep, timeout};
 use tracing::info;
 
-use super::patience::Patience;
 use super::{Input, LeadHandle, Tenure, PAUSE};
 use crate::cell::decisions;
 use crate::cell::journal::Superseded;
 use crate::cell::link::{ToNode, ADVICE_WITHIN};
+use crate::cell::patience::Patience;
 use crate::cell::ports::{Hold, Platform, Start, Transaction};
 use crate::clock;
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -10,7 +10,7 @@
 * [`node`] puts a node together and runs it.
 * [`follow`] learns the operators' policy and who leads.
 * [`lead`] runs the scheduler while this node leads.
-* [`store`] makes calls to the store with as much patience as it needs.
+* [`store`] makes calls to the store with as much [`patience`] as it needs.
 * [`journal`] writes the leader's changes, each under a condition.
 * [`link`] carries requests to the leader; [`channel`] is what it uses.
 * [`reach`] knows whether this node can serve clients, and [`search`] whom to
@@ -29,6 +29,7 @@
 pub mod link;
 pub mod logs;
 pub mod node;
+pub mod patience;
 pub mod ports;
 pub mod reach;
 pub mod search;
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -123,10 +123,7 @@
     fn new(platform: P, settings: NodeSettings) -> Shared<P> {
         let platform = Rc::new(platform);
         Shared {
-            store: Rc::new(Store::new(
-                platform.clone(),
-                settings.without.has(Mechanism::MadeAgain),
-            )),
+            store: Rc::new(Store::new(platform.clone(), &settings.without)),
             platform,
             life: rand::random(),
             policy: RefCell::default(),
--- a/src/cell/store.rs
+++ b/src/cell/store.rs
@@ -1,9 +1,9 @@
 /*!
 The store, with as much patience as it needs.
 
-A call that is not answered in time is given up, and the next one gets twice
-the time, up to a bound; an answer brings the time back. So a silent store is
-noticed soon, and a slow one is still used. Reading all of a range has a time
+A call that is not answered in time is given up, see [`crate::cell::patience`].
+So an answer that is lost, or a silent store, is noticed soon, and a slow store
+is still used. Reading all of a range has a time
 of its own: on a small link it takes long while other calls are quick.
 */
 
@@ -12,18 +12,26 @@
 use std::time::Duration;
 
 use puffinknot_core::ids::{Millis, Revision};
+use puffinknot_core::jobs::mechanism::Mechanism::{MadeAgain, StorePatience};
+use puffinknot_core::jobs::Without;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::cell::patience::{Bounds, Patience};
 use crate::cell::ports::{
     Changes, Item, Listing, Platform, ReadError, Transaction, WriteError,
 };
 use crate::clock;
 
-/// The time for a call at first.
-const FIRST: Millis = 450;
-/// The most time for a call.
-const LAST: Millis = 1_000;
+/// The time for a write. The store answers in some milliseconds, a slow one in
+/// a quarter of a second; jobs wait for a write whose answer is lost.
+const WRITES: Bounds = Bounds { least: 150, first: 450, most: 1_000 };
+/// The time for other calls. Nobody waits for them, and one that is given up
+/// too soon makes the store seem away.
+const READS: Bounds = Bounds { least: 450, first: 450, most: 1_000 };
+/// What a large write may take in addition: the slowest links carry so many
+/// bytes in a millisecond.
+const BYTES_PER_MILLI: usize = 500;
 /// The time for reading a range at first.
 const FIRST_RANGE: Millis = 900;
 /// The most time for reading a range.
@@ -36,7 +44,8 @@
 /// The store of a platform.
 pub struct Store<P> {
     platform: Rc<P>,
-    within: Cell<Millis>,
+    writes: Patience,
+    reads: Patience,
     range_within: Cell<Millis>,
     /// When a call was answered last.
     answered: Cell<Millis>,
@@ -50,16 +59,16 @@
 
 impl<P: Platform> Store<P> {
     /// The store of this platform.
-    pub fn new(platform: Rc<P>, tells_regained: bool) -> Store<P> {
-        let within = Cell::new(FIRST);
+    pub fn new(platform: Rc<P>, without: &Without) -> Store<P> {
         Store {
             platform,
-            within,
+            writes: Patience::new(WRITES, without.has(StorePatience)),
+            reads: Patience::new(READS, without.has(StorePatience)),
             range_within: Cell::new(FIRST_RANGE),
             answered: Cell::new(0),
             failures: Cell::new(0),
             regained: Notify::new(),
-            tells_regained,
+            tells_regained: without.has(MadeAgain),
         }
     }
 
@@ -84,7 +93,6 @@
             let now = clock::mono();
             let failed = self.failures.replace(0) > 0;
             let before = self.answered.replace(now);
-            self.within.set(FIRST);
             if self.tells_regained && failed && now > before + AWAY {
                 self.regained.notify_waiters();
             }
@@ -93,27 +101,27 @@
         }
     }
 
-    fn late(&self) {
-        self.note(false);
-        let longer = self.within.get() * 2;
-        self.within.set(longer.min(LAST));
-    }
-
     async fn reading<T>(
         &self,
         extra: Millis,
         call: impl std::future::Future<Output = Result<T, ReadError>>,
     ) -> Result<T, ReadError> {
-        let within = Duration::from_millis(self.within.get() + extra);
+        let within = Duration::from_millis(self.reads.within() + extra);
+        let sent_at = clock::mono();
         match timeout(within, call).await {
             Ok(answer) => {
+                // A watch is answered when something happens.
+                if extra == 0 {
+                    self.reads.answered(clock::mono() - sent_at);
+                }
                 let unavailable = Err(ReadError::Unavailable);
                 let heard = answer.as_ref().map(|_| ()).map_err(|e| *e);
                 self.note(heard != unavailable);
                 answer
             }
             Err(_) => {
-                self.late();
+                self.note(false);
+                self.reads.unanswered();
                 Err(ReadError::Unavailable)
             }
         }
@@ -206,10 +214,15 @@
         &self,
         transaction: &Transaction,
     ) -> Result<Revision, WriteError> {
-        let within = Duration::from_millis(self.within.get());
+        let values = transaction.put.iter().map(|(_, value, _)| value.len());
+        let bytes: usize = values.sum();
+        let extra = (bytes / BYTES_PER_MILLI) as Millis;
+        let within = Duration::from_millis(self.writes.within() + extra);
+        let sent_at = clock::mono();
         let call = self.platform.write(transaction);
         match timeout(within, call).await {
             Ok(answer) => {
+                self.writes.answered(clock::mono() - sent_at);
                 let heard = !matches!(
                     answer,
                     Err(WriteError::NotDone | WriteError::Unknown)
@@ -218,7 +231,8 @@
                 answer
             }
             Err(_) => {
-                self.late();
+                self.note(false);
+                self.writes.unanswered();
                 Err(WriteError::Unknown)
             }
         }
