--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -320,6 +320,7 @@
         cost: Millis,
         now: Millis,
     ) {
+        let soon = self.has(Mechanism::OverdueAdvice);
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.advisor = Some(name.clone());
         let key = call.step;
@@ -332,12 +333,12 @@
         let time = advisor.busy_until - now;
         let slack = time as f64 * OVERDUE_SHARE + OVERDUE as f64;
         let slack = (slack * self.advice_slack) as Millis;
+        let mut overdue = now + NEVER_ANSWERED;
+        if soon {
+            overdue = overdue.min(advisor.busy_until + slack);
+        }
         if let Some(call) = self.calls.get_mut(&id) {
-            if self.config.without.has(Mechanism::OverdueAdvice) {
-                call.overdue = advisor.busy_until + slack;
-            } else {
-                call.overdue = now + NEVER_ANSWERED;
-            }
+            call.overdue = overdue;
         }
         let live = self.jobs.get_mut(&key.job);
         let state = live.and_then(|l| l.steps.get_mut(&(key.time, key.step)));
