Room is kept for wide tasks, and accelerators are packed

Room was kept for gangs only, so that charts of one accelerator took what got free; best fit counted processors and memory only; and for gangs the time at which room should be free slid on with each look if the runs there were short. Ruled out: too few accelerators (some 85 of 104 in use by the figures).

Change: what is left over counts accelerators; tasks of which no executor holds more than two get room kept as gangs do; a run is expected to end when its guess says, and only one past that 0.5 s from now.

Test: a_wide_task_gets_its_turn_while_small_ones_come (fails without).

--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -3,7 +3,8 @@
 
 A gang that fits but lacks tickets keeps its room while it asks for them. One
 that does not fit gets the executors on which it fits soonest; others may use
-them only if they should end before.
+them only if they should end before. Single tasks that take up much of an
+executor get the same.
 */
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,7 +16,7 @@
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::model::{JobId, Step, StepKey};
 use crate::jobs::scheduler::live::StepRun;
-use crate::jobs::scheduler::place::{times, Kept};
+use crate::jobs::scheduler::place::{rest, times, Kept};
 use crate::jobs::scheduler::Scheduler;
 
 /// Tickets are asked for this long before the room should be free, beside
@@ -29,6 +30,14 @@
 /// How many members of a gang go to which executors.
 type Plan = Vec<(ExecutorIndex, u32)>;
 
+/// Tasks of a step that wait for room.
+#[derive(Clone, Copy)]
+pub(super) struct Waiting<'a> {
+    pub key: StepKey,
+    pub step: &'a Step,
+    pub count: u32,
+}
+
 impl Scheduler {
     /// Places all members of a gang, or none. Returns whether it is placed.
     pub(super) fn place_gang(
@@ -88,7 +97,8 @@
         self.widen(key, now);
         let scarce = self.advice_scarce();
         if keep {
-            self.keep_for(key, &step, &all, !scarce, kept, now);
+            let waiting = Waiting { key, step: &step, count: step.count };
+            self.keep_for(&waiting, &all, !scarce, kept, now);
         }
         if !scarce || !self.could_hold(&step, &all) {
             self.ask_all(key, now);
@@ -115,10 +125,12 @@
                 if step.max_per_executor > 0 {
                     count = count.min(step.max_per_executor);
                 }
-                let left = room.minus(&step.room().times(count));
+                let used = step.room().times(count.min(step.count));
+                let executor = self.executors.get(&at)?;
+                let left = rest(&room.minus(&used), &executor.info.capacity);
                 let again = failed_on.contains(&at);
                 let stale = !holds.get(&at).copied().unwrap_or(false);
-                let order = (again, stale, u64::from(left.cpu_millis));
+                let order = (again, stale, left);
                 (count > 0).then_some((order, at, count))
             })
             .collect();
@@ -198,17 +210,17 @@
         room.sum::<u64>() >= u64::from(step.count)
     }
 
-    /// Finds when a gang should fit on which executors, and keeps others off
-    /// them. Asks for tickets in time, if it may.
-    fn keep_for(
+    /// Finds when `count` tasks of a step should fit on which executors, and
+    /// keeps others off them. Asks for tickets in time, if it may.
+    pub(super) fn keep_for(
         &mut self,
-        key: StepKey,
-        step: &Step,
+        waiting: &Waiting<'_>,
         executors: &[ExecutorIndex],
         may_ask: bool,
         kept: &mut Kept,
         now: Millis,
     ) {
+        let Waiting { key, step, count } = *waiting;
         let mut ends: Vec<(Millis, ExecutorIndex, Resources)> = Vec::new();
         let mut free: BTreeMap<ExecutorIndex, Resources> = BTreeMap::new();
         for &at in executors {
@@ -218,7 +230,8 @@
             let Some(executor) = self.executors.get(&at) else { continue };
             free.insert(at, executor.free);
             for run in executor.runs.values() {
-                let end = run.ends.max(now + OVERSTAY);
+                let overdue = run.ends <= now;
+                let end = if overdue { now + OVERSTAY } else { run.ends };
                 ends.push((end, at, run.need));
             }
         }
@@ -229,7 +242,7 @@
             .sum();
         let mut when = now;
         for (end, at, need) in ends {
-            if total >= u64::from(step.count) {
+            if total >= u64::from(count) {
                 break;
             }
             let Some(room) = free.get_mut(&at) else { continue };
@@ -238,7 +251,7 @@
             total += u64::from(times(room, &step.room()));
             when = end;
         }
-        if total < u64::from(step.count) {
+        if total < u64::from(count) {
             return;
         }
         let mut most: Vec<(u32, ExecutorIndex)> = free
@@ -247,10 +260,10 @@
             .filter(|(count, _)| *count > 0)
             .collect();
         most.sort_unstable_by_key(|&(count, at)| (u32::MAX - count, at));
-        let mut left = step.count;
+        let mut left = count;
         let mut chosen = Vec::new();
         let mut spares = SPARES;
-        for (count, at) in most {
+        for (there, at) in most {
             if left == 0 {
                 if spares == 0 {
                     break;
@@ -259,7 +272,7 @@
             } else {
                 kept.insert(at, when);
             }
-            left = left.saturating_sub(count);
+            left = left.saturating_sub(there);
             chosen.push(at);
         }
         if may_ask && self.has(Mechanism::TicketsAhead) {
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -14,6 +14,7 @@
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::model::{Step, StepKey};
+use crate::jobs::scheduler::gangs::Waiting;
 use crate::jobs::scheduler::live::{Live, StepRun};
 use crate::jobs::scheduler::Scheduler;
 
@@ -22,6 +23,12 @@
 /// An executor on which a run of the step has failed is as bad as so many
 /// thousandths of an executor left over.
 const FAILED_THERE: u64 = 6_000;
+/// Accelerators left over weigh more than processors and memory together:
+/// they are what runs out first where there are any, and wide tasks need them
+/// on one executor.
+const ACCELERATORS: u64 = 3;
+/// Tasks of which no executor holds more than this are wide.
+const WIDE: u32 = 2;
 /// If more steps than this wait that are not urgent, they are looked at only
 /// so often.
 const FEW_WAIT: usize = 8;
@@ -62,15 +69,15 @@
                 continue;
             }
             let gang = self.step(key).is_some_and(|s| s.gang && s.count > 1);
+            let keep = !urgent
+                && plans < MAX_PLANS
+                && self.has(Mechanism::RoomForGangs);
             if gang {
-                let keep = !urgent
-                    && plans < MAX_PLANS
-                    && self.has(Mechanism::RoomForGangs);
                 if !self.place_gang(key, &mut kept, keep, urgent, now) {
                     plans += 1;
                 }
-            } else {
-                self.place_tasks(key, &kept, urgent, now);
+            } else if !self.place_tasks(key, &mut kept, keep, urgent, now) {
+                plans += 1;
             }
         }
     }
@@ -152,21 +159,24 @@
         true
     }
 
-    /// Places the tasks of a step one by one.
+    /// Places the tasks of a step one by one. If tasks are left that take up
+    /// much of an executor, room is kept for them, if `keep` says so. Returns
+    /// whether none was kept.
     fn place_tasks(
         &mut self,
         key: StepKey,
-        kept: &Kept,
+        kept: &mut Kept,
+        keep: bool,
         urgent: bool,
         now: Millis,
-    ) {
+    ) -> bool {
         if self.lacks_advice(key, now) {
-            return;
+            return true;
         }
-        let Some(live) = self.jobs.get(&key.job) else { return };
+        let Some(live) = self.jobs.get(&key.job) else { return true };
         let step = live.job.steps[key.step as usize].clone();
         let Some(state) = live.steps.get(&(key.time, key.step)) else {
-            return;
+            return true;
         };
         let waiting: Vec<u32> = state.waiting.iter().copied().collect();
         let mut on: BTreeMap<ExecutorIndex, u32> = BTreeMap::new();
@@ -215,21 +225,52 @@
             let state = live.steps.get(&(key.time, key.step))?;
             Some(state.waiting.len())
         });
-        if left.unwrap_or(0) == 0 {
-            return;
+        let count = left.unwrap_or(0) as u32;
+        if count == 0 {
+            return true;
         }
         self.widen(key, now);
         if stale {
             // The room may be gone when the answer comes, and be elsewhere.
             let aged = candidates.iter().filter(|(_, holds)| !holds);
             let aged = aged.map(|(at, _)| *at).take(MOST_RENEWED).collect();
-            return self.ask(key, aged, now);
+            self.ask(key, aged, now);
+            return true;
         }
+        let waiting = Waiting { key, step: &step, count };
         let known: Vec<ExecutorIndex> =
             candidates.iter().map(|(at, _)| *at).collect();
-        if !self.advice_scarce() || !self.could_hold(&step, &known) {
-            self.ask_all(key, now);
+        !self.wait_for_room(&waiting, &known, keep, kept, now)
+    }
+
+    /// Has room kept for tasks that have none, if they are wide and `keep`
+    /// says so, and asks about further executors. Returns whether room is
+    /// kept.
+    fn wait_for_room(
+        &mut self,
+        waiting: &Waiting<'_>,
+        known: &[ExecutorIndex],
+        keep: bool,
+        kept: &mut Kept,
+        now: Millis,
+    ) -> bool {
+        let keeps = keep && self.is_wide(waiting.step, known);
+        if keeps {
+            let may_ask = !self.advice_scarce();
+            self.keep_for(waiting, known, may_ask, kept, now);
+        }
+        if !self.advice_scarce() || !self.could_hold(waiting.step, known) {
+            self.ask_all(waiting.key, now);
         }
+        keeps
+    }
+
+    /// Whether hardly more than one task of a step has room on an executor:
+    /// it finds none while smaller ones take what gets free.
+    fn is_wide(&self, step: &Step, executors: &[ExecutorIndex]) -> bool {
+        let known = executors.iter().filter_map(|at| self.executors.get(at));
+        let most = known.map(|e| times(&e.info.capacity, &step.room())).max();
+        most.is_some_and(|most| most <= WIDE)
     }
 
     /// What would be left on an executor: less is better, so that large
@@ -241,20 +282,25 @@
         }
         let Some(executor) = self.executors.get(&at) else { return u64::MAX };
         let left = executor.free.minus(&step.room());
-        let whole = executor.info.capacity;
-        let part = |left: u32, whole: u32| {
-            u64::from(left) * 1_000 / u64::from(whole.max(1))
-        };
         let far = match &step.near {
             Some(rack) if !executor.has_label(rack) => 2_000,
             _ => 0,
         };
-        part(left.cpu_millis, whole.cpu_millis)
-            + part(left.memory_mb, whole.memory_mb)
-            + far
+        rest(&left, &executor.info.capacity) + far
     }
 }
 
+/// What is left of an executor, in thousandths of it: processors, memory, and
+/// accelerators by their weight.
+pub(super) fn rest(left: &Resources, whole: &Resources) -> u64 {
+    let part = |left: u32, whole: u32| {
+        u64::from(left) * 1_000 / u64::from(whole.max(1))
+    };
+    part(left.cpu_millis, whole.cpu_millis)
+        + part(left.memory_mb, whole.memory_mb)
+        + part(left.accelerators, whole.accelerators) * ACCELERATORS
+}
+
 /// How often `need` fits into `room`.
 pub(super) fn times(room: &Resources, need: &Resources) -> u32 {
     let fit =
--- a/tests/jobs/rules.rs
+++ b/tests/jobs/rules.rs
@@ -1,7 +1,9 @@
 //! What must hold without any fault.
 
 use puffinknot_core::jobs::model::Repeats;
-use puffinknot_core::jobs::{JobId, JobState, Outcome, Request};
+use puffinknot_core::jobs::{
+    JobId, JobState, Mechanism, Outcome, Request, Without,
+};
 
 use super::world::{job, room, step, World, WORK};
 
@@ -158,3 +160,33 @@
     assert!(world.unfinished().is_empty());
     world.check();
 }
+
+/// Whether a task that needs a whole executor ends while small ones keep
+/// coming.
+fn wide_task_ends(without: Without) -> bool {
+    let mut world = World::without(2, without);
+    world.run(100);
+    let mut wide = 0;
+    for id in 1..=120 {
+        world.submit(job(id, "batch", vec![step(1, room(1_000, 100))]));
+        if id == 20 {
+            world.submit(job(500, "batch", vec![step(1, room(4_000, 100))]));
+            wide = 500;
+        }
+        world.run(50);
+    }
+    let ended = world.state(wide) == Some(JobState::Succeeded);
+    world.run(20 * WORK);
+    assert_eq!(world.state(wide), Some(JobState::Succeeded));
+    world.check();
+    ended
+}
+
+/// Small tasks took what got free, and a wide one that was no gang waited for
+/// as long as they came (map renders on tally-tbilisi).
+#[test]
+fn a_wide_task_gets_its_turn_while_small_ones_come() {
+    let off = Without::new([Mechanism::RoomForGangs]);
+    assert!(!wide_task_ends(off), "it is kept waiting without room kept");
+    assert!(wide_task_ends(Without::default()));
+}
