Orders of large cells go by relays; answers that come late still count

Cause, small twin of the large deployment (18 VMs with 2 Mbit/s, 120 executors): a start carries its job's text, 3 KB with heads, so that one wide job fills the leader's link for a second. Answers then took longer than the 300 ms that they were waited for, were thrown away, and were asked for again over new connections (11,700 for 2,900 requests). Change: the leader has orders carried out by nodes of the executor's data centre, over the channels that they keep anyway; the text of a job goes to a relay once. It calls executors itself in cells of up to 128, unless its link is narrow. An order stays open for 3 s after it counts as unanswered, and its answer is taken in whenever it comes; the time that is waited follows the link; holds that fail are repeated after 150, 300, 600 ms. What is known after a relay was lost comes from no failure of a second try.

--- a/puffinknot-core/src/jobs/mechanism.rs
+++ b/puffinknot-core/src/jobs/mechanism.rs
@@ -36,6 +36,10 @@
     FailedThere,
     /// Answers of executors are waited for by their round trips.
     OrderPatience,
+    /// Answers of executors that come late still count.
+    LateAnswers,
+    /// In large cells other nodes carry out the leader's orders.
+    Relays,
     /// Answers of the store are waited for by their round trips.
     StorePatience,
     /// A node that can serve nobody is not ready.
@@ -55,7 +59,7 @@
 use Mechanism::*;
 
 /// All mechanisms and their names.
-const NAMES: [(Mechanism, &str); 19] = [
+const NAMES: [(Mechanism, &str); 21] = [
     (OrderByObjective, "order-by-objective"),
     (BestFit, "best-fit"),
     (RoomForGangs, "room-for-gangs"),
@@ -68,6 +72,8 @@
     (Breaker, "breaker"),
     (FailedThere, "failed-there"),
     (OrderPatience, "order-patience"),
+    (LateAnswers, "late-answers"),
+    (Relays, "relays"),
     (StorePatience, "store-patience"),
     (Readiness, "readiness"),
     (CutOffAnswers, "cut-off-answers"),
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -63,7 +63,7 @@
 }
 
 /// What an executor says is running.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunRow {
     /// The task.
     pub task: TaskKey,
@@ -79,7 +79,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndKind {
     /// It has done its work.
     Done,
@@ -96,7 +96,7 @@
 }
 
 /// What an executor says has ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndRow {
     /// The number of this end on the executor.
     pub number: u64,
@@ -111,7 +111,7 @@
 }
 
 /// An executor's account of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldAnswer {
     /// Its clock.
     pub clock: Millis,
@@ -122,7 +122,7 @@
 }
 
 /// Why an order has not been carried out, as far as is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderFailure {
     /// The executor has seen a higher token: somebody else leads.
     Fenced,
--- a/puffinknot-core/src/jobs/model.rs
+++ b/puffinknot-core/src/jobs/model.rs
@@ -97,7 +97,17 @@
 
 /// One task of a step.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Serialize,
+    Deserialize,
 )]
 pub struct TaskKey {
     /// The step.
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -21,8 +21,12 @@
 /// The longest time that an idle executor is left alone. Its clock may lose
 /// a fiftieth of it, which [`expiry`] covers.
 const LONGEST_PAUSE: Millis = 5_000;
-/// The time between holds to an executor that does not answer.
+/// The time after the first hold that an executor has not answered until the
+/// next. It doubles with each, [`RETRY_DOUBLINGS`] times at most.
 const RETRY: Millis = 150;
+/// More would add more than half a second to the time until an executor that
+/// is back is heard of.
+const RETRY_DOUBLINGS: u32 = 2;
 /// The time between holds while reports can't be written.
 const UNWRITTEN: Millis = 500;
 /// Holds in a row that fail before an executor counts as silent.
@@ -172,8 +176,9 @@
             executor.probe = true;
             return;
         }
+        let doublings = executor.failures.min(RETRY_DOUBLINGS);
         executor.failures += 1;
-        executor.next_hold = now + RETRY;
+        executor.next_hold = now + (RETRY << doublings);
         let silent = executor.failures >= FAILURES;
         if silent && executor.contact == Contact::Ready {
             executor.contact = Contact::Silent;
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -287,6 +287,20 @@
         self.executors.get(&index)
     }
 
+    /// The number of executors.
+    pub fn executors(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// The number of executors in each data centre.
+    pub fn executors_by_dc(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for executor in self.executors.values() {
+            *counts.entry(executor.info.dc.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Whether a mechanism is on.
     fn has(&self, mechanism: Mechanism) -> bool {
         self.config.without.has(mechanism)
--- a/puffinknot-standin/src/proxy.rs
+++ b/puffinknot-standin/src/proxy.rs
@@ -3,17 +3,19 @@
 
 Bytes that a fault holds back are kept and go on once it is over, as on a
 network that was cut; a reset ends connections at once.
+
+Several proxies may lie behind one [`Link`], whose bytes wait for each other.
 */
 
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 /// How often bytes that are held back are looked at.
 const LOOK: Duration = Duration::from_millis(10);
@@ -55,11 +57,52 @@
     }
 }
 
+/// What a link carries each way, and until when it is busy.
+#[derive(Debug)]
+struct LinkState {
+    bytes_per_ms: u32,
+    busy: [Instant; 2],
+}
+
+/// A link with a bandwidth and a queue, which the connections through some
+/// proxies share. Bytes wait as long as it takes; none are dropped.
+#[derive(Clone, Debug)]
+pub struct Link(Arc<Mutex<LinkState>>);
+
+impl Link {
+    /// A link that carries so many bytes a millisecond each way.
+    pub fn new(bytes_per_ms: u32) -> Link {
+        let busy = [Instant::now(); 2];
+        Link(Arc::new(Mutex::new(LinkState { bytes_per_ms, busy })))
+    }
+
+    /// Lets the link carry so many bytes a millisecond from now on.
+    pub fn set_bytes_per_ms(&self, bytes_per_ms: u32) {
+        self.lock().bytes_per_ms = bytes_per_ms;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LinkState> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Queues so many bytes, and returns when they are through.
+    fn queue(&self, bytes: usize, direction: Direction) -> Instant {
+        let mut state = self.lock();
+        let micros = bytes as u64 * 1_000 / u64::from(state.bytes_per_ms);
+        let busy = &mut state.busy[direction as usize];
+        *busy = (*busy).max(Instant::now()) + Duration::from_micros(micros);
+        *busy
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     harm: Harm,
     /// Grows with each reset; connections from before are over.
     resets: u64,
+    /// The number of connections so far.
+    connections: u64,
+    link: Option<Link>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -77,6 +120,10 @@
     fn resets(&self) -> u64 {
         self.lock().resets
     }
+
+    fn link(&self) -> Option<Link> {
+        self.lock().link.clone()
+    }
 }
 
 /// A running proxy. It stops when dropped.
@@ -121,6 +168,16 @@
         self.shared.lock().harm = harm;
     }
 
+    /// Puts the proxy behind a link.
+    pub fn set_link(&self, link: &Link) {
+        self.shared.lock().link = Some(link.clone());
+    }
+
+    /// The number of connections so far.
+    pub fn connections(&self) -> u64 {
+        self.shared.lock().connections
+    }
+
     /// Resets all connections.
     pub fn reset(&self) {
         self.shared.lock().resets += 1;
@@ -131,6 +188,7 @@
     let Ok(listener) = TcpListener::from_std(listener) else { return };
     while let Ok((client, _)) = listener.accept().await {
         if shared.harm() != Harm::Refuse {
+            shared.lock().connections += 1;
             actix_rt::spawn(pass(client, target, shared.clone()));
         }
     }
@@ -179,6 +237,9 @@
         while shared.harm().holds(direction) {
             sleep(LOOK).await;
         }
+        if let Some(link) = shared.link() {
+            sleep_until(link.queue(count, direction).into()).await;
+        }
         if to.write_all(&bytes[..count]).await.is_err() {
             return;
         }
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -31,6 +31,7 @@
 mod orders;
 mod seat;
 mod takeover;
+mod ways;
 
 use crate::cell::channel::Sender;
 use crate::cell::decisions;
@@ -38,8 +39,11 @@
 use crate::cell::node::{Shared, UNCONFIRMED};
 use crate::cell::patience::{Bounds, Patience};
 use crate::cell::ports::Platform;
+use crate::cell::relay::{Relay, Relays};
 use crate::clock;
 
+use self::ways::Ways;
+
 /// How often the scheduler is told that time has passed.
 const TICK: Millis = 50;
 /// The pause after a call to the store that failed.
@@ -50,6 +54,10 @@
 /// How long answers of executors are waited for. A machine's share of its
 /// processor may be given to it in slices a tenth of a second apart.
 const ORDERS: Bounds = Bounds { least: 120, first: 300, most: 300 };
+/// So many bytes may wait at a machine's own link before an answer: the
+/// orders for one wide step, with the text of its job in each of them. The
+/// slowest links take half a second for them.
+const QUEUED_BYTES: u32 = 128 << 10;
 
 /// The number of a peer within one tenure.
 pub type PeerId = u64;
@@ -83,6 +91,7 @@
     peers: Rc<Cell<PeerId>>,
     over: Rc<Cell<bool>>,
     confirmed: Rc<Cell<Millis>>,
+    relays: Rc<Relays>,
 }
 
 impl LeadHandle {
@@ -96,18 +105,23 @@
         self.send(Input::Ask(request, Origin::Peer(peer, id)));
     }
 
-    /// Another node has connected.
+    /// Another node has connected. Returns its number, and what is known of
+    /// it as a relay.
     pub fn join(
         &self,
         node: String,
+        dc: String,
         cpu_millis: u32,
         sender: Sender,
-    ) -> PeerId {
+    ) -> (PeerId, Rc<Relay>) {
         let id = self.peers.get() + 1;
         self.peers.set(id);
+        let relay = Relay::new(node.clone(), dc, cpu_millis, sender.clone());
+        let relay = Rc::new(relay);
+        self.relays.add(relay.clone());
         let peer = Peer { node, sender, cpu_millis, store_silent: 0 };
         self.send(Input::Join(id, peer));
-        id
+        (id, relay)
     }
 
     /// For how long the store has not answered another node.
@@ -116,7 +130,8 @@
     }
 
     /// Another node has gone.
-    pub fn leave(&self, peer: PeerId) {
+    pub fn leave(&self, peer: PeerId, relay: &Relay) {
+        self.relays.remove(relay);
         self.send(Input::Leave(peer));
     }
 
@@ -192,6 +207,7 @@
         peers: Rc::default(),
         over: Rc::default(),
         confirmed: confirmed.clone(),
+        relays: Rc::default(),
     };
     *shared.lead.borrow_mut() = Some(handle.clone());
     shared.count("tenures");
@@ -201,6 +217,7 @@
             shared.platform.kept_prefix(),
             token,
         )),
+        ways: Rc::new(Ways::new(shared.clone(), handle.relays.clone(), token)),
         shared: shared.clone(),
         handle: handle.clone(),
         token,
@@ -213,7 +230,7 @@
         requests: 0,
         handed_over: None,
         patience: Rc::new(Patience::new(
-            ORDERS,
+            order_bounds(shared.settings.borrow().link_bytes_per_ms),
             shared.has(Mechanism::OrderPatience),
         )),
         invited: 0,
@@ -233,6 +250,12 @@
     });
 }
 
+/// How long answers of executors are waited for behind such a link.
+fn order_bounds(link_bytes_per_ms: u32) -> Bounds {
+    let queued = Millis::from(QUEUED_BYTES / link_bytes_per_ms.max(1));
+    Bounds { most: ORDERS.most + queued, ..ORDERS }
+}
+
 struct Peer {
     node: String,
     sender: Sender,
@@ -260,6 +283,8 @@
     requests: RequestId,
     /// Told when open requests are answered, once a hand-over has begun.
     handed_over: Option<oneshot::Sender<()>>,
+    /// How orders go to executors.
+    ways: Rc<Ways<P>>,
     /// How long answers of executors are waited for.
     patience: Rc<Patience>,
     /// When another node was asked last to lead in this one's place.
@@ -326,6 +351,9 @@
                     return "fenced";
                 }
             }
+            if scheduler.executors() != self.ways.executors() {
+                self.ways.set_executors(scheduler.executors_by_dc());
+            }
             let actions = scheduler.advance(now);
             if self.perform(&scheduler, actions) {
                 return "fenced";
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -3,13 +3,14 @@
 */
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use puffinknot_core::ids::Millis;
 use puffinknot_core::jobs::message::{AdviceFailure, CallId, ExecutorIndex};
 use puffinknot_core::jobs::model::StepKey;
 use puffinknot_core::jobs::{
-    Action, Change, Event, ExecutorInfo, OrderFailure, Scheduler, TaskKey,
+    Action, Change, Event, ExecutorInfo, Mechanism, OrderFailure, Scheduler,
     UpkeepFailure,
 };
 use tokio::time::{sleep, timeout};
@@ -19,10 +20,18 @@
 use crate::cell::decisions;
 use crate::cell::journal::Superseded;
 use crate::cell::link::{ToNode, ADVICE_WITHIN};
+use crate::cell::order::{Answer, Order};
 use crate::cell::patience::Patience;
-use crate::cell::ports::{Hold, Platform, Start, Transaction};
+use crate::cell::ports::{Platform, Transaction};
 use crate::clock;
 
+/// How much longer an order is left open after it counts as unanswered, in
+/// milliseconds. An answer that was held up by a full link still says what
+/// became of the order, and the connection can be used again; given up, it
+/// would have to be asked for once more, over a new connection, and the link
+/// would fill further.
+const LATE: Millis = 3_000;
+
 /// The clocks of two machines run apart by one part in this many at most.
 const CLOCK_DRIFT: Millis = 50;
 
@@ -66,15 +75,21 @@
                 Action::Reply { id, outcome } => self.answer(id, outcome),
                 Action::Commit(changes) => self.commit(changes),
                 Action::Deposed => return true,
-                // These are for the logs only.
-                Action::JobEnded { .. } | Action::Settled { .. } => {}
+                Action::JobEnded { job, .. } => {
+                    self.handle.relays.forget(job);
+                }
+                // This is for the logs only.
+                Action::Settled { .. } => {}
                 Action::Advise { call, advisor, step, executors } => {
                     self.advise(call, &advisor, step, executors);
                 }
                 Action::Hold { executor, sent_at, due, last_seen, wait } => {
-                    let within = wait + self.patience.within();
-                    let hold = Hold { due, last_seen, wait, within };
-                    self.hold(scheduler, executor, sent_at, hold);
+                    let order = Order::Hold { due, last_seen, wait };
+                    let held = move |answer: Answer| {
+                        let answer = answer.map(Option::unwrap_or_default);
+                        Event::Held { executor, sent_at, answer }
+                    };
+                    self.order(scheduler, executor, order, None, held);
                 }
                 Action::Start {
                     executor,
@@ -85,39 +100,30 @@
                     checkpoint,
                     ticket,
                 } => {
-                    let Some(info) = self.executor(scheduler, executor) else {
-                        continue;
+                    let order =
+                        Order::Start { task, run, due, checkpoint, ticket };
+                    let started = move |answer: Answer| {
+                        let answer = answer.map(|_| ());
+                        Event::Started { executor, task, run, answer }
                     };
-                    let (platform, handle) = self.ways();
-                    let token = self.token;
-                    let shared = self.shared.clone();
-                    let patience = self.patience.clone();
-                    let within = patience.within();
-                    actix_rt::spawn(async move {
-                        let sent_at = clock::mono();
-                        let start = Start {
-                            task,
-                            run,
-                            spec: &spec,
-                            due,
-                            checkpoint: &checkpoint,
-                            ticket: &ticket,
-                            within,
-                        };
-                        let answer = platform.start(&info, token, start).await;
-                        let took = clock::mono() - sent_at;
-                        shared.stats.took("start_order", took);
-                        learn(&patience, &answer, took);
-                        let event =
-                            Event::Started { executor, task, run, answer };
-                        handle.send(Input::Event(event));
-                    });
+                    let text = Some(spec);
+                    self.order(scheduler, executor, order, text, started);
                 }
                 Action::Stop { executor, task, run } => {
-                    self.stop(scheduler, executor, task, run);
+                    let order = Order::Stop { task, run };
+                    let stopped = move |answer: Answer| {
+                        let answer = answer.map(|_| ());
+                        Event::Stopped { executor, task, run, answer }
+                    };
+                    self.order(scheduler, executor, order, None, stopped);
                 }
                 Action::Pace { executor, task, run, percent } => {
-                    self.pace(scheduler, executor, task, run, percent);
+                    let order = Order::Pace { task, run, percent };
+                    let paced = move |answer: Answer| {
+                        let answer = answer.map(|_| ());
+                        Event::Paced { executor, answer }
+                    };
+                    self.order(scheduler, executor, order, None, paced);
                 }
                 Action::ListMachines => self.list_machines(),
                 Action::Upkeep { wave, machine } => {
@@ -131,7 +137,7 @@
         false
     }
 
-    fn ways(&self) -> (Rc<P>, LeadHandle) {
+    fn outside(&self) -> (Rc<P>, LeadHandle) {
         (self.shared.platform.clone(), self.handle.clone())
     }
 
@@ -154,69 +160,58 @@
         });
     }
 
-    fn hold(
+    /// Gives an order to an executor, and tells the scheduler by `event`
+    /// what came of it: after as long as answers usually take that nothing
+    /// is known, and what the answer says if it comes later.
+    fn order(
         &self,
         scheduler: &Scheduler,
         executor: ExecutorIndex,
-        sent_at: Millis,
-        hold: Hold,
+        order: Order,
+        text: Option<Arc<str>>,
+        event: impl Fn(Answer) -> Event + 'static,
     ) {
         let Some(info) = self.executor(scheduler, executor) else { return };
-        let (platform, handle) = self.ways();
-        let token = self.token;
-        let patience = self.patience.clone();
-        actix_rt::spawn(async move {
-            let answer = platform.hold(&info, token, hold).await;
-            if hold.wait == 0 {
-                learn(&patience, &answer, clock::mono() - sent_at);
-            }
-            let event = Event::Held { executor, sent_at, answer };
-            handle.send(Input::Event(event));
-        });
-    }
-
-    fn stop(
-        &self,
-        scheduler: &Scheduler,
-        executor: ExecutorIndex,
-        task: TaskKey,
-        run: u64,
-    ) {
-        let Some(info) = self.executor(scheduler, executor) else { return };
-        let (platform, handle) = self.ways();
-        let token = self.token;
+        let handle = self.handle.clone();
+        let ways = self.ways.clone();
+        let shared = self.shared.clone();
         let patience = self.patience.clone();
-        let within = patience.within();
+        let wait = order.wait();
+        let within = wait + patience.within();
+        let late = if shared.has(Mechanism::LateAnswers) { LATE } else { 0 };
         actix_rt::spawn(async move {
             let sent_at = clock::mono();
-            let stopped = platform.stop(&info, token, task, run, within);
-            let answer = stopped.await;
-            learn(&patience, &answer, clock::mono() - sent_at);
-            let event = Event::Stopped { executor, task, run, answer };
-            handle.send(Input::Event(event));
-        });
-    }
-
-    fn pace(
-        &self,
-        scheduler: &Scheduler,
-        executor: ExecutorIndex,
-        task: TaskKey,
-        run: u64,
-        percent: u32,
-    ) {
-        let Some(info) = self.executor(scheduler, executor) else { return };
-        let (platform, handle) = self.ways();
-        let token = self.token;
-        actix_rt::spawn(async move {
-            let answer = platform.pace(&info, token, task, run, percent).await;
-            let event = Event::Paced { executor, answer };
-            handle.send(Input::Event(event));
+            let text = text.unwrap_or_else(|| Arc::from(""));
+            let call = ways.order(&info, &order, &text, within + late);
+            let mut call = std::pin::pin!(call);
+            let usual = Duration::from_millis(within);
+            let answer = match timeout(usual, &mut call).await {
+                Ok(answer) => answer,
+                Err(_) => {
+                    patience.unanswered();
+                    let unknown = event(Err(OrderFailure::Unknown));
+                    handle.send(Input::Event(unknown));
+                    let answer = call.await;
+                    if answer == Err(OrderFailure::Unknown) {
+                        return;
+                    }
+                    shared.count("answered_late");
+                    answer
+                }
+            };
+            let took = clock::mono() - sent_at;
+            if matches!(order, Order::Start { .. }) {
+                shared.stats.took("start_order", took);
+            }
+            if wait == 0 {
+                learn(&patience, &answer, took);
+            }
+            handle.send(Input::Event(event(answer)));
         });
     }
 
     fn list_machines(&self) {
-        let (platform, handle) = self.ways();
+        let (platform, handle) = self.outside();
         actix_rt::spawn(async move {
             let machines = platform.machines().await.ok();
             handle.send(Input::Event(Event::Machines(machines)));
@@ -224,7 +219,7 @@
     }
 
     fn upkeep(&self, wave: u64, machine: String) {
-        let (platform, handle) = self.ways();
+        let (platform, handle) = self.outside();
         let token = self.token;
         let holder = self.shared.settings.borrow().node.clone();
         let confirmed = self.confirmed.get();
@@ -285,7 +280,7 @@
                 peer.sender.send(&message);
             }
             _ => {
-                let (platform, handle) = self.ways();
+                let (platform, handle) = self.outside();
                 let within = Duration::from_millis(ADVICE_WITHIN);
                 actix_rt::spawn(async move {
                     let advice = platform.advise(step, &executors);
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -15,7 +15,7 @@
 use puffinknot_core::ids::{Millis, Revision};
 use puffinknot_core::jobs::message::{AdviceFailure, AdviceRow, CallId};
 use puffinknot_core::jobs::model::StepKey;
-use puffinknot_core::jobs::{Outcome, Request, RequestId};
+use puffinknot_core::jobs::{JobId, Outcome, Request, RequestId};
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
@@ -26,8 +26,10 @@
 use crate::cell::follow::{accept_lead, replace_leader};
 use crate::cell::lead::LeadHandle;
 use crate::cell::node::Shared;
+use crate::cell::order::Answer;
 use crate::cell::ports::{Leader, Platform};
 use crate::cell::reach;
+use crate::cell::relay::{self, OrderId, Relayed, Texts};
 use crate::cell::search::Search;
 
 /// How often a node tells the leader that it is there.
@@ -52,6 +54,8 @@
         life: u64,
         /// Where other nodes connect to it.
         address: SocketAddr,
+        /// Its data centre.
+        dc: String,
         /// Its processor time, in thousandths of a core.
         cpu_millis: u32,
     },
@@ -59,6 +63,8 @@
     Ask(RequestId, Request),
     /// Advice.
     Advised(CallId, Result<Vec<AdviceRow>, AdviceFailure>),
+    /// The answer to an order.
+    Ordered(OrderId, Answer),
     /// The node is there.
     Ping {
         /// The version of the policy that it has.
@@ -79,6 +85,12 @@
     Reply(RequestId, Outcome),
     /// Ask for advice.
     Advise(CallId, StepKey, Vec<String>),
+    /// Carry out an order.
+    Order(Relayed),
+    /// The text of a job, ahead of the first order to start a task of it.
+    Text(JobId, String),
+    /// The text of this job is needed no more.
+    Forget(JobId),
     /// Lead in my place. My key is at this revision.
     Lead(Revision),
     /// The policy as it stands in the store.
@@ -204,6 +216,7 @@
             node: settings.node.clone(),
             life: shared.life,
             address: settings.control,
+            dc: settings.dc.clone(),
             cpu_millis: settings.cpu_millis,
         }
     };
@@ -250,6 +263,7 @@
     mut receiver: Receiver,
 ) {
     let revision = shared.leader().map(|leader| leader.revision);
+    let texts = Rc::new(Texts::default());
     let mut ping = interval(PING);
     let mut heard = Instant::now();
     loop {
@@ -257,7 +271,7 @@
             message = receiver.next::<ToNode>() => {
                 let Some(message) = message else { return };
                 heard = Instant::now();
-                take(shared, link, message);
+                take(shared, link, &texts, message);
             }
             _ = shared.leader_changed.notified() => {
                 let known = shared.leader().map(|leader| leader.revision);
@@ -283,6 +297,7 @@
 fn take<P: Platform>(
     shared: &Rc<Shared<P>>,
     link: &LinkHandle,
+    texts: &Rc<Texts>,
     message: ToNode,
 ) {
     match message {
@@ -301,6 +316,20 @@
                 sender.send(&ToLeader::Advised(call, answer));
             });
         }
+        ToNode::Order(relayed) => {
+            let platform = shared.platform.clone();
+            let sender = link.sender.clone();
+            let texts = texts.clone();
+            shared.count("orders_relayed");
+            actix_rt::spawn(async move {
+                let id = relayed.id;
+                let answer =
+                    relay::carry_out(&*platform, &texts, relayed).await;
+                sender.send(&ToLeader::Ordered(id, answer));
+            });
+        }
+        ToNode::Text(job, text) => texts.learn(job, text),
+        ToNode::Forget(job) => texts.forget(job),
         ToNode::Lead(revision) => {
             actix_rt::spawn(accept_lead(shared.clone(), revision));
         }
@@ -340,7 +369,8 @@
     mut receiver: Receiver,
 ) {
     let hello = timeout(HELLO, receiver.next::<ToLeader>()).await;
-    let Ok(Some(ToLeader::Hello { node, life, address, cpu_millis })) = hello
+    let Ok(Some(ToLeader::Hello { node, life, address, dc, cpu_millis })) =
+        hello
     else {
         return;
     };
@@ -357,12 +387,14 @@
         return;
     };
     sender.send(&ToNode::Welcome(leader, known));
-    let peer = lead.join(node, cpu_millis, sender.clone());
+    let (peer, relay) = lead.join(node, dc, cpu_millis, sender.clone());
     let mut behind = false;
     loop {
         let message = timeout(SILENCE, receiver.next::<ToLeader>()).await;
         let Ok(Some(message)) = message else { break };
+        relay.hear();
         match message {
+            ToLeader::Ordered(id, answer) => relay.answered(id, answer),
             ToLeader::Ask(id, request) => lead.ask_for(peer, id, request),
             ToLeader::Advised(call, answer) => lead.advised(call, answer),
             ToLeader::Ping { policy: version, store_silent } => {
@@ -385,7 +417,7 @@
             break;
         }
     }
-    lead.leave(peer);
+    lead.leave(peer, &relay);
 }
 
 /// How long a leader waits for the advice that a node asks for.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -12,6 +12,8 @@
 * [`lead`] runs the scheduler while this node leads.
 * [`store`] makes calls to the store with as much [`patience`] as it needs.
 * [`journal`] writes the leader's changes, each under a condition.
+* [`order`] is what executors are told, and [`relay`] how orders reach them
+  by other nodes.
 * [`link`] carries requests to the leader; [`channel`] is what it uses.
 * [`reach`] knows whether this node can serve clients, and [`search`] whom to
   try on the way to the leader.
@@ -29,9 +31,11 @@
 pub mod link;
 pub mod logs;
 pub mod node;
+pub mod order;
 pub mod patience;
 pub mod ports;
 pub mod reach;
+pub mod relay;
 pub mod search;
 pub mod stats;
 pub mod store;
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -61,6 +61,8 @@
     /// The processor time that its machine gives it, in thousandths of a
     /// core. A larger machine is preferred to lead.
     pub cpu_millis: u32,
+    /// What its machine's own link carries, in bytes a millisecond.
+    pub link_bytes_per_ms: u32,
     /// The mechanisms that are switched off.
     pub without: Without,
 }
@@ -404,6 +406,7 @@
         settings.keep_ended = fresh.keep_ended;
         settings.stop_within = fresh.stop_within;
         settings.cpu_millis = fresh.cpu_millis;
+        settings.link_bytes_per_ms = fresh.link_bytes_per_ms;
         info!(seeds = settings.seeds.len(), "settings_reloaded");
     }
 }
--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -20,6 +20,7 @@
     Cut(usize, bool),
     Mute(usize, u32),
     Late(usize, Option<u64>),
+    HeldUp(usize, Option<u64>),
     Crash(usize),
     StoreDown(bool),
     Replace,
@@ -35,6 +36,8 @@
         1 => (0usize..4, 1u32..3).prop_map(|(a, n)| Move::Mute(a, n)),
         1 => (0usize..4, prop::option::of(200u64..7_000))
             .prop_map(|(a, l)| Move::Late(a, l)),
+        1 => (0usize..4, prop::option::of(1u64..7_000))
+            .prop_map(|(a, l)| Move::HeldUp(a, l)),
         1 => (0usize..4).prop_map(Move::Crash),
         1 => any::<bool>().prop_map(Move::StoreDown),
         2 => Just(Move::Replace),
@@ -91,6 +94,7 @@
             Move::Cut(at, cut) => world.executors[at].cut = cut,
             Move::Mute(at, orders) => world.executors[at].mute = orders,
             Move::Late(at, late) => world.executors[at].late = late,
+            Move::HeldUp(at, late) => world.executors[at].held_up = late,
             Move::Crash(at) => {
                 lives += 1;
                 let id = format!("y{lives}");
@@ -116,6 +120,7 @@
         executor.cut = false;
         executor.mute = 0;
         executor.late = None;
+        executor.held_up = None;
     }
     world.store_up();
     world.run(2 * LEASE + 160 * WORK);
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -70,6 +70,9 @@
     pub mute: u32,
     /// The next orders are carried out this much later, unanswered.
     pub late: Option<Millis>,
+    /// Orders arrive, and their answers come so much later than they are
+    /// waited for.
+    pub held_up: Option<Millis>,
     pub dead: bool,
     /// All that it starts fails.
     pub fails: bool,
@@ -291,6 +294,7 @@
             cut_from: None,
             mute: 0,
             late: None,
+            held_up: None,
             dead: false,
             fails: false,
         });
@@ -680,10 +684,17 @@
         }
         let fenced = token < there.token;
         there.token = there.token.max(token);
+        let held_up = there.held_up.filter(|_| answer_to.is_some());
+        if held_up.is_some() {
+            self.unanswered(&action, token);
+        }
+        let way = held_up.map_or(WAY, |late| ORDER_TIMEOUT + late);
+        let there = &mut self.executors[at];
         match action {
             Action::Hold { executor, sent_at, due, last_seen, wait } => {
                 if fenced {
                     return self.answer(
+                        way,
                         token,
                         Event::Held {
                             executor,
@@ -716,7 +727,7 @@
                     self.later(ORDER_TIMEOUT, Pending::Tell(token, event));
                 } else if answer_to.is_some() {
                     let event = Event::Started { executor, task, run, answer };
-                    self.answer(token, event);
+                    self.answer(way, token, event);
                 }
             }
             Action::Stop { executor, task, run } => {
@@ -728,7 +739,7 @@
                 };
                 if answer_to.is_some() {
                     let event = Event::Stopped { executor, task, run, answer };
-                    self.answer(token, event);
+                    self.answer(way, token, event);
                 }
             }
             _ => {}
@@ -742,8 +753,8 @@
         muted
     }
 
-    fn answer(&mut self, token: u64, event: Event) {
-        self.later(WAY, Pending::Tell(token, event));
+    fn answer(&mut self, way: Millis, token: u64, event: Event) {
+        self.later(way, Pending::Tell(token, event));
     }
 
     /// Nobody answers an order.
@@ -826,7 +837,8 @@
             running: running.collect(),
             ended: there.ended.clone(),
         });
-        self.answer(token, Event::Held { executor, sent_at, answer });
+        let way = there.held_up.map_or(WAY, |late| HOLD_SLACK + late);
+        self.answer(way, token, Event::Held { executor, sent_at, answer });
     }
 
     fn start(
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -8,6 +8,7 @@
 mod input;
 mod jobs;
 mod model;
+mod order;
 mod patience;
 mod processes;
 mod regression;
