Advice is asked of executors that have room, spread over all

Cause: a step asked about the first hundred executors of the list that it had not asked about, so that in cells with more every step asked about the same ones. Ruled out: too few plans for gangs (MAX_PLANS) and too short tickets; neither was touched. Change: those with room for the step now come first, for gangs those that hold most members; among equals the step's hash decides. Cells of up to a hundred executors ask as before.

--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -7,12 +7,17 @@
 never waits behind long ones everywhere.
 */
 
+use std::hash::{Hash, Hasher};
+
+use siphasher::sip::SipHasher13;
+
 use crate::ids::Millis;
+use crate::jobs::executor::Executor;
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{
     Action, AdviceFailure, AdviceRow, CallId, ExecutorIndex,
 };
-use crate::jobs::model::{JobId, StepKey};
+use crate::jobs::model::{JobId, Step, StepKey};
 use crate::jobs::policy::AdviceCost;
 use crate::jobs::scheduler::live::Ticket;
 use crate::jobs::scheduler::place::times;
@@ -186,9 +191,19 @@
                 && label.is_none_or(|label| executor.has_label(label))
                 && !known.contains(index)
         });
-        let mut indices: Vec<ExecutorIndex> =
-            fits.map(|(index, _)| *index).collect();
-        indices.truncate(self.config.advice_batch);
+        let mut ranked: Vec<((u32, u64), ExecutorIndex)> = fits
+            .map(|(index, executor)| {
+                let room = room_now(executor, step);
+                ((u32::MAX - room, spread(key, *index)), *index)
+            })
+            .collect();
+        let most = self.config.advice_batch;
+        if ranked.len() > most {
+            ranked.select_nth_unstable(most);
+            ranked.truncate(most);
+        }
+        let indices: Vec<ExecutorIndex> =
+            ranked.into_iter().map(|(_, index)| index).collect();
         if indices.is_empty() {
             return;
         }
@@ -493,6 +508,29 @@
     }
 }
 
+/// How much room an executor has for a step now: for how many members of a
+/// gang, or whether for any task of another step. Single tasks find room on
+/// many executors, and would take the emptiest ones from gangs.
+fn room_now(executor: &Executor, step: &Step) -> u32 {
+    if !executor.usable() {
+        return 0;
+    }
+    let count = times(&executor.free, &step.room());
+    if step.gang {
+        count
+    } else {
+        count.min(1)
+    }
+}
+
+/// Spreads steps over executors that have as much room: of a thousand, each
+/// step would else ask about the same hundred, which are full for that.
+fn spread(key: StepKey, index: ExecutorIndex) -> u64 {
+    let mut hasher = SipHasher13::new();
+    (key, index).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// How many of so many nodes are kept free of long calls. Short calls are
 /// many but take little, so that a large cell keeps a smaller part.
 fn short_lane(advisors: usize) -> usize {
--- a/tests/jobs/rules.rs
+++ b/tests/jobs/rules.rs
@@ -190,3 +190,27 @@
     assert!(!wide_task_ends(off), "it is kept waiting without room kept");
     assert!(wide_task_ends(Without::default()));
 }
+
+/// Each step asked for advice about the same hundred executors, the first of
+/// the list, which were full for that; of 1,100, wide gangs waited for 5 s
+/// while two fifths of the cell were idle.
+#[test]
+fn advice_is_asked_of_executors_with_room() {
+    const EXECUTORS: usize = 300;
+    const FULL: u32 = 150;
+    let mut world = World::new(EXECUTORS);
+    world.run(500);
+    let mut filling = step(FULL, room(4_000, 100));
+    filling.estimate = 100 * WORK;
+    world.submit(job(1, "batch", vec![filling]));
+    world.run(200);
+    assert_eq!(world.starts.len(), FULL as usize);
+    let mut gang = step(20, room(4_000, 100));
+    gang.gang = true;
+    world.submit(job(2, "advised", vec![gang]));
+    // Its commit and one call for advice.
+    world.run(200);
+    assert_eq!(world.starts.len(), FULL as usize + 20);
+    assert_eq!(world.scheduler.counters()["advised"], 1, "one call does");
+    world.check();
+}
