Times for the store follow the link; ends that are known are left out

Change: the time for ranges, writes and other calls grows by what the machine's link takes; a hold says which ends the leader knows, and whoever makes the call leaves them out of the answer.

--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -344,6 +344,8 @@
         due: Option<Millis>,
         /// Ends up to this one may be forgotten.
         last_seen: u64,
+        /// Ends up to this one are known, and need not be told again.
+        known: u64,
         /// How long to wait for an end.
         wait: Millis,
     },
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -97,6 +97,7 @@
                     sent_at: now,
                     due: None,
                     last_seen: executor.noted,
+                    known: executor.taken,
                     wait: 0,
                 });
             } else if executor.probe {
@@ -132,6 +133,7 @@
             sent_at: now,
             due,
             last_seen: executor.noted,
+            known: executor.taken,
             wait,
         });
     }
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -54,11 +54,6 @@
 /// How long answers of executors are waited for. A machine's share of its
 /// processor may be given to it in slices a tenth of a second apart.
 const ORDERS: Bounds = Bounds { least: 120, first: 300, most: 300 };
-/// So many bytes may wait at a machine's own link before an answer: the
-/// orders for one wide step, with the text of its job in each of them. The
-/// slowest links take half a second for them.
-const QUEUED_BYTES: u32 = 128 << 10;
-
 /// The number of a peer within one tenure.
 pub type PeerId = u64;
 
@@ -230,7 +225,7 @@
         requests: 0,
         handed_over: None,
         patience: Rc::new(Patience::new(
-            order_bounds(shared.settings.borrow().link_bytes_per_ms),
+            ORDERS.behind(shared.settings.borrow().link_bytes_per_ms),
             shared.has(Mechanism::OrderPatience),
         )),
         invited: 0,
@@ -250,12 +245,6 @@
     });
 }
 
-/// How long answers of executors are waited for behind such a link.
-fn order_bounds(link_bytes_per_ms: u32) -> Bounds {
-    let queued = Millis::from(QUEUED_BYTES / link_bytes_per_ms.max(1));
-    Bounds { most: ORDERS.most + queued, ..ORDERS }
-}
-
 struct Peer {
     node: String,
     sender: Sender,
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -83,8 +83,15 @@
                 Action::Advise { call, advisor, step, executors } => {
                     self.advise(call, &advisor, step, executors);
                 }
-                Action::Hold { executor, sent_at, due, last_seen, wait } => {
-                    let order = Order::Hold { due, last_seen, wait };
+                Action::Hold {
+                    executor,
+                    sent_at,
+                    due,
+                    last_seen,
+                    known,
+                    wait,
+                } => {
+                    let order = Order::Hold { due, last_seen, known, wait };
                     let held = move |answer: Answer| {
                         let answer = answer.map(Option::unwrap_or_default);
                         Event::Held { executor, sent_at, answer }
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -125,7 +125,11 @@
     fn new(platform: P, settings: NodeSettings) -> Shared<P> {
         let platform = Rc::new(platform);
         Shared {
-            store: Rc::new(Store::new(platform.clone(), &settings.without)),
+            store: Rc::new(Store::new(
+                platform.clone(),
+                &settings.without,
+                settings.link_bytes_per_ms,
+            )),
             platform,
             life: rand::random(),
             policy: RefCell::default(),
--- a/src/cell/order.rs
+++ b/src/cell/order.rs
@@ -21,6 +21,9 @@
         due: Option<Millis>,
         /// Ends up to this one may be forgotten.
         last_seen: u64,
+        /// Ends up to this one are known to the leader. Executors list them
+        /// until they may be forgotten; they are left out of the answer.
+        known: u64,
         /// How long the executor may wait for an end, in milliseconds.
         wait: Millis,
     },
@@ -82,14 +85,16 @@
         within: Millis,
     ) -> Answer {
         match self {
-            Order::Hold { due, last_seen, wait } => {
+            Order::Hold { due, last_seen, known, wait } => {
                 let hold = Hold {
                     due: *due,
                     last_seen: *last_seen,
                     wait: *wait,
                     within,
                 };
-                platform.hold(executor, token, hold).await.map(Some)
+                let mut account = platform.hold(executor, token, hold).await?;
+                account.ended.retain(|end| end.number > *known);
+                Ok(Some(account))
             }
             Order::Start { task, run, due, checkpoint, ticket } => {
                 let start = Start {
--- a/src/cell/patience.rs
+++ b/src/cell/patience.rs
@@ -32,6 +32,20 @@
     pub most: Millis,
 }
 
+/// So many bytes may wait at a machine's own link ahead of a call: the orders
+/// for one wide step, with the text of its job in each of them. The slowest
+/// links take half a second for them.
+const QUEUED_BYTES: u32 = 128 << 10;
+
+impl Bounds {
+    /// The same for calls from a machine whose link carries so many bytes a
+    /// millisecond.
+    pub fn behind(self, link_bytes_per_ms: u32) -> Bounds {
+        let queued = QUEUED_BYTES / link_bytes_per_ms.max(1);
+        Bounds { most: self.most + Millis::from(queued), ..self }
+    }
+}
+
 /// What is known of the round trips to one kind of peer.
 #[derive(Debug)]
 pub struct Patience {
--- a/src/cell/store.rs
+++ b/src/cell/store.rs
@@ -29,13 +29,20 @@
 /// The time for other calls. Nobody waits for them, and one that is given up
 /// too soon makes the store seem away.
 const READS: Bounds = Bounds { least: 450, first: 450, most: 1_000 };
-/// What a large write may take in addition: the slowest links carry so many
-/// bytes in a millisecond.
-const BYTES_PER_MILLI: usize = 500;
-/// The time for reading a range at first.
+/// A large write may take longer by what the machine's link needs for this
+/// many times its bytes: they grow by a third on the wire, and others are sent
+/// beside it.
+const WRITE_TIMES: usize = 2;
+/// A large write takes as long as if the link carried no more bytes a
+/// millisecond than this.
+const MOST_BYTES_PER_MS: usize = 1_000;
+/// The time for reading a range at first, on a link that takes no time.
 const FIRST_RANGE: Millis = 900;
-/// The most time for reading a range.
+/// The most time for reading a range, on such a link.
 const LAST_RANGE: Millis = 4_000;
+/// What the link needs for so many bytes is added to both: what a leader
+/// leaves to its successor with a hundred jobs open.
+const RANGE_BYTES: u32 = 256 << 10;
 /// A store that has answered nothing for so long, in milliseconds, and then
 /// answers, was away. Less than the least patience with a call, more than
 /// what passes between two calls of a leader.
@@ -47,6 +54,10 @@
     writes: Patience,
     reads: Patience,
     range_within: Cell<Millis>,
+    /// What the link adds to the time for a range.
+    range_extra: Millis,
+    /// What the link carries for a write, in bytes a millisecond.
+    write_bytes_per_ms: usize,
     /// When a call was answered last.
     answered: Cell<Millis>,
     /// Calls in a row without a usable answer.
@@ -58,13 +69,27 @@
 }
 
 impl<P: Platform> Store<P> {
-    /// The store of this platform.
-    pub fn new(platform: Rc<P>, without: &Without) -> Store<P> {
+    /// The store of this platform, behind a link that carries so many bytes
+    /// a millisecond.
+    pub fn new(
+        platform: Rc<P>,
+        without: &Without,
+        link_bytes_per_ms: u32,
+    ) -> Store<P> {
+        let follows = without.has(StorePatience);
+        let patience = |bounds: Bounds| {
+            Patience::new(bounds.behind(link_bytes_per_ms), follows)
+        };
+        let link = link_bytes_per_ms.max(1);
+        let carried = (link as usize).min(MOST_BYTES_PER_MS);
+        let range_extra = Millis::from(RANGE_BYTES / link);
         Store {
             platform,
-            writes: Patience::new(WRITES, without.has(StorePatience)),
-            reads: Patience::new(READS, without.has(StorePatience)),
-            range_within: Cell::new(FIRST_RANGE),
+            writes: patience(WRITES),
+            reads: patience(READS),
+            range_within: Cell::new(FIRST_RANGE + range_extra),
+            range_extra,
+            write_bytes_per_ms: (carried / WRITE_TIMES).max(1),
             answered: Cell::new(0),
             failures: Cell::new(0),
             regained: Notify::new(),
@@ -139,7 +164,7 @@
         match answer {
             Ok(Ok(listing)) => {
                 self.note(true);
-                self.range_within.set(FIRST_RANGE);
+                self.range_within.set(FIRST_RANGE + self.range_extra);
                 Ok(listing)
             }
             Ok(Err(error)) => {
@@ -148,7 +173,8 @@
             }
             Err(_) => {
                 self.note(false);
-                self.range_within.set((within * 2).min(LAST_RANGE));
+                let most = LAST_RANGE + self.range_extra;
+                self.range_within.set((within * 2).min(most));
                 Err(ReadError::Unavailable)
             }
         }
@@ -216,7 +242,7 @@
     ) -> Result<Revision, WriteError> {
         let values = transaction.put.iter().map(|(_, value, _)| value.len());
         let bytes: usize = values.sum();
-        let extra = (bytes / BYTES_PER_MILLI) as Millis;
+        let extra = (bytes / self.write_bytes_per_ms) as Millis;
         let within = Duration::from_millis(self.writes.within() + extra);
         let sent_at = clock::mono();
         let call = self.platform.write(transaction);
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -7,7 +7,9 @@
 
 use puffinknot_core::config::Resources;
 use puffinknot_core::ids::Millis;
-use puffinknot_core::jobs::message::{AdviceRow, ExecutorIndex, Kept};
+use puffinknot_core::jobs::message::{
+    AdviceFailure, AdviceRow, ExecutorIndex, Kept,
+};
 use puffinknot_core::jobs::model::StepKey;
 use puffinknot_core::jobs::{
     Action, AdviceCost, Change, EndKind, EndRow, Event, ExecutorInfo,
@@ -144,6 +146,8 @@
     pub late_upkeeps: u32,
     /// The next calls for advice are never answered.
     pub lost_advice: u32,
+    /// How long advice takes.
+    pub advice_takes: Millis,
     pub most_down: usize,
     /// Holds that were sent so far.
     pub holds: u64,
@@ -151,6 +155,9 @@
     without: Without,
 }
 
+/// The service refuses calls about more executors.
+const ADVICE_BATCH: usize = 100;
+
 pub fn room(cpu_millis: u32, memory_mb: u32) -> Resources {
     Resources { cpu_millis, memory_mb, accelerators: 0 }
 }
@@ -212,7 +219,7 @@
         lease: LEASE,
         keep_ended: 120_000,
         inherited_for: INHERITED,
-        advice_batch: 100,
+        advice_batch: ADVICE_BATCH,
         commit_gap: 20,
         without,
     }
@@ -262,6 +269,7 @@
             upkeeps: Vec::new(),
             late_upkeeps: 0,
             lost_advice: 0,
+            advice_takes: 30,
             most_down: 0,
             holds: 0,
             submitted: BTreeMap::new(),
@@ -406,6 +414,13 @@
                 Action::Advise { .. } if self.lost_advice > 0 => {
                     self.lost_advice -= 1;
                 }
+                Action::Advise { call, executors, .. }
+                    if executors.len() > ADVICE_BATCH =>
+                {
+                    let answer = Err(AdviceFailure::Unknown);
+                    let event = Event::Advised { call: *call, answer };
+                    self.later(WAY, Pending::Tell(token, event));
+                }
                 Action::Advise { call, step, executors, .. } => {
                     let rows = executors.iter().filter(|id| {
                         let sum: usize = id.bytes().map(usize::from).sum();
@@ -417,7 +432,7 @@
                     });
                     let answer = Ok(rows.collect());
                     let event = Event::Advised { call: *call, answer };
-                    self.later(30, Pending::Tell(token, event));
+                    self.later(self.advice_takes, Pending::Tell(token, event));
                 }
                 Action::Pace { task, percent, .. } => {
                     self.percents.insert(*task, *percent);
@@ -691,7 +706,9 @@
         let way = held_up.map_or(WAY, |late| ORDER_TIMEOUT + late);
         let there = &mut self.executors[at];
         match action {
-            Action::Hold { executor, sent_at, due, last_seen, wait } => {
+            Action::Hold {
+                executor, sent_at, due, last_seen, wait, ..
+            } => {
                 if fenced {
                     return self.answer(
                         way,
