Steps on more executors than one call for advice may name ask several nodes

Ruled out: a call that is lost (each is made again), executors out of reach. Change: calls are cut into parts that are asked for by several nodes at once, and a step asks at first about as many executors as should do, eight calls at most. Test: a gang on 180 executors of 300; with calls that are not cut it does not start.

--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -11,6 +11,7 @@
 
 use siphasher::sip::SipHasher13;
 
+use crate::config::Resources;
 use crate::ids::Millis;
 use crate::jobs::executor::Executor;
 use crate::jobs::mechanism::Mechanism;
@@ -43,6 +44,11 @@
 const SHARE_WEIGHT: f64 = 0.1;
 /// The share that is assumed before any answer.
 const FIRST_SHARE: f64 = 0.4;
+/// A share that is less than this is not known well.
+const LEAST_SHARE: f64 = 0.05;
+/// The most calls about one step at a time. Eight hundred executors of four
+/// slots hold the widest steps if a tenth of them may run these.
+const MOST_CALLS: usize = 8;
 /// A ticket is used only if it holds for this long still.
 const TICKET_MARGIN: Millis = 100;
 /// A call is overdue if it is not answered this long after its time, in
@@ -178,7 +184,7 @@
             return;
         };
         // Steps that wait come here again and again.
-        if live.queue.advice.is_none() || state.advice.call.is_some() {
+        if live.queue.advice.is_none() || !state.advice.open.is_empty() {
             return;
         }
         let step = &live.job.steps[key.step as usize];
@@ -197,7 +203,13 @@
                 ((u32::MAX - room, spread(key, *index)), *index)
             })
             .collect();
-        let most = self.config.advice_batch;
+        let queue = &live.job.queue;
+        let capacities = ranked.iter().filter_map(|(_, index)| {
+            Some(self.executors.get(index)?.info.capacity)
+        });
+        let enough = self.enough(queue, step, capacities);
+        let batch = self.config.advice_batch;
+        let most = enough.clamp(batch, batch * MOST_CALLS);
         if ranked.len() > most {
             ranked.select_nth_unstable(most);
             ranked.truncate(most);
@@ -226,7 +238,9 @@
         }
     }
 
-    /// Asks about these executors, unless a call about the step is open.
+    /// Asks about these executors, unless a call about the step is open. More
+    /// than fit into one call are asked about by several nodes at once: a
+    /// gang needs tickets that all hold at one time.
     pub(super) fn ask(
         &mut self,
         key: StepKey,
@@ -239,23 +253,25 @@
         let place = (key.time, key.step);
         let Some(state) = live.steps.get_mut(&place) else { return };
         let advice = &mut state.advice;
-        if advice.call.is_some() || executors.is_empty() {
+        if !advice.open.is_empty() {
             return;
         }
-        self.next_call += 1;
-        advice.call = Some(self.next_call);
-        let call = Call {
-            step: key,
-            cost,
-            executors,
-            urgent: priority == 0,
-            deadline,
-            not_before: now,
-            overdue: 0,
-            advisor: None,
-            enough: None,
-        };
-        self.calls.insert(self.next_call, call);
+        for part in executors.chunks(self.config.advice_batch) {
+            self.next_call += 1;
+            advice.open.insert(self.next_call);
+            let call = Call {
+                step: key,
+                cost,
+                executors: part.to_vec(),
+                urgent: priority == 0,
+                deadline,
+                not_before: now,
+                overdue: 0,
+                advisor: None,
+                enough: None,
+            };
+            self.calls.insert(self.next_call, call);
+        }
     }
 
     /// Gives up calls whose answers have not come in time, and has other
@@ -379,20 +395,32 @@
         let key = call.step;
         let Some(live) = self.jobs.get(&key.job) else { return };
         let Some(step) = live.job.steps.get(key.step as usize) else { return };
-        let share = self.shares.get(&live.job.queue);
-        let share = share.copied().unwrap_or(FIRST_SHARE).max(0.05);
-        let whole =
+        let known =
             call.executors.iter().filter_map(|i| self.executors.get(i));
-        let whole = whole.map(|e| times(&e.info.capacity, &step.room()));
+        let capacities = known.map(|executor| executor.info.capacity);
+        let enough = self.enough(&live.job.queue, step, capacities);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.enough = Some(enough);
+        }
+    }
+
+    /// How many executors with such capacities should do for a step.
+    fn enough(
+        &self,
+        queue: &str,
+        step: &Step,
+        capacities: impl Iterator<Item = Resources>,
+    ) -> usize {
+        let share = self.shares.get(queue).copied();
+        let share = share.unwrap_or(FIRST_SHARE).max(LEAST_SHARE);
+        let whole = capacities.map(|whole| times(&whole, &step.room()));
         let mut each = whole.max().unwrap_or(1).max(1);
         if step.max_per_executor > 0 {
             each = each.min(step.max_per_executor);
         }
         let needed = (f64::from(step.count) / f64::from(each)).ceil() + 1.0;
         let enough = needed.max(FEWEST) / share * ASK_FACTOR;
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.enough = Some(enough.ceil() as usize);
-        }
+        enough.ceil() as usize
     }
 
     /// Lets a call ask only about those executors that should do: the ones
@@ -473,7 +501,7 @@
         };
         let shrunk = self.advice_slack * SLACK_SHRINKS;
         self.advice_slack = shrunk.max(1.0);
-        advice.call = None;
+        advice.open.remove(&id);
         advice.known = true;
         let until = now + call.cost.valid.saturating_sub(TICKET_MARGIN);
         let asked = call.executors.len().max(1) as f64;
--- a/puffinknot-core/src/jobs/scheduler/live.rs
+++ b/puffinknot-core/src/jobs/scheduler/live.rs
@@ -22,8 +22,8 @@
 /// What is known from advice about a step.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Advice {
-    /// The call that is queued or under way.
-    pub call: Option<CallId>,
+    /// The calls that are queued or under way.
+    pub open: BTreeSet<CallId>,
     /// The executors that may run the step.
     pub good: BTreeMap<ExecutorIndex, Ticket>,
     /// The executors that were asked about.
--- a/tests/jobs/rules.rs
+++ b/tests/jobs/rules.rs
@@ -214,3 +214,24 @@
     assert_eq!(world.scheduler.counters()["advised"], 1, "one call does");
     world.check();
 }
+
+/// A gang on more executors than one call may ask about asked for all of its
+/// tickets anew in one call, which was refused each time, and waited for ever
+/// in an empty cell.
+#[test]
+fn a_gang_gets_tickets_from_several_calls_at_one_time() {
+    const EXECUTORS: usize = 300;
+    const WIDTH: u32 = 180;
+    let mut world = World::new(EXECUTORS);
+    let nodes = ["a", "b", "c", "d"].map(String::from);
+    world.event(puffinknot_core::jobs::Event::Advisors(nodes.to_vec()));
+    world.advice_takes = 900;
+    world.run(500);
+    let mut gang = step(WIDTH, room(4_000, 100));
+    gang.gang = true;
+    world.submit(job(1, "advised", vec![gang]));
+    world.run(6_000);
+    assert_eq!(world.starts.len(), WIDTH as usize);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
