--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -24,12 +24,8 @@
 use crate::jobs::scheduler::place::times;
 use crate::jobs::scheduler::Scheduler;
 
-/// Calls under way at one node; the second waits in the service's queue.
-const PER_ADVISOR: usize = 2;
 /// A call that takes longer than this is long, in milliseconds.
 const LONG_CALL: Millis = 160;
-/// A short call goes to a node that should answer within this time.
-const SOON: Millis = 60;
 /// If this many calls wait for each node, they ask about fewer executors.
 const CROWDED: usize = 1;
 /// Then a call asks about this many times the executors that should do.
@@ -51,45 +47,12 @@
 const MOST_CALLS: usize = 8;
 /// A ticket is used only if it holds for this long still.
 const TICKET_MARGIN: Millis = 100;
-/// A call is overdue if it is not answered this long after its time, in
-/// milliseconds: some round trips, and a slice of a busy processor.
-const OVERDUE: Millis = 200;
-/// The same in shares of its time, which is only what the service says.
-const OVERDUE_SHARE: f64 = 0.5;
 /// A call is given up after this time in any case, in milliseconds; nodes
 /// give up before.
 const NEVER_ANSWERED: Millis = 6_000;
-/// By how much the slack grows with each call that is overdue: the service
-/// may be slower than it says.
-const SLACK_GROWS: f64 = 2.0;
-/// By how much it shrinks with each answer.
-const SLACK_SHRINKS: f64 = 0.9;
-/// The most that it grows to; the slack is then over three seconds, longer
-/// than clients wait for anything.
-const MOST_SLACK: f64 = 16.0;
-/// A node whose call was overdue gets none for this time, in milliseconds. A
-/// link to a node that is out of reach is given up sooner.
-const AVOIDED: Millis = 1_500;
 /// The time until a call that failed is made again.
 const CALL_AGAIN: Millis = 100;
 
-/// A node that can ask for advice.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Advisor {
-    /// When its calls should be answered.
-    busy_until: Millis,
-    /// Its calls that are under way.
-    calls: usize,
-    /// It gets no calls until then.
-    avoided_until: Millis,
-}
-
-impl Advisor {
-    fn avoided(&self, now: Millis) -> bool {
-        self.avoided_until > now
-    }
-}
-
 /// A call for advice.
 #[derive(Clone, Debug)]
 pub(super) struct Call {
@@ -142,23 +105,13 @@
 
 impl Scheduler {
     pub(super) fn set_advisors(&mut self, names: Vec<String>) {
-        let gone: Vec<String> = self
-            .advisors
-            .keys()
-            .filter(|name| !names.contains(name))
-            .cloned()
-            .collect();
-        for name in gone {
-            self.advisors.remove(&name);
+        for name in self.advisors.set(names) {
             for call in self.calls.values_mut() {
                 if call.advisor.as_deref() == Some(name.as_str()) {
                     call.advisor = None;
                 }
             }
         }
-        for name in names {
-            self.advisors.entry(name).or_default();
-        }
     }
 
     /// Asks about the steps of a new job, before it is written.
@@ -284,11 +237,7 @@
         let over: Vec<CallId> = over.map(|(id, _)| *id).collect();
         for id in over {
             let name = self.calls[&id].advisor.clone().unwrap_or_default();
-            if let Some(advisor) = self.advisors.get_mut(&name) {
-                advisor.avoided_until = now + AVOIDED;
-            }
-            self.advice_slack =
-                (self.advice_slack * SLACK_GROWS).min(MOST_SLACK);
+            self.advisors.overdue(&name, now);
             self.count("advice_overdue");
             self.advised(id, Err(AdviceFailure::Unknown), now);
         }
@@ -333,7 +282,8 @@
             if *full.of(long) {
                 continue;
             }
-            let Some(name) = self.free_advisor(long, now) else {
+            let lane = self.has(Mechanism::ShortLane);
+            let Some(name) = self.advisors.free(long, lane, now) else {
                 *full.of(long) = true;
                 continue;
             };
@@ -358,16 +308,9 @@
         let asked = call.executors.clone();
         let known = asked.iter().filter_map(|i| self.executors.get(i));
         let executors = known.map(|e| e.info.id.clone()).collect();
-        let advisor = self.advisors.entry(name.clone()).or_default();
-        advisor.calls += 1;
-        advisor.busy_until = advisor.busy_until.max(now) + cost;
-        let time = advisor.busy_until - now;
-        let slack = time as f64 * OVERDUE_SHARE + OVERDUE as f64;
-        let slack = (slack * self.advice_slack) as Millis;
-        let mut overdue = now + NEVER_ANSWERED;
-        if soon {
-            overdue = overdue.min(advisor.busy_until + slack);
-        }
+        let overdue = self.advisors.ask(&name, cost, now);
+        let never = now + NEVER_ANSWERED;
+        let overdue = if soon { overdue.min(never) } else { never };
         if let Some(call) = self.calls.get_mut(&id) {
             call.overdue = overdue;
         }
@@ -450,25 +393,6 @@
         self.count("advice_shortened");
     }
 
-    /// The node that answers first, of those that take such a call.
-    fn free_advisor(&self, long: bool, now: Millis) -> Option<String> {
-        let all = self.advisors.len();
-        let lane = long && self.has(Mechanism::ShortLane);
-        let kept = if lane { short_lane(all) } else { 0 };
-        let most = if long { 1 } else { PER_ADVISOR };
-        let all_avoided = self.advisors.values().all(|a| a.avoided(now));
-        self.advisors
-            .iter()
-            .skip(kept)
-            .filter(|(_, advisor)| advisor.calls < most)
-            .filter(|(_, advisor)| all_avoided || !advisor.avoided(now))
-            .filter(|(_, advisor)| {
-                long || advisor.busy_until < now + SOON || all == 1
-            })
-            .min_by_key(|(_, advisor)| advisor.busy_until)
-            .map(|(name, _)| name.clone())
-    }
-
     pub(super) fn advised(
         &mut self,
         id: CallId,
@@ -477,12 +401,7 @@
     ) {
         let Some(mut call) = self.calls.remove(&id) else { return };
         if let Some(name) = call.advisor.take() {
-            if let Some(advisor) = self.advisors.get_mut(&name) {
-                advisor.calls = advisor.calls.saturating_sub(1);
-                if advisor.calls == 0 {
-                    advisor.busy_until = now;
-                }
-            }
+            self.advisors.answered(&name, now);
         }
         let key = call.step;
         let Some(live) = self.jobs.get_mut(&key.job) else { return };
@@ -499,8 +418,7 @@
                 return;
             }
         };
-        let shrunk = self.advice_slack * SLACK_SHRINKS;
-        self.advice_slack = shrunk.max(1.0);
+        self.advisors.in_time();
         advice.open.remove(&id);
         advice.known = true;
         let until = now + call.cost.valid.saturating_sub(TICKET_MARGIN);
@@ -558,13 +476,3 @@
     (key, index).hash(&mut hasher);
     hasher.finish()
 }
-
-/// How many of so many nodes are kept free of long calls. Short calls are
-/// many but take little, so that a large cell keeps a smaller part.
-fn short_lane(advisors: usize) -> usize {
-    match advisors {
-        0 | 1 => 0,
-        2 | 3 => 1,
-        _ => advisors.isqrt(),
-    }
-}
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -15,8 +15,7 @@
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::model::{JobId, Step, StepKey};
-use crate::jobs::scheduler::live::StepRun;
-use crate::jobs::scheduler::place::{rest, times, Kept};
+use crate::jobs::scheduler::place::{rest, times, Kept, Opening};
 use crate::jobs::scheduler::Scheduler;
 
 /// Tickets are asked for this long before the room should be free, beside
@@ -48,20 +47,13 @@
         urgent: bool,
         now: Millis,
     ) -> bool {
-        if self.lacks_advice(key, now) {
+        let Some(opening) = self.opening(key, now) else { return true };
+        let Opening { step, failed_on, candidates, ends } = opening;
+        let live = self.jobs.get(&key.job);
+        let state = live.and_then(|l| l.steps.get(&(key.time, key.step)));
+        if state.is_none_or(|s| s.waiting.len() as u32 != step.count) {
             return true;
         }
-        let Some(live) = self.jobs.get(&key.job) else { return true };
-        let step = live.job.steps[key.step as usize].clone();
-        let state = live.steps.get(&(key.time, key.step));
-        let waiting = |s: &&StepRun| s.waiting.len() as u32 == step.count;
-        let Some(state) = state.filter(waiting) else { return true };
-        let mut failed_on = state.failed_on.clone();
-        if !self.has(Mechanism::FailedThere) {
-            failed_on.clear();
-        }
-        let candidates = self.candidates(key, now);
-        let ends = now + step.estimate;
         let open: Vec<ExecutorIndex> = candidates
             .iter()
             .filter(|(at, _)| {
@@ -107,8 +99,9 @@
     }
 
     /// How to spread a gang over these executors, if it fits. Those where it
-    /// has failed come last, and those where a ticket holds first: while others are asked about, the best
-    /// change, and the gang would never have all tickets at one time.
+    /// has failed come last, and those where a ticket holds first: while
+    /// others are asked about, the best change, and the gang would never have
+    /// all tickets at one time.
     fn plan(
         &self,
         step: &Step,
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -7,7 +7,7 @@
 gangs, `domains` finds data centres that are out of reach, `judge` executors
 that fail what they run, `due` knows
 which executors to look at, `advise` spreads the calls for
-advice over all nodes, `commit` groups what has to be written, `records` knows
+advice over all nodes, which `advisors` knows, `commit` groups what has to be written, `records` knows
 what of it still matters, `pace` slows tasks that fill beside tasks that serve,
 `waves` takes machines down for their upkeep, and `restore` takes over from a
 predecessor.
@@ -27,6 +27,7 @@
 use crate::jobs::policy::{Policy, Queue};
 
 mod advise;
+mod advisors;
 mod commit;
 mod domains;
 mod due;
@@ -42,7 +43,8 @@
 mod runs;
 mod waves;
 
-use self::advise::{Advisor, Call};
+use self::advise::Call;
+use self::advisors::Advisors;
 use self::commit::CommitQueue;
 use self::domains::Domains;
 use self::due::DueHolds;
@@ -116,11 +118,9 @@
     reserved: BTreeSet<StepKey>,
     next_run: u64,
     arrivals: u64,
-    advisors: BTreeMap<String, Advisor>,
+    advisors: Advisors,
     calls: BTreeMap<CallId, Call>,
     next_call: CallId,
-    /// By how much more calls for advice are waited for than usual.
-    advice_slack: f64,
     /// The share of executors that may run the steps of a queue.
     shares: BTreeMap<String, f64>,
     commits: CommitQueue,
@@ -161,10 +161,9 @@
             placed_all: 0,
             reserved: BTreeSet::new(),
             arrivals: 0,
-            advisors: BTreeMap::new(),
+            advisors: Advisors::default(),
             calls: BTreeMap::new(),
             next_call: 0,
-            advice_slack: 1.0,
             shares: BTreeMap::new(),
             unsettled: None,
             confirmed: 0,
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -6,7 +6,7 @@
 [`super::gangs`], find room.
 */
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::config::Resources;
 use crate::ids::Millis;
@@ -40,6 +40,17 @@
 /// The executors that are kept for a gang, and from when it needs them.
 pub(super) type Kept = BTreeMap<ExecutorIndex, Millis>;
 
+/// What the placing of a step begins with.
+pub(super) struct Opening {
+    pub step: Step,
+    /// Executors on which runs of it have failed.
+    pub failed_on: BTreeSet<ExecutorIndex>,
+    /// Executors that may run it, and whether a ticket holds there.
+    pub candidates: Vec<(ExecutorIndex, bool)>,
+    /// When a task that starts now should end.
+    pub ends: Millis,
+}
+
 impl Scheduler {
     /// Starts what can be started. Urgent steps are looked at each time;
     /// while many others wait, those are looked at less often.
@@ -159,6 +170,29 @@
         true
     }
 
+    /// What the placing of a step begins with, unless it has to wait for its
+    /// first advice.
+    pub(super) fn opening(
+        &mut self,
+        key: StepKey,
+        now: Millis,
+    ) -> Option<Opening> {
+        if self.lacks_advice(key, now) {
+            return None;
+        }
+        let live = self.jobs.get(&key.job)?;
+        let step = live.job.steps[key.step as usize].clone();
+        let state = live.steps.get(&(key.time, key.step))?;
+        let failed_on = if self.has(Mechanism::FailedThere) {
+            state.failed_on.clone()
+        } else {
+            BTreeSet::new()
+        };
+        let candidates = self.candidates(key, now);
+        let ends = now + step.estimate;
+        Some(Opening { step, failed_on, candidates, ends })
+    }
+
     /// Places the tasks of a step one by one. If tasks are left that take up
     /// much of an executor, room is kept for them, if `keep` says so. Returns
     /// whether none was kept.
@@ -170,25 +204,16 @@
         urgent: bool,
         now: Millis,
     ) -> bool {
-        if self.lacks_advice(key, now) {
-            return true;
-        }
-        let Some(live) = self.jobs.get(&key.job) else { return true };
-        let step = live.job.steps[key.step as usize].clone();
-        let Some(state) = live.steps.get(&(key.time, key.step)) else {
-            return true;
-        };
+        let Some(opening) = self.opening(key, now) else { return true };
+        let Opening { step, failed_on, candidates, ends } = opening;
+        let live = self.jobs.get(&key.job);
+        let state = live.and_then(|l| l.steps.get(&(key.time, key.step)));
+        let Some(state) = state else { return true };
         let waiting: Vec<u32> = state.waiting.iter().copied().collect();
         let mut on: BTreeMap<ExecutorIndex, u32> = BTreeMap::new();
         for (index, _) in state.places.values() {
             *on.entry(*index).or_default() += 1;
         }
-        let mut failed_on = state.failed_on.clone();
-        if !self.has(Mechanism::FailedThere) {
-            failed_on.clear();
-        }
-        let candidates = self.candidates(key, now);
-        let ends = now + step.estimate;
         let mut stale = false;
         for index in waiting {
             let fits = candidates.iter().filter(|(at, _)| {
