Oracle: a step may begin once what it depends on has ended done, also before a lapse

The oracle called that wrong: it forgets ends that nobody has taken note of when a lease lapses, which is right for running a task again, but a step may begin when all tasks before it have ended done, whenever that is learnt. It checks just that now; nothing else is eased.

--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -399,3 +399,21 @@
     assert_eq!(world.state(2), Some(JobState::Succeeded));
     world.check();
 }
+
+/// An end that is told after the executor's lease has lapsed is an end all the
+/// same: the task is done, and the next step may begin.
+#[test]
+fn an_end_told_late_lets_the_next_step_begin() {
+    let mut world = World::new(1);
+    world.run(50);
+    world.executors[0].held_up = Some(4_900);
+    let first = step(1, room(300, 100));
+    let mut second = step(1, room(300, 100));
+    second.after = vec![0];
+    world.submit(job(1, "batch", vec![first, second]));
+    world.run(20_000);
+    world.executors[0].held_up = None;
+    world.run(10_000);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -952,7 +952,7 @@
             let job = &self.jobs[&task.step.job];
             let step_job = &job.steps[*before as usize];
             let all = (0..step_job.count)
-                .all(|index| self.done.contains_key(&step.task(index)));
+                .all(|index| self.ever_done.contains(&step.task(index)));
             let whole = step_job.gang && self.gangs_done.contains(&step);
             if !all && !whole {
                 broken.push("starts before what it depends on".to_string());
