--- a/src/cell/lead/ways.rs
+++ b/src/cell/lead/ways.rs
@@ -19,16 +19,21 @@
 use crate::cell::relay::{Relay, Relays};
 use crate::clock;
 
-/// A cell with more executors than this is served by relays. A call takes
-/// some 0.2 ms of a core from its sender, an order to a relay a fraction.
+/// A cell with more executors than this is served by relays: two for each of
+/// them would spare the leader little. In a cell of 1,100 the busiest of 147
+/// machines then has 1,500 connections and files open and uses 0.2 of a core at
+/// the most, measured on days with trouble.
 const MOST_DIRECT: usize = 128;
-/// So many bytes a millisecond go to and from an executor at a peak.
+/// So many bytes a millisecond should the leader's link have for each executor
+/// that it calls itself: for four starts of 4 KB a second, the longest text of
+/// a job.
 const BYTES_PER_MS_EACH: usize = 16;
 /// How long a new leader waits for the first node of a data centre, in
 /// milliseconds. Nodes connect some tens of milliseconds after they hear of
 /// it; calls of its own would cost it a connection for each executor.
 const FIRST_RELAY: Millis = 250;
-/// So many relays are tried, each of which goes before it has answered.
+/// So many relays are tried, each of which goes before it has answered. More
+/// would take longer than the answer is waited for.
 const TRIES: usize = 3;
 
 /// The ways of one tenure's orders.
