What is known of a step is looked up in one place

The start of placing single tasks and gangs, tickets and widening each looked the step's state up by hand (seen by duplicates); step_run serves them. No behaviour changes: the tests of jobs pass as they are.

--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -184,8 +184,7 @@
     /// long. Else renewals of their tickets, which are asked for again and
     /// again while there is no room, would leave no turn to this.
     pub(super) fn widen(&mut self, key: StepKey, now: Millis) {
-        let live = self.jobs.get(&key.job);
-        let state = live.and_then(|l| l.steps.get(&(key.time, key.step)));
+        let state = self.step_run(key);
         if state.is_some_and(|s| now >= s.advice.widened + WIDEN_AFTER) {
             self.ask_all(key, now);
         }
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -49,8 +49,7 @@
     ) -> bool {
         let Some(opening) = self.opening(key, now) else { return true };
         let Opening { step, failed_on, candidates, ends } = opening;
-        let live = self.jobs.get(&key.job);
-        let state = live.and_then(|l| l.steps.get(&(key.time, key.step)));
+        let state = self.step_run(key);
         if state.is_none_or(|s| s.waiting.len() as u32 != step.count) {
             return true;
         }
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -97,6 +97,11 @@
         self.jobs.get(&key.job)?.job.steps.get(key.step as usize)
     }
 
+    /// What is known of a step, once it may begin.
+    pub(super) fn step_run(&self, key: StepKey) -> Option<&StepRun> {
+        self.jobs.get(&key.job)?.steps.get(&(key.time, key.step))
+    }
+
     /// Whether tasks of the step may be started at all. Steps with nothing
     /// left to start are taken off the list.
     fn may_place(&mut self, key: StepKey) -> bool {
@@ -148,8 +153,7 @@
 
     /// The ticket of a step for an executor; empty if it needs none.
     pub(super) fn ticket(&self, key: StepKey, at: ExecutorIndex) -> String {
-        let live = self.jobs.get(&key.job);
-        let state = live.and_then(|l| l.steps.get(&(key.time, key.step)));
+        let state = self.step_run(key);
         let ticket = state.and_then(|state| state.advice.good.get(&at));
         ticket.map(|ticket| ticket.text.clone()).unwrap_or_default()
     }
@@ -206,9 +210,7 @@
     ) -> bool {
         let Some(opening) = self.opening(key, now) else { return true };
         let Opening { step, failed_on, candidates, ends } = opening;
-        let live = self.jobs.get(&key.job);
-        let state = live.and_then(|l| l.steps.get(&(key.time, key.step)));
-        let Some(state) = state else { return true };
+        let Some(state) = self.step_run(key) else { return true };
         let waiting: Vec<u32> = state.waiting.iter().copied().collect();
         let mut on: BTreeMap<ExecutorIndex, u32> = BTreeMap::new();
         for (index, _) in state.places.values() {
@@ -246,10 +248,7 @@
             *on.entry(at).or_default() += 1;
             self.start(at, key.task(index), run, ticket, now);
         }
-        let left = self.jobs.get(&key.job).and_then(|live| {
-            let state = live.steps.get(&(key.time, key.step))?;
-            Some(state.waiting.len())
-        });
+        let left = self.step_run(key).map(|state| state.waiting.len());
         let count = left.unwrap_or(0) as u32;
         if count == 0 {
             return true;
--- a/src/cell/lead/executors.rs
+++ b/src/cell/lead/executors.rs
@@ -22,8 +22,8 @@
 /// How long one watch of the executors' entries waits.
 const WATCH: Millis = 10_000;
 /// How long changes are gathered before the next watch. A cell of 48
-/// executors would ask 32 times a second without it, and asks four times so;
-/// a tenth of the two seconds in which an executor that leaves has to be
+/// executors would ask 32 times a second without it, and asks five times at
+/// most; a tenth of the two seconds in which an executor that leaves has to be
 /// noticed.
 const GATHER: Duration = Duration::from_millis(200);
 /// An entry that says nothing new is told again after this time, in
--- a/src/cell/lead/ways.rs
+++ b/src/cell/lead/ways.rs
@@ -19,8 +19,8 @@
 use crate::cell::relay::{Relay, Relays};
 use crate::clock;
 
-/// A cell with more executors than this is served by relays: two for each of
-/// them would spare the leader little. In a cell of 1,100 the busiest of 147
+/// A cell with more executors than this is served by relays; up to it the
+/// leader's processor and descriptors bear a call to each. In a cell of 1,100 the busiest of 147
 /// machines then has 1,500 connections and files open and uses 0.2 of a core at
 /// the most, measured on days with trouble.
 const MOST_DIRECT: usize = 128;
