Connections that fall silent for good are replaced at the first missed answer

Cause: connections to an address are kept in a pool, and a call that was given up on a silent one was followed by calls on the other idle ones, as silent: one time-out each. Holds that wait for an end were missed a second after their time, links between nodes after 1.1 to 1.4 s, and the leader's watch of executors after ten seconds, longer than executors that leave may be missed.

Ruled out: waiting for the store to be seen away, which needs all connections silent; shorter time-outs alone (each idle connection still costs one).

Change: a call that is not answered when it usually is puts the connections to its address in doubt, several at one time all of them; later calls open new ones, the call itself still counts if it is answered. Unanswered orders to several executors have all of them asked at once (switch silence-alarm). A leader that is silent for 650 ms is linked anew; executors are watched for 1.5 s at a time.

Links between nodes have no test of their own.

--- a/puffinknot-core/src/jobs/mechanism.rs
+++ b/puffinknot-core/src/jobs/mechanism.rs
@@ -32,6 +32,8 @@
     DoubtedExecutors,
     /// A data centre that falls silent gets no starts.
     SuspectedDcs,
+    /// Executors are asked at once when connections seem to be silent.
+    SilenceAlarm,
     /// Executors that fail what they run get no starts.
     Breaker,
     /// A task avoids executors on which its step has failed.
@@ -61,7 +63,7 @@
 use Mechanism::*;
 
 /// All mechanisms and their names.
-const NAMES: [(Mechanism, &str); 22] = [
+const NAMES: [(Mechanism, &str); 23] = [
     (OrderByObjective, "order-by-objective"),
     (BestFit, "best-fit"),
     (RoomForGangs, "room-for-gangs"),
@@ -72,6 +74,7 @@
     (OverdueAdvice, "overdue-advice"),
     (DoubtedExecutors, "doubted-executors"),
     (SuspectedDcs, "suspected-dcs"),
+    (SilenceAlarm, "silence-alarm"),
     (Breaker, "breaker"),
     (FailedThere, "failed-there"),
     (OrderPatience, "order-patience"),
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -181,6 +181,8 @@
             executor.probe = true;
             return;
         }
+        self.order_unanswered(now);
+        let Some(executor) = self.executors.get_mut(&index) else { return };
         let doublings = executor.failures.min(RETRY_DOUBLINGS);
         executor.failures += 1;
         executor.next_hold = now + (RETRY << doublings);
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -5,7 +5,8 @@
 `requests` answers clients, `ledger` counts what client accounts have running,
 `holds` takes in what executors report, `runs` follows single runs to their
 ends, `place` chooses what starts where, `gangs` does so for
-gangs, `domains` finds data centres that are out of reach, `judge` executors
+gangs, `domains` finds data centres that are out of reach, `alarm` connections that
+have fallen silent, `judge` executors
 that fail what they run, `due` knows
 which executors to look at, `advise` spreads the calls for
 advice over all nodes, which `advisors` knows, `commit` groups what has to be written, `records` knows
@@ -32,6 +33,7 @@
 mod admit;
 mod advise;
 mod advisors;
+mod alarm;
 mod commit;
 mod domains;
 mod due;
@@ -50,6 +52,7 @@
 
 use self::advise::Call;
 use self::advisors::Advisors;
+use self::alarm::Alarm;
 use self::commit::CommitQueue;
 use self::domains::Domains;
 use self::due::DueHolds;
@@ -143,6 +146,7 @@
     commits: CommitQueue,
     machines: Machines,
     domains: Domains,
+    alarm: Alarm,
     /// Until when what a predecessor ordered may be unknown, if it may.
     unsettled: Option<Millis>,
     /// When the store was last asked and confirmed that nobody else leads.
@@ -165,6 +169,7 @@
             commits: CommitQueue::new(config.token),
             machines: Machines::default(),
             domains: Domains::default(),
+            alarm: Alarm::default(),
             config,
             policy: Arc::default(),
             queues: BTreeMap::new(),
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -102,6 +102,7 @@
                 executor.probe = true;
                 self.due_holds.touch(index);
                 self.count("starts_unknown");
+                self.order_unanswered(now);
                 self.doubted(index);
             }
             Err(why) => {
@@ -173,7 +174,12 @@
                     self.due_holds.touch(index);
                 }
             }
-            Err(_) => on.stop_again = now + STOP_AGAIN,
+            Err(why) => {
+                on.stop_again = now + STOP_AGAIN;
+                if why == OrderFailure::Unknown {
+                    self.order_unanswered(now);
+                }
+            }
         }
     }
 
--- a/puffinknot-standin/src/proxy.rs
+++ b/puffinknot-standin/src/proxy.rs
@@ -220,6 +220,8 @@
     let (server_in, server_out) = server.into_split();
     let up = carry(client_in, server_out, Direction::Request, shared.clone());
     let down = carry(server_in, client_out, Direction::Answer, shared.clone());
+    // A connection that falls silent stays open, and its sockets with it.
+    let (mut up, mut down) = (std::pin::pin!(up), std::pin::pin!(down));
     tokio::select! {
         biased;
         () = until_reset(&shared, resets) => {}
@@ -227,8 +229,8 @@
             // Neither side hears of the other any more.
             until_reset(&shared, resets).await;
         }
-        () = up => {}
-        () = down => {}
+        () = &mut up => {}
+        () = &mut down => {}
     }
 }
 
--- a/src/cell/lead/executors.rs
+++ b/src/cell/lead/executors.rs
@@ -19,8 +19,11 @@
 use crate::cell::ports::{Item, Platform};
 use crate::clock;
 
-/// How long one watch of the executors' entries waits.
-const WATCH: Millis = 10_000;
+/// How long one watch of the executors' entries waits. On a connection that
+/// has fallen silent nothing is learnt for so long: less than the time in
+/// which an executor that leaves has to be noticed. Executors write more often
+/// than that, so that it costs no call.
+const WATCH: Millis = 1_500;
 /// How long changes are gathered before the next watch. A cell of 48
 /// executors would ask 32 times a second without it, and asks five times at
 /// most; a tenth of the two seconds in which an executor that leaves has to be
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -33,9 +33,13 @@
 use crate::cell::search::Search;
 
 /// How often a node tells the leader that it is there.
-const PING: Duration = Duration::from_millis(350);
-/// A peer that is silent for this long is given up.
+const PING: Duration = Duration::from_millis(250);
+/// A node that is silent for this long is given up by the leader.
 const SILENCE: Duration = Duration::from_millis(1_100);
+/// A leader that is silent for this long is looked for anew, over another
+/// connection: this one may have fallen silent while others work. Two pings
+/// and the time that a machine may stand still.
+const LEADER_SILENCE: Duration = Duration::from_millis(650);
 /// The pause before the next attempt to reach a leader.
 const PAUSE: Duration = Duration::from_millis(100);
 /// A new peer must introduce itself within this time.
@@ -297,7 +301,7 @@
                     now.saturating_sub(shared.store.answered());
                 let ping = ToLeader::Ping { policy, store_silent };
                 let sent = link.sender.send(&ping);
-                if !sent || heard.elapsed() > SILENCE {
+                if !sent || heard.elapsed() > LEADER_SILENCE {
                     return;
                 }
             }
--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -417,3 +417,32 @@
     assert_eq!(world.state(1), Some(JobState::Succeeded));
     world.check();
 }
+
+/// Ends were heard of only when the holds that waited for them on silent
+/// connections were given up.
+#[test]
+fn unanswered_orders_to_several_executors_have_all_asked_at_once() {
+    let holds = |without: Without| {
+        let mut world = World::without(6, without);
+        world.run(50);
+        let long = |id| {
+            let mut one = step(6, room(2_000, 100));
+            one.max_per_executor = 1;
+            one.estimate = 12 * WORK;
+            job(id, "batch", vec![one])
+        };
+        world.submit(long(1));
+        world.run(200);
+        for at in 0..3 {
+            world.executors[at].mute = 1;
+        }
+        let before = world.holds;
+        world.submit(long(2));
+        world.run(400);
+        world.holds - before
+    };
+    let with = holds(Without::default());
+    let without = holds(Without::new([Mechanism::SilenceAlarm]));
+    // Three were in doubt anyway; so the others are asked too.
+    assert!(with >= without + 3, "{with} holds, {without} without");
+}
