What an account hands in beyond its due goes behind all else

Cause: everything was placed by the end of its objective, so that an account that sends many times its usual pushed others over theirs.

Ways: objectives with limits only, as it stood; a token bucket for each account that holds five seconds of its due (switch account-shares). Not tried: dominant shares by weight among what is equally urgent.

What is beyond is neither refused nor lost; its test fails without. Where there are no accounts nothing changes.

--- a/puffinknot-core/src/jobs/accounts.rs
+++ b/puffinknot-core/src/jobs/accounts.rs
@@ -65,21 +65,14 @@
     pub name: String,
     /// Its API keys.
     pub keys: Vec<KeyDigest>,
-    /// Its share of a full cell, beside those of others; so many jobs a
-    /// second are its due.
+    /// So many jobs a second are its due. What comes beyond goes behind all
+    /// else; zero means that nothing is beyond.
     pub weight: f64,
     /// The most that it may have running on all executors together; zero
     /// means that there is no limit.
     pub limit: Resources,
 }
 
-impl Account {
-    /// What may be started for it beside what it `holds`.
-    pub fn left(&self, holds: &Resources) -> Resources {
-        left(&self.limit, holds)
-    }
-}
-
 /// What is left of a limit; what has none is left without bound.
 pub fn left(limit: &Resources, holds: &Resources) -> Resources {
     let left = |limit: u32, holds: u32| match limit {
--- a/puffinknot-core/src/jobs/mechanism.rs
+++ b/puffinknot-core/src/jobs/mechanism.rs
@@ -20,6 +20,8 @@
     RoomForGangs,
     /// Tasks that save their progress give way to gangs that would be late.
     Displacing,
+    /// What comes beyond an account's due goes behind all else.
+    AccountShares,
     /// Gangs that wait get their part of their account's limit in turn.
     LimitForGangs,
     /// Tickets are asked for before the room is free.
@@ -67,11 +69,12 @@
 use Mechanism::*;
 
 /// All mechanisms and their names.
-const NAMES: [(Mechanism, &str); 25] = [
+const NAMES: [(Mechanism, &str); 26] = [
     (OrderByObjective, "order-by-objective"),
     (BestFit, "best-fit"),
     (RoomForGangs, "room-for-gangs"),
     (Displacing, "displacing"),
+    (AccountShares, "account-shares"),
     (LimitForGangs, "limit-for-gangs"),
     (TicketsAhead, "tickets-ahead"),
     (ShorterAdvice, "shorter-advice"),
--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -208,7 +208,8 @@
         let Some(cost) = live.queue.advice else { return };
         let part = self.part(&cost, executors.len());
         let Some(live) = self.jobs.get_mut(&key.job) else { return };
-        let (priority, deadline) = (live.queue.priority, live.deadline);
+        let urgent = live.queue.priority == 0 && !live.beyond_due;
+        let deadline = live.deadline;
         let place = (key.time, key.step);
         let Some(state) = live.steps.get_mut(&place) else { return };
         let advice = &mut state.advice;
@@ -222,7 +223,7 @@
                 step: key,
                 cost,
                 executors: part.to_vec(),
-                urgent: priority == 0,
+                urgent,
                 deadline,
                 not_before: now,
                 overdue: 0,
--- a/puffinknot-core/src/jobs/scheduler/live.rs
+++ b/puffinknot-core/src/jobs/scheduler/live.rs
@@ -115,6 +115,8 @@
     /// The client account that it belongs to.
     pub account: Option<AccountIndex>,
     pub spec: Arc<str>,
+    /// It was handed in beyond its account's due.
+    pub beyond_due: bool,
     /// The order of arrival.
     pub arrival: u64,
     /// When this scheduler heard of it.
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -4,13 +4,13 @@
 What is done with it has modules of its own: `admit` knows who may call,
 `requests` answers clients, `ledger` counts what client accounts have running,
 `holds` takes in what executors report, `runs` follows single runs to their
-ends, `place` chooses what starts where, `gangs` does so for
-gangs, `displace` has others give way to them, `domains` finds data centres that are out of reach, `alarm` connections that
-have fallen silent, `judge` executors
-that fail what they run, `due` knows
-which executors to look at, `advise` spreads the calls for
-advice over all nodes, which `advisors` knows, `commit` groups what has to be written, `records` knows
-what of it still matters, `pace` slows tasks that fill beside tasks that serve,
+ends, `place` chooses what starts where, `gangs` does so for gangs, `displace`
+has others give way to them, `shares` knows what comes beyond an account's due,
+`domains` finds data centres that are out of reach, `alarm` connections that
+have fallen silent, `judge` executors that fail what they run, `due` knows
+which executors to look at, `advise` spreads the calls for advice over all
+nodes, which `advisors` knows, `commit` groups what has to be written,
+`records` knows what of it still matters, `pace` slows tasks that fill beside tasks that serve,
 `waves` takes machines down for their upkeep, and `restore` takes over from a
 predecessor.
 */
@@ -49,6 +49,7 @@
 mod requests;
 mod restore;
 mod runs;
+mod shares;
 mod waves;
 
 use self::advise::Call;
@@ -60,6 +61,7 @@
 use self::ledger::Ledger;
 pub use self::ledger::Usage;
 use self::live::Live;
+use self::shares::Shares;
 use self::waves::Machines;
 
 /// What a scheduler is told once.
@@ -124,6 +126,7 @@
     queues: BTreeMap<String, Arc<Queue>>,
     keys: KeyRing,
     ledger: Ledger,
+    shares_of_accounts: Shares,
     jobs: BTreeMap<JobId, Live>,
     ended: Ended,
     executors: Executors,
@@ -177,6 +180,7 @@
             queues: BTreeMap::new(),
             keys: KeyRing::default(),
             ledger: Ledger::default(),
+            shares_of_accounts: Shares::default(),
             jobs: BTreeMap::new(),
             ended: Ended::default(),
             executors: Executors::default(),
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -33,6 +33,9 @@
 /// If more steps than this wait that are not urgent, they are looked at only
 /// so often.
 const FEW_WAIT: usize = 8;
+/// What is beyond its account's due comes behind what is urgent, 0, and what
+/// is not, 1.
+const BEYOND_DUE: u32 = 2;
 /// The time between two looks at them, in milliseconds.
 const PLACE_GAP: Millis = 20;
 /// The most tickets that are asked for anew in one call.
@@ -346,13 +349,17 @@
 }
 
 /// The order of steps: urgent queues, then objectives that can be met, then
-/// the others; each by the end of its objective.
+/// the others; each by the end of its objective. What is beyond its account's
+/// due comes last.
 fn rank(
     live: &Live,
     by_objective: bool,
     now: Millis,
 ) -> (u32, bool, Millis, u64) {
-    let urgency = live.queue.priority.min(1);
+    let urgency = match live.beyond_due {
+        true => BEYOND_DUE,
+        false => live.queue.priority.min(1),
+    };
     if !by_objective {
         return (urgency, false, 0, live.arrival);
     }
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -96,7 +96,9 @@
         }
         self.count("submitted");
         let name = job.id;
+        let beyond_due = self.is_beyond_due(&job, now);
         let mut live = self.live_job(job, queue, now);
+        live.beyond_due = beyond_due;
         live.submitters.push(id);
         self.jobs.insert(name, live);
         self.commits.accept(name, now);
@@ -134,6 +136,7 @@
             spec: job.spec.as_str().into(),
             queue,
             account,
+            beyond_due: false,
             arrival: self.arrivals,
             written: false,
             inherited: false,
--- a/src/cell/stats.rs
+++ b/src/cell/stats.rs
@@ -53,7 +53,7 @@
     }
 
     /// Takes over what client accounts have running: those with the most, up
-    /// to [`MOST_ACCOUNTS`].
+    /// to a bound.
     pub fn set_accounts<'a>(&self, all: impl Iterator<Item = Usage<'a>>) {
         let mut all: Vec<Usage> = all.collect();
         all.sort_by_key(|usage| u32::MAX - usage.held.cpu_millis);
--- a/tests/jobs/accounts.rs
+++ b/tests/jobs/accounts.rs
@@ -2,7 +2,8 @@
 //! may run.
 
 use puffinknot_core::jobs::{
-    Caller, Event, JobId, JobState, KeyDigest, Outcome, Request,
+    Caller, Event, JobId, JobState, KeyDigest, Mechanism, Outcome, Request,
+    Without,
 };
 
 use super::world::{
@@ -189,21 +190,29 @@
     world.check();
 }
 
-/// What a predecessor has started on an executor that does not answer counts
-/// against the limit though the successor does not see it.
-#[test]
-fn what_a_takeover_has_not_found_counts_against_the_limit() {
+/// A world in which the limited account has started all that it may have
+/// running, and the executors that have it are cut off.
+fn limited_and_cut() -> (World, Vec<usize>) {
     let mut world = World::new(4);
     world.set_limit(4_000);
     world.run(50);
     let mut long = step(4, room(1_000, 100));
-    long.estimate = 4 * WORK;
+    long.estimate = 6 * WORK;
     world.submit_as(LIMITED, job(1, "owned", vec![long]));
     world.run(100);
-    assert_eq!(world.limited_runs(), 4_000);
-    for at in world.executors_with(1) {
-        world.executors[at].cut = true;
+    let there = world.executors_with(1);
+    for at in &there {
+        world.executors[*at].cut = true;
     }
+    (world, there)
+}
+
+/// What a predecessor has started on an executor that does not answer counts
+/// against the limit though the successor does not see it.
+#[test]
+fn what_a_takeover_has_not_found_counts_against_the_limit() {
+    let (mut world, _) = limited_and_cut();
+    assert_eq!(world.limited_runs(), 4_000);
     world.replace_leader();
     world.run(100);
     world.submit_as(LIMITED, job(2, "owned", vec![step(4, room(1_000, 100))]));
@@ -221,17 +230,7 @@
 /// No job tells a successor of them.
 #[test]
 fn what_runs_on_of_a_cancelled_job_counts_after_a_takeover() {
-    let mut world = World::new(4);
-    world.set_limit(4_000);
-    world.run(50);
-    let mut long = step(4, room(1_000, 100));
-    long.estimate = 6 * WORK;
-    world.submit_as(LIMITED, job(1, "owned", vec![long]));
-    world.run(100);
-    let there = world.executors_with(1);
-    for at in &there {
-        world.executors[*at].cut = true;
-    }
+    let (mut world, there) = limited_and_cut();
     world.request_as(LIMITED, cancel_of(1));
     world.run(100);
     world.replace_leader();
@@ -251,17 +250,7 @@
 /// them: what a predecessor had started ran on beside what took its place.
 #[test]
 fn what_a_successor_cancels_unseen_counts_until_it_is_found() {
-    let mut world = World::new(4);
-    world.set_limit(4_000);
-    world.run(50);
-    let mut long = step(4, room(1_000, 100));
-    long.estimate = 6 * WORK;
-    world.submit_as(LIMITED, job(1, "owned", vec![long]));
-    world.run(100);
-    let there = world.executors_with(1);
-    for at in &there {
-        world.executors[*at].cut = true;
-    }
+    let (mut world, there) = limited_and_cut();
     world.replace_leader();
     world.run(100);
     world.request_as(LIMITED, cancel_of(1));
@@ -298,3 +287,30 @@
     let mut usage = world.scheduler.usage();
     assert!(usage.all(|usage| usage.held == room(0, 0)));
 }
+
+/// An account that sent far more than its due pushed others over their
+/// objectives: all were placed by the end of these.
+#[test]
+fn what_is_beyond_its_account_s_due_waits_for_others() {
+    for (without, first) in [
+        (Without::default(), true),
+        (Without::new([Mechanism::AccountShares]), false),
+    ] {
+        let mut world = World::without(2, without);
+        world.run(50);
+        // Its due is a job a second.
+        for id in 1..=40 {
+            let one = step(1, room(4_000, 100));
+            world.submit_as(LIMITED, job(id, "owned", vec![one]));
+        }
+        world.run(10);
+        let late = job(90, "owned", vec![step(1, room(4_000, 100))]);
+        world.submit_as(FREE, late);
+        world.run(5 * WORK);
+        let done = world.state(90) == Some(JobState::Succeeded);
+        assert_eq!(done, first);
+        world.run(40 * WORK);
+        assert!(world.unfinished().is_empty(), "nothing is lost");
+        world.check();
+    }
+}
