Times for silence follow the link; less is sent behind a narrow one

Change: the usual time of an answer and the silence of a leader grow by what is queued on the machine's link, as other times do; a leader behind less than 8 Mbit/s does without the alarm and advice in parts; one node at a time is asked for its policy. No test of its own.

--- a/puffinknot-core/src/jobs/mechanism.rs
+++ b/puffinknot-core/src/jobs/mechanism.rs
@@ -134,6 +134,12 @@
         Without(off.into_iter().collect())
     }
 
+    /// Without these as well.
+    pub fn and(mut self, off: impl IntoIterator<Item = Mechanism>) -> Without {
+        self.0.extend(off);
+        self
+    }
+
     /// Whether a mechanism is on.
     pub fn has(&self, mechanism: Mechanism) -> bool {
         !self.0.contains(&mechanism)
--- a/src/cell/lead/takeover.rs
+++ b/src/cell/lead/takeover.rs
@@ -4,7 +4,7 @@
 
 use puffinknot_core::ids::Millis;
 use puffinknot_core::jobs::message::Kept;
-use puffinknot_core::jobs::{Scheduler, SchedulerConfig};
+use puffinknot_core::jobs::{Mechanism, Scheduler, SchedulerConfig, Without};
 use tokio::time::sleep;
 use tracing::{info, warn};
 
@@ -19,6 +19,19 @@
 /// The most executors in one call for advice.
 const ADVICE_BATCH: usize = 100;
 
+/// A link that carries fewer bytes a millisecond than this is narrow: 8 Mbit/s.
+const NARROW: u32 = 1_000;
+
+/// What a leader does without behind a narrow link: what sends more when
+/// answers are late fills it further.
+fn affordable(without: Without, link_bytes_per_ms: u32) -> Without {
+    let costly = [Mechanism::SilenceAlarm, Mechanism::ParallelAdvice];
+    match link_bytes_per_ms < NARROW {
+        true => without.and(costly),
+        false => without,
+    }
+}
+
 impl<P: Platform> Tenure<P> {
     /// Learns the newest policy. A node whose watch hangs may be behind, and
     /// a leader that is would let dropped keys in.
@@ -76,7 +89,7 @@
             inherited_for,
             advice_batch: ADVICE_BATCH,
             commit_gap: COMMIT_GAP,
-            without: settings.without,
+            without: affordable(settings.without, settings.link_bytes_per_ms),
         };
         self.read_policy().await;
         let policy = self.shared.policy().unwrap_or_default();
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -27,6 +27,7 @@
 use crate::cell::lead::LeadHandle;
 use crate::cell::node::Shared;
 use crate::cell::order::Answer;
+use crate::cell::patience::link_extra;
 use crate::cell::ports::{Leader, Platform};
 use crate::cell::reach;
 use crate::cell::relay::{self, OrderId, Relayed, Texts};
@@ -38,7 +39,8 @@
 const SILENCE: Duration = Duration::from_millis(1_100);
 /// A leader that is silent for this long is looked for anew, over another
 /// connection: this one may have fallen silent while others work. Two pings
-/// and the time that a machine may stand still.
+/// and the time that a machine may stand still, on a quick link; what is
+/// queued on a narrow one is added.
 const LEADER_SILENCE: Duration = Duration::from_millis(650);
 /// The pause before the next attempt to reach a leader.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -279,6 +281,8 @@
 ) {
     let revision = shared.leader().map(|leader| leader.revision);
     let texts = Rc::new(Texts::default());
+    let extra = link_extra(shared.settings.borrow().link_bytes_per_ms);
+    let silence = LEADER_SILENCE + Duration::from_millis(extra);
     let mut ping = interval(PING);
     let mut heard = Instant::now();
     loop {
@@ -301,7 +305,7 @@
                     now.saturating_sub(shared.store.answered());
                 let ping = ToLeader::Ping { policy, store_silent };
                 let sent = link.sender.send(&ping);
-                if !sent || heard.elapsed() > LEADER_SILENCE {
+                if !sent || heard.elapsed() > silence {
                     return;
                 }
             }
@@ -430,7 +434,7 @@
                 let sure = reach::is_sure(lead.confirmed());
                 let ours = shared.policy().map(|policy| policy.version);
                 sender.send(&ToNode::Pong { sure, policy: ours });
-                if version > ours {
+                if version > ours && shared.asks_for_policy() {
                     sender.send(&ToNode::PolicyWanted);
                 }
                 if version >= ours {
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -80,6 +80,8 @@
 /// The time until a node may again replace a leader whose lease still runs,
 /// in milliseconds. Longer than a cut that only this node sees should last.
 const REPLACE_AGAIN: Millis = 8_000;
+/// The time until a node is asked again for a newer policy, in milliseconds.
+const ASK_POLICY_AGAIN: Millis = 500;
 /// At a planned stop, requests are taken for this part of the time for it.
 const DRAIN_PART: f64 = 0.6;
 
@@ -104,6 +106,8 @@
     pub leader_changed: Notify,
     /// Whether a claim of this node is under way.
     pub claiming: Cell<bool>,
+    /// When this node may ask another one for its policy.
+    asks_policy_from: Cell<Millis>,
     /// When this node may replace a leader whose lease still runs.
     replaces_from: Cell<Millis>,
     /// The way to the scheduler, while this node leads.
@@ -141,6 +145,7 @@
             waves: RefCell::default(),
             leader_changed: Notify::new(),
             claiming: Cell::new(false),
+            asks_policy_from: Cell::new(0),
             replaces_from: Cell::new(0),
             lead: RefCell::default(),
             link: RefCell::default(),
@@ -338,6 +343,17 @@
         may
     }
 
+    /// Whether another node is to be asked for its newer policy. One at a
+    /// time: all at once would fill a narrow link.
+    pub fn asks_for_policy(&self) -> bool {
+        let now = clock::mono();
+        let asks = now >= self.asks_policy_from.get();
+        if asks {
+            self.asks_policy_from.set(now + ASK_POLICY_AGAIN);
+        }
+        asks
+    }
+
     fn give_up(&self, sent: bool) -> Outcome {
         if sent {
             self.count("unknown_no_answer");
--- a/src/cell/patience.rs
+++ b/src/cell/patience.rs
@@ -41,11 +41,17 @@
     /// The same for calls from a machine whose link carries so many bytes a
     /// millisecond.
     pub fn behind(self, link_bytes_per_ms: u32) -> Bounds {
-        let queued = QUEUED_BYTES / link_bytes_per_ms.max(1);
-        Bounds { most: self.most + Millis::from(queued), ..self }
+        let extra = link_extra(link_bytes_per_ms);
+        Bounds { most: self.most + extra, ..self }
     }
 }
 
+/// By how much answers may be later than usual behind a link that carries so
+/// many bytes a millisecond, in milliseconds.
+pub fn link_extra(link_bytes_per_ms: u32) -> Millis {
+    Millis::from(QUEUED_BYTES / link_bytes_per_ms.max(1))
+}
+
 /// What is known of the round trips to one kind of peer.
 #[derive(Debug)]
 pub struct Patience {
