Logs and counters tell by what a life of an executor was taken for over

The operators' record could not tell the hypotheses apart: executors_over counted every way in one, and nothing named the runs that were given up. Now: executor_heard (the first answer in a tenure), executor_over with the reason, the last word and the lease left, run_given_up for each run, and taken_over with the executors inherited. No decision is changed; the code about lives moves from holds.rs to lives.rs.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -175,6 +175,18 @@
         Some(reading + now.saturating_sub(at))
     }
 
+    /// How long ago it answered a hold last, in milliseconds, if it has in
+    /// this tenure.
+    pub fn heard_before(&self, now: Millis) -> Option<Millis> {
+        self.clock.map(|(_, at)| now.saturating_sub(at))
+    }
+
+    /// How long its lease runs on, in milliseconds, if one was given to it
+    /// in this tenure; negative once it has run out.
+    pub fn lease_left(&self, now: Millis) -> Option<i64> {
+        (self.expiry > 0).then(|| self.expiry as i64 - now as i64)
+    }
+
     /// Whether new tasks may go there.
     pub fn usable(&self) -> bool {
         self.contact == Contact::Ready
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -483,6 +483,64 @@
         /// Executors that did not answer in time.
         unseen: u32,
     },
+    /// An executor has answered a hold for the first time in this tenure;
+    /// for the logs.
+    ExecutorHeard {
+        /// The executor.
+        id: String,
+        /// The runs that it lists.
+        running: u32,
+        /// The ends that it lists.
+        ended: u32,
+    },
+    /// A life of an executor is taken for over; for the logs.
+    ExecutorOver {
+        /// The executor.
+        id: String,
+        /// By what.
+        why: LifeOver,
+        /// The runs that are given up with it.
+        runs: u32,
+        /// Whether the store lists it.
+        listed: bool,
+        /// How long ago it answered a hold last, in milliseconds; `None` if
+        /// it has not in this tenure.
+        heard_before: Option<Millis>,
+        /// How long its lease runs on as the leader reckons it, in
+        /// milliseconds; `None` if this leader gave it none.
+        lease_left: Option<i64>,
+    },
+    /// A run is taken for lost, so that its task may be started elsewhere;
+    /// for the logs.
+    RunGivenUp {
+        /// The executor that it was on.
+        executor: String,
+        /// The task.
+        task: TaskKey,
+        /// The run.
+        run: u64,
+        /// By what.
+        why: LifeOver,
+    },
+}
+
+/// By what a leader takes a life of an executor, or what runs there, for
+/// over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LifeOver {
+    /// Another life has answered at its address.
+    AnotherAnswers,
+    /// Another life is listed with its address.
+    AddressTaken,
+    /// The list of machines names it no more.
+    OnNoMachine,
+    /// Its machine was taken down for upkeep.
+    TakenDown,
+    /// It is silent, and its lease has run out.
+    Lapsed,
+    /// It was not heard in this tenure, and what a predecessor may have
+    /// ordered there has lapsed.
+    NeverHeard,
 }
 
 /// What was written by a revision of the store.
--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -35,8 +35,8 @@
 pub use self::mechanism::{Mechanism, Without};
 pub use self::message::{
     Action, AdviceFailure, AdviceRow, Change, EndKind, EndRow, Event,
-    HoldAnswer, MachineInfo, MachineState, OrderFailure, Outcome, Request,
-    RequestId, RunRow, UpkeepFailure, WaveInfo,
+    HoldAnswer, LifeOver, MachineInfo, MachineState, OrderFailure, Outcome,
+    Request, RequestId, RunRow, UpkeepFailure, WaveInfo,
 };
 pub use self::model::{Job, JobId, JobState, Repeats, Step, TaskKey};
 pub use self::policy::{AdviceCost, Policy, Queue, Service};
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -3,9 +3,7 @@
 */
 
 use crate::ids::Millis;
-use crate::jobs::executor::{
-    Charge, Contact, Executor, ExecutorInfo, Phase, RunOn,
-};
+use crate::jobs::executor::{Charge, Contact, Phase, RunOn};
 use crate::jobs::message::{
     AccountIndex, Action, EndRow, ExecutorIndex, HoldAnswer, OrderFailure,
     RunRow,
@@ -40,44 +38,6 @@
 const GRAIN: Millis = 150;
 
 impl Scheduler {
-    pub(super) fn listed(&mut self, info: ExecutorInfo, now: Millis) {
-        if let Some(index) = self.by_id.get(&info.id) {
-            let Some(executor) = self.executors.get_mut(index) else { return };
-            executor.listed = true;
-            if executor.info != info {
-                executor.info = info;
-                executor.recount();
-                self.stale = true;
-            }
-            return;
-        }
-        // Another life at the same address is over.
-        let former = self
-            .executors
-            .iter()
-            .find(|(_, executor)| executor.info.address == info.address);
-        if let Some((&index, _)) = former {
-            self.executor_over(index, now);
-        }
-        self.enrol(info, now);
-        self.commits.enrol();
-    }
-
-    pub(super) fn enrol(&mut self, info: ExecutorInfo, now: Millis) {
-        let id = info.id.clone();
-        let index = self.executors.add(Executor::new(info, now));
-        self.due_holds.touch(index);
-        self.by_id.insert(id, index);
-    }
-
-    pub(super) fn unlisted(&mut self, id: &str) {
-        let index = self.by_id.get(id);
-        let executor = index.and_then(|i| self.executors.get_mut(i));
-        if let Some(executor) = executor {
-            executor.listed = false;
-        }
-    }
-
     /// Sends the holds that are due, to some executors at a time, so that a
     /// takeover of many holds nothing else up for long.
     pub(super) fn send_holds(&mut self, now: Millis) {
@@ -206,6 +166,13 @@
         let pause = self.idle_pause();
         let Some(executor) = self.executors.get_mut(&index) else { return };
         let first = executor.clock.is_none();
+        if first {
+            self.actions.push(Action::ExecutorHeard {
+                id: executor.info.id.clone(),
+                running: answer.running.len() as u32,
+                ended: answer.ended.len() as u32,
+            });
+        }
         executor.clock = Some((answer.clock, now));
         executor.failures = 0;
         executor.contact = Contact::Ready;
@@ -358,53 +325,6 @@
         self.vacate(index, end.task, end.run, Some(&end));
     }
 
-    /// A life of an executor is over, and with it all that ran there.
-    pub(super) fn executor_over(&mut self, index: ExecutorIndex, now: Millis) {
-        let Some(executor) = self.executors.get(&index) else { return };
-        let runs = executor.runs.iter();
-        let runs: Vec<(TaskKey, u64)> =
-            runs.map(|(task, on)| (*task, on.run)).collect();
-        self.count("executors_over");
-        for (task, run) in runs {
-            self.vacate(index, task, run, None);
-        }
-        // Nothing is left there that counts for an account.
-        if let Some(executor) = self.executors.remove(&index) {
-            self.by_id.remove(&executor.info.id);
-        }
-        self.commits.enrol();
-        self.settle(now);
-    }
-
-    /// Gives up what has certainly lapsed on executors that are silent.
-    pub(super) fn expire(&mut self, now: Millis) {
-        let settled = self.settled();
-        let confirmed = self.confirmed;
-        let lapsed = self.executors.iter().filter(|(_, executor)| {
-            match executor.contact {
-                Contact::Ready => false,
-                Contact::Silent => executor.expiry < now.min(confirmed),
-                // No lease was given to it in this tenure.
-                Contact::Unseen => settled && !executor.listed,
-            }
-        });
-        let lapsed: Vec<(ExecutorIndex, bool)> =
-            lapsed.map(|(index, e)| (*index, e.listed)).collect();
-        for (index, listed) in lapsed {
-            if !listed {
-                self.executor_over(index, now);
-                continue;
-            }
-            let runs = self.executors.get(&index).map(|e| {
-                e.runs.iter().map(|(task, on)| (*task, on.run)).collect()
-            });
-            let runs: Vec<(TaskKey, u64)> = runs.unwrap_or_default();
-            for (task, run) in runs {
-                self.vacate(index, task, run, None);
-            }
-        }
-    }
-
     pub(super) fn deposed(&mut self) {
         self.count("deposed");
         self.actions.push(Action::Deposed);
--- /dev/null
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -0,0 +1,137 @@
+/*!
+The lives of executors: how the leader comes to know of one, and by what it
+takes one for over.
+
+What runs on an executor is given up with its life, or when its lease has
+lapsed; it is then started elsewhere. Each way by which that happens is named
+by [`LifeOver`] and logged with what was known of the executor, since a wrong
+one makes tasks run twice.
+*/
+
+use crate::ids::Millis;
+use crate::jobs::executor::{Contact, Executor, ExecutorInfo};
+use crate::jobs::message::{Action, ExecutorIndex, LifeOver};
+use crate::jobs::model::TaskKey;
+use crate::jobs::scheduler::Scheduler;
+
+impl LifeOver {
+    /// The counter of lives that were over by this.
+    fn counter(self) -> &'static str {
+        match self {
+            LifeOver::AnotherAnswers => "executors_over_another_answers",
+            LifeOver::AddressTaken => "executors_over_address_taken",
+            LifeOver::OnNoMachine => "executors_over_on_no_machine",
+            LifeOver::TakenDown => "executors_over_taken_down",
+            LifeOver::Lapsed => "executors_over_lapsed",
+            LifeOver::NeverHeard => "executors_over_never_heard",
+        }
+    }
+}
+
+impl Scheduler {
+    pub(super) fn listed(&mut self, info: ExecutorInfo, now: Millis) {
+        if let Some(index) = self.by_id.get(&info.id) {
+            let Some(executor) = self.executors.get_mut(index) else { return };
+            executor.listed = true;
+            if executor.info != info {
+                executor.info = info;
+                executor.recount();
+                self.stale = true;
+            }
+            return;
+        }
+        // Another life at the same address is over.
+        let former = self
+            .executors
+            .iter()
+            .find(|(_, executor)| executor.info.address == info.address);
+        if let Some((&index, _)) = former {
+            self.executor_over(index, LifeOver::AddressTaken, now);
+        }
+        self.enrol(info, now);
+        self.commits.enrol();
+    }
+
+    pub(super) fn enrol(&mut self, info: ExecutorInfo, now: Millis) {
+        let id = info.id.clone();
+        let index = self.executors.add(Executor::new(info, now));
+        self.due_holds.touch(index);
+        self.by_id.insert(id, index);
+    }
+
+    pub(super) fn unlisted(&mut self, id: &str) {
+        let index = self.by_id.get(id);
+        let executor = index.and_then(|i| self.executors.get_mut(i));
+        if let Some(executor) = executor {
+            executor.listed = false;
+        }
+    }
+
+    /// A life of an executor is over, and with it all that ran there.
+    pub(super) fn executor_over(
+        &mut self,
+        index: ExecutorIndex,
+        why: LifeOver,
+        now: Millis,
+    ) {
+        let Some(executor) = self.executors.get(&index) else { return };
+        self.actions.push(Action::ExecutorOver {
+            id: executor.info.id.clone(),
+            why,
+            runs: executor.runs.len() as u32,
+            listed: executor.listed,
+            heard_before: executor.heard_before(now),
+            lease_left: executor.lease_left(now),
+        });
+        self.count("executors_over");
+        self.count(why.counter());
+        self.give_up_runs(index, why);
+        // Nothing is left there that counts for an account.
+        if let Some(executor) = self.executors.remove(&index) {
+            self.by_id.remove(&executor.info.id);
+        }
+        self.commits.enrol();
+        self.settle(now);
+    }
+
+    /// What runs on an executor is lost.
+    fn give_up_runs(&mut self, index: ExecutorIndex, why: LifeOver) {
+        let Some(executor) = self.executors.get(&index) else { return };
+        let runs = executor.runs.iter();
+        let runs: Vec<(TaskKey, u64)> =
+            runs.map(|(task, on)| (*task, on.run)).collect();
+        let id = executor.info.id.clone();
+        for (task, run) in runs {
+            let executor = id.clone();
+            self.actions.push(Action::RunGivenUp { executor, task, run, why });
+            self.vacate(index, task, run, None);
+        }
+    }
+
+    /// Gives up what has certainly lapsed on executors that are silent.
+    pub(super) fn expire(&mut self, now: Millis) {
+        let settled = self.settled();
+        let confirmed = self.confirmed;
+        let lapsed = self.executors.iter().filter_map(|(index, executor)| {
+            let why = match executor.contact {
+                Contact::Ready => return None,
+                Contact::Silent if executor.expiry < now.min(confirmed) => {
+                    LifeOver::Lapsed
+                }
+                // No lease was given to it in this tenure.
+                Contact::Unseen if settled && !executor.listed => {
+                    LifeOver::NeverHeard
+                }
+                _ => return None,
+            };
+            Some((*index, why, executor.listed))
+        });
+        let lapsed: Vec<(ExecutorIndex, LifeOver, bool)> = lapsed.collect();
+        for (index, why, listed) in lapsed {
+            match listed {
+                true => self.give_up_runs(index, why),
+                false => self.executor_over(index, why, now),
+            }
+        }
+    }
+}
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -5,7 +5,7 @@
 use crate::ids::Millis;
 use crate::jobs::executor::{Charge, Phase, RunOn};
 use crate::jobs::message::{
-    Action, EndKind, EndRow, ExecutorIndex, OrderFailure,
+    Action, EndKind, EndRow, ExecutorIndex, LifeOver, OrderFailure,
 };
 use crate::jobs::model::{JobId, JobState, StepKey, TaskKey};
 use crate::jobs::scheduler::holds::expiry;
@@ -200,7 +200,9 @@
     ) -> bool {
         match answer {
             Err(OrderFailure::Fenced) => self.deposed(),
-            Err(OrderFailure::Gone) => self.executor_over(index, now),
+            Err(OrderFailure::Gone) => {
+                self.executor_over(index, LifeOver::AnotherAnswers, now);
+            }
             _ => return false,
         }
         true
--- a/puffinknot-core/src/jobs/scheduler/waves.rs
+++ b/puffinknot-core/src/jobs/scheduler/waves.rs
@@ -15,7 +15,8 @@
 use crate::ids::Millis;
 use crate::jobs::executor::{Contact, Phase};
 use crate::jobs::message::{
-    Action, ExecutorIndex, MachineInfo, MachineState, UpkeepFailure, WaveInfo,
+    Action, ExecutorIndex, LifeOver, MachineInfo, MachineState, UpkeepFailure,
+    WaveInfo,
 };
 use crate::jobs::model::StepKey;
 use crate::jobs::scheduler::Scheduler;
@@ -186,7 +187,7 @@
         let gone: Vec<ExecutorIndex> = gone.map(|(index, _)| *index).collect();
         for index in gone {
             self.count("executors_gone");
-            self.executor_over(index, now);
+            self.executor_over(index, LifeOver::OnNoMachine, now);
         }
     }
 
@@ -205,7 +206,7 @@
             Ok(()) => {
                 *turn = Turn::Down(now);
                 if let Some(index) = self.executor_of(machine) {
-                    self.executor_over(index, now);
+                    self.executor_over(index, LifeOver::TakenDown, now);
                 }
             }
             // Another leader orders.
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -104,6 +104,31 @@
             info!(%step, tasks, token, "displaced");
         }
         Action::Settled { unseen } => info!(token, unseen, "settled"),
+        Action::ExecutorHeard { id, running, ended } => {
+            info!(executor = id, running, ended, token, "executor_heard");
+        }
+        Action::ExecutorOver {
+            id,
+            why,
+            runs,
+            listed,
+            heard_before,
+            lease_left,
+        } => {
+            warn!(
+                executor = id,
+                ?why,
+                runs,
+                listed,
+                heard_before,
+                lease_left,
+                token,
+                "executor_over"
+            );
+        }
+        Action::RunGivenUp { executor, task, run, why } => {
+            warn!(%task, run, executor, ?why, token, "run_given_up");
+        }
         Action::Advise { call, advisor, step, executors } => {
             let asked = executors.len();
             info!(call, advisor, %step, asked, token, "advice_asked");
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -79,7 +79,11 @@
                     self.handle.relays.forget(job);
                 }
                 // These are for the logs only.
-                Action::Settled { .. } | Action::Displaced { .. } => {}
+                Action::Settled { .. }
+                | Action::Displaced { .. }
+                | Action::ExecutorHeard { .. }
+                | Action::ExecutorOver { .. }
+                | Action::RunGivenUp { .. } => {}
                 Action::Advise { call, advisor, step, executors } => {
                     self.advise(call, &advisor, step, executors);
                 }
--- a/src/cell/lead/takeover.rs
+++ b/src/cell/lead/takeover.rs
@@ -100,6 +100,7 @@
                     token = self.token,
                     items = kept.len(),
                     jobs = scheduler.live(),
+                    executors = scheduler.executors(),
                     ms = now - started,
                     "taken_over"
                 );
--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -2,7 +2,7 @@
 //! that brings it about. Each failed before it was mended.
 
 use puffinknot_core::jobs::{
-    JobId, JobState, Mechanism, Outcome, Request, Without,
+    Event, JobId, JobState, LifeOver, Mechanism, Outcome, Request, Without,
 };
 
 use super::world::{job, room, step, World, LEASE, WORK};
@@ -49,6 +49,21 @@
     world.check();
 }
 
+/// Operators are told by what a life of an executor was taken for over.
+#[test]
+fn by_what_a_life_was_over_is_told() {
+    let mut world = World::new(1);
+    world.submit(job(1, "batch", vec![step(1, room(500, 100))]));
+    world.run(60);
+    world.die(0);
+    let id = world.executors[0].info.id.clone();
+    world.event(Event::Unlisted(id.clone()));
+    world.run(LEASE + 1_000);
+    assert_eq!(world.lives_over, [(id, LifeOver::Lapsed)]);
+    let counted = world.scheduler.counters()["executors_over_lapsed"];
+    assert_eq!(counted, 1);
+}
+
 /// A job counted as begun when a task of it was ordered, though the order
 /// never arrived.
 #[test]
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -13,9 +13,9 @@
 use puffinknot_core::jobs::model::StepKey;
 use puffinknot_core::jobs::{
     Account, Action, AdviceCost, Caller, Change, EndKind, EndRow, Event,
-    ExecutorInfo, HoldAnswer, Job, JobId, JobState, KeyDigest, MachineInfo,
-    MachineState, OrderFailure, Outcome, Policy, Queue, Request, RunRow,
-    Scheduler, SchedulerConfig, Step, TaskKey, UpkeepFailure, Without,
+    ExecutorInfo, HoldAnswer, Job, JobId, JobState, KeyDigest, LifeOver,
+    MachineInfo, MachineState, OrderFailure, Outcome, Policy, Queue, Request,
+    RunRow, Scheduler, SchedulerConfig, Step, TaskKey, UpkeepFailure, Without,
 };
 
 /// The longest lease of an executor.
@@ -131,6 +131,8 @@
     noted_failures: BTreeMap<TaskKey, BTreeSet<u64>>,
     pub starts: BTreeMap<TaskKey, u32>,
     pub broken: Vec<String>,
+    /// The executors that leaders took for over, and by what.
+    pub lives_over: Vec<(String, LifeOver)>,
     /// Tasks that fail, this many times each.
     pub failing: BTreeMap<TaskKey, u32>,
     pub deposed: bool,
@@ -295,6 +297,7 @@
             noted_failures: BTreeMap::new(),
             starts: BTreeMap::new(),
             broken: Vec::new(),
+            lives_over: Vec::new(),
             failing: BTreeMap::new(),
             deposed: false,
             usages: BTreeMap::new(),
@@ -553,7 +556,12 @@
                 Action::Deposed => self.deposed = true,
                 Action::JobEnded { .. }
                 | Action::Settled { .. }
+                | Action::ExecutorHeard { .. }
+                | Action::RunGivenUp { .. }
                 | Action::Displaced { .. } => {}
+                Action::ExecutorOver { id, why, .. } => {
+                    self.lives_over.push((id.clone(), *why));
+                }
                 Action::Advise { .. } if self.lost_advice > 0 => {
                     self.lost_advice -= 1;
                 }
