Tests of lives that are taken for over while they go on

In the tests' world, a call for an upkeep that a wave has had already is answered with Ok and does nothing, and an order to a former life is answered by the one that listens at its address.

--- /dev/null
+++ b/tests/jobs/lives.rs
@@ -0,0 +1,326 @@
+//! Lives of executors that were taken for over though they went on: each way
+//! by which a task came to run on two executors at once.
+
+use puffinknot_core::jobs::{Event, JobState, TaskKey, WaveInfo};
+
+use super::world::{job, room, step, World, LEASE};
+
+/// The former life at the address of [`LIFE`].
+const FORMER: usize = 0;
+/// The life that runs the task.
+const LIFE: usize = 1;
+/// An executor with room for the task.
+const OTHER: usize = 2;
+/// How long the task works.
+const LONG: u64 = 5_000;
+
+fn task() -> TaskKey {
+    "0000000000000001.0.0.0".parse().expect("a task")
+}
+
+fn submit_long(world: &mut World, work: u64) {
+    let mut long = step(1, room(3_000, 100));
+    long.estimate = work;
+    world.submit(job(1, "batch", vec![long]));
+}
+
+/// An executor has crashed, and its next life runs a long task. Another
+/// executor has room for it.
+fn next_life_at_work() -> World {
+    let mut world = World::new(1);
+    world.run(50);
+    world.crash(FORMER, "y1");
+    world.run(100);
+    submit_long(&mut world, LONG);
+    world.run(200);
+    world.add_executor("x9");
+    world.tell_entry(OTHER);
+    world.run(200);
+    assert!(world.executors[LIFE].runs(&task()));
+    world
+}
+
+/// Two executors of their own addresses. The first runs a long task that is
+/// over before its lease would be, and the second has room for it.
+fn two_executors() -> World {
+    let mut world = World::new(1);
+    world.run(50);
+    submit_long(&mut world, LONG);
+    world.run(200);
+    world.add_executor("x9");
+    world.tell_entry(1);
+    world.run(200);
+    assert!(world.executors[0].runs(&task()));
+    world
+}
+
+/// The task runs to its end where it is.
+fn ends_after_one_start(mut world: World) {
+    world.run(LONG + LEASE);
+    world.check();
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    assert_eq!(world.starts[&task()], 1);
+}
+
+/// Another leader takes over and is told these entries, one after another.
+fn takes_over_and_reads(world: &mut World, entries: &[usize], pause: u64) {
+    world.take_over();
+    for at in entries {
+        world.tell_entry(*at);
+        world.run(pause);
+    }
+}
+
+/// A task ran on two executors after a change of leaders. An executor had
+/// crashed and started again at the same address, and its next life ran the
+/// task. The entry of the former life still stood in the store when the
+/// successor read the list, after that of the living one. The successor took
+/// the name that it did not know for a newer life, gave up what the living
+/// one ran, and waited no more for its account.
+#[test]
+fn a_former_entry_read_last_at_a_takeover_ends_no_life() {
+    let mut world = next_life_at_work();
+    takes_over_and_reads(&mut world, &[LIFE, FORMER, OTHER], 0);
+    ends_after_one_start(world);
+}
+
+/// The same with the entry of the former life read first: the living one is
+/// enrolled anew, and its account has to be waited for.
+#[test]
+fn a_former_entry_read_first_at_a_takeover_ends_no_life() {
+    let mut world = next_life_at_work();
+    takes_over_and_reads(&mut world, &[FORMER, LIFE, OTHER], 0);
+    ends_after_one_start(world);
+}
+
+/// A task ran on two executors after a change of leaders, as above. The
+/// successor was told of the former life first, and of the living one shortly
+/// after, when the former had been found to be over and nothing more was
+/// waited for.
+#[test]
+fn a_former_entry_told_before_the_living_one_ends_no_life() {
+    let mut world = next_life_at_work();
+    takes_over_and_reads(&mut world, &[FORMER, OTHER, LIFE], 40);
+    ends_after_one_start(world);
+}
+
+/// A task ran on two executors while one node led all the time. The entry of
+/// a former life was told once more, as all entries are after some seconds,
+/// and the leader took it for a newer life at the address of the living one.
+#[test]
+fn a_former_entry_told_once_more_ends_no_life() {
+    let mut world = next_life_at_work();
+    world.tell_entry(FORMER);
+    ends_after_one_start(world);
+}
+
+/// The same, and then both entries are told in turn, again and again.
+#[test]
+fn entries_of_two_lives_told_in_turn_end_no_life() {
+    let mut world = next_life_at_work();
+    for _ in 0..3 {
+        world.run(400);
+        world.tell_entry(FORMER);
+        world.run(400);
+        world.tell_entry(LIFE);
+    }
+    ends_after_one_start(world);
+}
+
+/// A task ran on two executors after a change of leaders, while the executor
+/// that ran it was cut off. It had no way to say that it lives; the entry of
+/// its former life was read, and the successor took that for its end.
+#[test]
+fn a_former_entry_ends_no_life_that_is_cut_off() {
+    for entries in [[LIFE, FORMER, OTHER], [FORMER, LIFE, OTHER]] {
+        let mut world = next_life_at_work();
+        world.executors[LIFE].cut = true;
+        takes_over_and_reads(&mut world, &entries, 0);
+        world.run(2_500);
+        world.executors[LIFE].cut = false;
+        ends_after_one_start(world);
+    }
+}
+
+/// The same where only the successor is cut off from the executor, and where
+/// the entry is told once more while the executor is cut off from its leader.
+#[test]
+fn a_former_entry_ends_no_life_that_a_leader_cannot_reach() {
+    let mut world = next_life_at_work();
+    world.executors[LIFE].cut_from = Some(world.token + 1);
+    takes_over_and_reads(&mut world, &[LIFE, FORMER, OTHER], 0);
+    world.run(2_500);
+    world.executors[LIFE].cut_from = None;
+    ends_after_one_start(world);
+    let mut world = next_life_at_work();
+    world.executors[LIFE].cut_from = Some(world.token);
+    world.run(300);
+    world.tell_entry(FORMER);
+    world.run(2_000);
+    world.executors[LIFE].cut_from = None;
+    ends_after_one_start(world);
+}
+
+/// A task ran on two executors after a change of leaders. The successor heard
+/// the executor once, by an answer that came after it was given up; the next
+/// hold was under way then and carried no lease, as the first had not. Then
+/// the executor was cut off. No lease had been given to it in that tenure, so
+/// that the end of its lease was still at zero, and what the predecessor had
+/// started there counted as lapsed.
+#[test]
+fn silence_before_the_first_lease_is_no_lapse() {
+    let mut world = two_executors();
+    // An answer takes 900 ms, and a hold is given up after 700 ms.
+    world.executors[0].held_up = Some(200);
+    world.replace_leader();
+    world.run(800);
+    // The answer to the first hold is on its way.
+    world.executors[0].cut = true;
+    world.run(3_000);
+    world.executors[0].cut = false;
+    world.executors[0].held_up = None;
+    ends_after_one_start(world);
+}
+
+/// The same where the store lists the executor no more when it falls silent:
+/// its life was then taken for over, too.
+#[test]
+fn silence_of_an_unlisted_executor_before_its_first_lease_is_no_lapse() {
+    let mut world = two_executors();
+    world.executors[0].held_up = Some(200);
+    world.replace_leader();
+    world.run(800);
+    world.executors[0].cut = true;
+    let id = world.executors[0].info.id.clone();
+    world.event(Event::Unlisted(id));
+    world.run(3_000);
+    world.executors[0].cut = false;
+    world.executors[0].held_up = None;
+    world.tell_entry(0);
+    ends_after_one_start(world);
+}
+
+/// A task ran on two executors while one node led all the time. The executor
+/// that ran it was cut off, and the list of machines showed its machine as up
+/// and named no executor there. It was taken for gone before its lease had
+/// run out.
+#[test]
+fn a_machine_without_an_executor_ends_no_life() {
+    let mut world = two_executors();
+    world.shown.insert("x0".into(), String::new());
+    world.executors[0].cut = true;
+    world.run(LONG + 2_000);
+    world.check();
+}
+
+/// The same where the list still showed the former life on that machine.
+#[test]
+fn a_machine_that_shows_a_former_life_ends_no_life() {
+    let mut world = next_life_at_work();
+    world.shown.insert("x0".into(), "x0".into());
+    world.executors[LIFE].cut = true;
+    world.run(LONG + 2_000);
+    world.check();
+}
+
+/// A task ran on two executors after a change of leaders. The executor that
+/// ran it could not be reached for a second, and the list of machines showed
+/// its former life. So the successor took it for gone, before it had heard it
+/// at all, and had nobody left to wait for.
+#[test]
+fn a_list_that_lags_at_a_takeover_ends_no_life() {
+    let mut world = next_life_at_work();
+    world.shown.insert("x0".into(), "x0".into());
+    world.executors[LIFE].cut = true;
+    world.replace_leader();
+    world.run(2_500);
+    world.executors[LIFE].cut = false;
+    ends_after_one_start(world);
+}
+
+/// A task ran on two executors during a wave of upkeep. A machine had had its
+/// upkeep under one leader, whose successor did not know that and called for
+/// it once more. The call was answered with Ok, since it had been carried out,
+/// and the life that was born after it was taken for over.
+#[test]
+fn an_upkeep_carried_out_before_ends_no_later_life() {
+    let wave = WaveInfo {
+        wave: 7,
+        machines: vec!["x0".into()],
+        within: 1_000,
+        most: 1,
+    };
+    let mut world = World::new(1);
+    world.run(50);
+    world.event(Event::Wave(wave.clone()));
+    // The machine is down at once, and its next executor is there after two
+    // seconds. It is not listed as done by then.
+    world.run(600);
+    assert_eq!(world.upkeeps, ["x0"]);
+    world.run(1_600);
+    let life = world.executors.len() - 1;
+    assert_eq!(life, LIFE);
+    submit_long(&mut world, 3 * LEASE);
+    world.run(200);
+    assert!(world.executors[LIFE].runs(&task()));
+    world.add_executor("x9");
+    world.replace_leader();
+    world.event(Event::Wave(wave));
+    world.run(3 * LEASE + 1_000);
+    world.check();
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    assert_eq!(world.starts[&task()], 1);
+    assert_eq!(world.upkeeps, ["x0"]);
+}
+
+/// A task ran on two executors after a change of leaders. The leader before
+/// had taken the executor for gone, since the list of machines named no
+/// executor for its machine, and there was no room for the task elsewhere. So
+/// the list of executors that it left in the store lacked the one that ran
+/// the task, and the successor had nobody to wait for.
+#[test]
+fn an_executor_that_a_predecessor_took_for_gone_is_waited_for() {
+    let mut world = World::new(1);
+    world.run(50);
+    submit_long(&mut world, LONG);
+    world.run(200);
+    world.add_executor("x9");
+    world.executors[1].info.capacity = room(1_000, 8_000);
+    world.tell_entry(1);
+    world.run(100);
+    assert!(world.executors[0].runs(&task()));
+    world.shown.insert("x0".into(), String::new());
+    world.executors[0].cut = true;
+    world.run(4_200);
+    assert!(world.executors[0].runs(&task()));
+    // The entry of the executor has lapsed; another one has room by now.
+    world.add_executor("x10");
+    takes_over_and_reads(&mut world, &[1, 2], 0);
+    world.run(400);
+    world.shown.clear();
+    world.executors[0].cut = false;
+    world.tell_entry(0);
+    world.run(LONG + LEASE);
+    world.check();
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+}
+
+/// The same where the leader before had taken the living executor for over by
+/// the entry of its former life.
+#[test]
+fn an_executor_that_a_predecessor_took_for_replaced_is_waited_for() {
+    let mut world = World::new(1);
+    world.run(50);
+    world.crash(FORMER, "y1");
+    world.run(100);
+    submit_long(&mut world, LONG);
+    world.run(200);
+    world.tell_entry(FORMER);
+    world.run(100);
+    assert!(world.executors[LIFE].runs(&task()));
+    world.add_executor("x9");
+    takes_over_and_reads(&mut world, &[OTHER], 0);
+    world.run(400);
+    world.tell_entry(LIFE);
+    ends_after_one_start(world);
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod displacing;
 mod faults;
 mod fuzz;
+mod lives;
 mod rules;
 mod services;
 mod world;
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -97,7 +97,7 @@
     Order(usize, Box<Action>, u64, Option<u64>),
     HoldDue(usize, ExecutorIndex, Millis, u64, u64),
     Written(u64),
-    Upkeep(String),
+    Upkeep(u64, String),
 }
 
 /// The world.
@@ -144,6 +144,12 @@
     /// Machines that are down, and until when.
     pub down: BTreeMap<String, Millis>,
     pub upkeeps: Vec<String>,
+    /// Which machines have had the upkeep of which wave. A call for it is
+    /// answered with Ok and does nothing more.
+    had_upkeep: BTreeSet<(u64, String)>,
+    /// The executors that the list of machines shows on some machines,
+    /// whatever lives there; empty for none.
+    pub shown: BTreeMap<String, String>,
     /// The next calls for upkeep are carried out late and not answered.
     pub late_upkeeps: u32,
     /// The next calls for advice are never answered.
@@ -262,6 +268,23 @@
     }
 }
 
+/// What a leader is told of an order that has failed.
+fn failed(action: &Action, why: OrderFailure) -> Option<Event> {
+    let event = match *action {
+        Action::Hold { executor, sent_at, .. } => {
+            Event::Held { executor, sent_at, answer: Err(why) }
+        }
+        Action::Start { executor, task, run, .. } => {
+            Event::Started { executor, task, run, answer: Err(why) }
+        }
+        Action::Stop { executor, task, run } => {
+            Event::Stopped { executor, task, run, answer: Err(why) }
+        }
+        _ => return None,
+    };
+    Some(event)
+}
+
 impl World {
     pub fn new(executors: usize) -> World {
         World::without(executors, Without::default())
@@ -305,6 +328,8 @@
             waves: BTreeMap::new(),
             down: BTreeMap::new(),
             upkeeps: Vec::new(),
+            had_upkeep: BTreeSet::new(),
+            shown: BTreeMap::new(),
             late_upkeeps: 0,
             lost_advice: 0,
             advice_takes: 30,
@@ -594,7 +619,7 @@
                 }
                 Action::Upkeep { wave, machine } if self.late_upkeeps > 0 => {
                     self.late_upkeeps -= 1;
-                    let late = Pending::Upkeep(machine.clone());
+                    let late = Pending::Upkeep(*wave, machine.clone());
                     self.later(UPKEEP_LATE, late);
                     let event = Event::UpkeepAnswered {
                         wave: *wave,
@@ -604,7 +629,7 @@
                     self.later(ORDER_TIMEOUT, Pending::Tell(token, event));
                 }
                 Action::Upkeep { wave, machine } => {
-                    let answer = self.upkeep(machine);
+                    let answer = self.upkeep(*wave, machine);
                     let event = Event::UpkeepAnswered {
                         wave: *wave,
                         machine: machine.clone(),
@@ -676,6 +701,13 @@
     /// Another node leads: it takes over what stands in the store. Orders
     /// of its predecessor that are under way still arrive.
     pub fn replace_leader(&mut self) {
+        self.take_over();
+        self.tell_all();
+    }
+
+    /// The same, but nobody has told it of any executor yet. It knows those
+    /// that its predecessor has written to the store.
+    pub fn take_over(&mut self) {
         self.stuck.clear();
         let token = self.token;
         self.token += 1;
@@ -695,7 +727,13 @@
         let former = std::mem::replace(&mut self.scheduler, restored);
         self.former.insert(token, (former, self.now + UNCONFIRMED));
         self.deposed = false;
-        self.tell_all();
+    }
+
+    /// Tells the leader of an entry that stands in the store, whether the
+    /// executor lives or not.
+    pub fn tell_entry(&mut self, at: usize) {
+        let info = self.executors[at].info.clone();
+        self.event(Event::Listed(info));
     }
 
     /// An executor dies without a word.
@@ -706,6 +744,13 @@
 
     /// An executor dies; another life takes its address.
     pub fn crash(&mut self, at: usize, id: &str) {
+        let next = self.crash_untold(at, id);
+        self.tell_entry(next);
+    }
+
+    /// The same, but the entry of the other life is not told yet. Returns
+    /// that life.
+    pub fn crash_untold(&mut self, at: usize, id: &str) -> usize {
         let old = &mut self.executors[at];
         old.dead = true;
         old.running.clear();
@@ -713,8 +758,7 @@
         self.add_executor(id);
         let last = self.executors.len() - 1;
         self.executors[last].info.address = address;
-        let info = self.executors[last].info.clone();
-        self.event(Event::Listed(info));
+        last
     }
 
     /// The machines: each is named as the address of its executors.
@@ -729,15 +773,27 @@
                 machine: machine.clone(),
                 pool: "s".into(),
                 state,
-                executor: executor.info.id.clone(),
+                executor: match self.shown.get(&machine) {
+                    Some(shown) => shown.clone(),
+                    None => executor.info.id.clone(),
+                },
             };
             machines.insert(machine, info);
         }
         machines.into_values().collect()
     }
 
-    /// Takes a machine down for two seconds.
-    fn upkeep(&mut self, machine: &str) -> Result<(), UpkeepFailure> {
+    /// Takes a machine down for two seconds, unless the wave has done so
+    /// before.
+    fn upkeep(
+        &mut self,
+        wave: u64,
+        machine: &str,
+    ) -> Result<(), UpkeepFailure> {
+        let called = (wave, machine.to_string());
+        if self.had_upkeep.contains(&called) {
+            return Ok(());
+        }
         if self.down.contains_key(machine) {
             return Err(UpkeepFailure::Refused);
         }
@@ -748,6 +804,7 @@
             executor.running.clear();
         }
         self.down.insert(machine.to_string(), self.now + UPKEEP);
+        self.had_upkeep.insert(called);
         self.upkeeps.push(machine.to_string());
         self.most_down = self.most_down.max(self.down.len());
         Ok(())
@@ -808,8 +865,8 @@
     fn happen(&mut self, pending: Pending) {
         match pending {
             Pending::Tell(token, event) => self.tell(token, event),
-            Pending::Upkeep(machine) => {
-                let _ = self.upkeep(&machine);
+            Pending::Upkeep(wave, machine) => {
+                let _ = self.upkeep(wave, &machine);
             }
             Pending::Written(token) => {
                 if token == self.token {
@@ -833,6 +890,15 @@
         token: u64,
         answer_to: Option<u64>,
     ) {
+        // An order to a former life is answered by the one that lives.
+        if let Some(life) = self.life_in_place_of(at) {
+            let silent = self.executors[life].silent_to(token);
+            return match answer_to {
+                Some(_) if silent => self.unanswered(&action, token),
+                Some(_) => self.refuse(action, token, OrderFailure::Gone),
+                None => {}
+            };
+        }
         let there = &mut self.executors[at];
         let silent = there.silent_to(token);
         if let (Some(late), false) = (there.late, silent) {
@@ -925,38 +991,32 @@
         self.later(way, Pending::Tell(token, event));
     }
 
+    /// The life that listens at the address of one that is dead.
+    fn life_in_place_of(&self, at: usize) -> Option<usize> {
+        let former = &self.executors[at];
+        let mut lives = self.executors.iter();
+        let life = lives.position(|executor| {
+            !executor.dead && executor.info.address == former.info.address
+        });
+        life.filter(|_| former.dead)
+    }
+
+    /// An order is answered with a failure.
+    fn refuse(&mut self, action: Action, token: u64, why: OrderFailure) {
+        if let Some(event) = failed(&action, why) {
+            self.answer(WAY, token, event);
+        }
+    }
+
     /// Nobody answers an order.
     fn unanswered(&mut self, action: &Action, token: u64) {
-        let (after, event) = match action {
-            Action::Hold { executor, sent_at, wait, .. } => (
-                wait + HOLD_SLACK,
-                Event::Held {
-                    executor: *executor,
-                    sent_at: *sent_at,
-                    answer: Err(OrderFailure::Unknown),
-                },
-            ),
-            Action::Start { executor, task, run, .. } => (
-                ORDER_TIMEOUT,
-                Event::Started {
-                    executor: *executor,
-                    task: *task,
-                    run: *run,
-                    answer: Err(OrderFailure::Unknown),
-                },
-            ),
-            Action::Stop { executor, task, run } => (
-                ORDER_TIMEOUT,
-                Event::Stopped {
-                    executor: *executor,
-                    task: *task,
-                    run: *run,
-                    answer: Err(OrderFailure::Unknown),
-                },
-            ),
-            _ => return,
+        let after = match action {
+            Action::Hold { wait, .. } => wait + HOLD_SLACK,
+            _ => ORDER_TIMEOUT,
         };
-        self.later(after, Pending::Tell(token, event));
+        if let Some(event) = failed(action, OrderFailure::Unknown) {
+            self.later(after, Pending::Tell(token, event));
+        }
     }
 
     fn acknowledge(&mut self, at: usize, last_seen: u64) {
