An executor's entry ends no other life at its address

Cause: an entry with a name that was not known, at the address of a known executor, was taken for a newer life, and what ran on the known one was given up. Entries outlive their executors by up to three heartbeats, or for as long as the store is away, and are told again; nobody asked which of the two was the newer. At a takeover a successor reads both at once, so that it gave up runs of its predecessor on the living one, or did not wait for its account. Ruled out: the order of entries (three orders fail, also under one leader). Change: lives with one address are asked at once; an answer for another life (421) ends the one that was asked for.

--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -530,8 +530,6 @@
 pub enum LifeOver {
     /// Another life has answered at its address.
     AnotherAnswers,
-    /// Another life is listed with its address.
-    AddressTaken,
     /// The list of machines names it no more.
     OnNoMachine,
     /// Its machine was taken down for upkeep.
--- a/puffinknot-core/src/jobs/scheduler/lives.rs
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -19,7 +19,6 @@
     fn counter(self) -> &'static str {
         match self {
             LifeOver::AnotherAnswers => "executors_over_another_answers",
-            LifeOver::AddressTaken => "executors_over_address_taken",
             LifeOver::OnNoMachine => "executors_over_on_no_machine",
             LifeOver::TakenDown => "executors_over_taken_down",
             LifeOver::Lapsed => "executors_over_lapsed",
@@ -40,18 +39,33 @@
             }
             return;
         }
-        // Another life at the same address is over.
-        let former = self
-            .executors
-            .iter()
-            .find(|(_, executor)| executor.info.address == info.address);
-        if let Some((&index, _)) = former {
-            self.executor_over(index, LifeOver::AddressTaken, now);
-        }
+        // Entries may outlive their executors, so that it is not known which
+        // of two lives with one address is the newer.
+        self.ask_others_at(&info.address, now);
         self.enrol(info, now);
         self.commits.enrol();
     }
 
+    /// Asks the lives that are known with an address: whichever is over is
+    /// told by the other's answer.
+    fn ask_others_at(&mut self, address: &str, now: Millis) {
+        let there = self.executors.iter();
+        let there = there.filter(|(_, e)| e.info.address == address);
+        let there: Vec<ExecutorIndex> = there.map(|(i, _)| *i).collect();
+        for index in there {
+            self.ask_at_once(index, now);
+        }
+    }
+
+    /// Asks an executor without waiting for its turn, also beside a hold
+    /// that waits there.
+    pub(super) fn ask_at_once(&mut self, index: ExecutorIndex, now: Millis) {
+        let Some(executor) = self.executors.get_mut(&index) else { return };
+        executor.probe = true;
+        executor.next_hold = now;
+        self.due_holds.touch(index);
+    }
+
     pub(super) fn enrol(&mut self, info: ExecutorInfo, now: Millis) {
         let id = info.id.clone();
         let index = self.executors.add(Executor::new(info, now));
