A lease that a predecessor gave counts from an executor's first answer

Cause: an executor that a successor has heard once is taken for silent after two holds without answer, and what runs there for lapsed once the end of its lease has passed. Holds to an executor that was not heard yet carry no lease, nor does one after a failure: if the one answer came late, the end was still at zero, and what the predecessor had started was given up within half a second, though its lease ran on for seconds. Ruled out: an executor that is not heard at all (it is waited for). Change: with the first answer the end is set to that of a lease given then; a predecessor can give none after it.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -181,8 +181,8 @@
         self.clock.map(|(_, at)| now.saturating_sub(at))
     }
 
-    /// How long its lease runs on, in milliseconds, if one was given to it
-    /// in this tenure; negative once it has run out.
+    /// How long a lease of it may run on, in milliseconds, if it was heard in
+    /// this tenure; negative once all have run out.
     pub fn lease_left(&self, now: Millis) -> Option<i64> {
         (self.expiry > 0).then(|| self.expiry as i64 - now as i64)
     }
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -506,8 +506,8 @@
         /// How long ago it answered a hold last, in milliseconds; `None` if
         /// it has not in this tenure.
         heard_before: Option<Millis>,
-        /// How long its lease runs on as the leader reckons it, in
-        /// milliseconds; `None` if this leader gave it none.
+        /// How long a lease of it may run on as the leader reckons it, in
+        /// milliseconds; `None` if it has not answered in this tenure.
         lease_left: Option<i64>,
     },
     /// A run is taken for lost, so that its task may be started elsewhere;
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -164,9 +164,13 @@
         now: Millis,
     ) {
         let pause = self.idle_pause();
+        let lease = self.config.lease;
         let Some(executor) = self.executors.get_mut(&index) else { return };
         let first = executor.clock.is_none();
         if first {
+            // Its answer shows no end of the lease that a predecessor gave
+            // it. None was given after the answer, and none is longer.
+            executor.expiry = executor.expiry.max(expiry(now, lease));
             self.actions.push(Action::ExecutorHeard {
                 id: executor.info.id.clone(),
                 running: answer.running.len() as u32,
