A life that is missing from the list of machines is not over by that

Cause: a silent executor that the list of machines did not name was taken for gone, also if the list showed an earlier life on its machine, or a machine without a name; and an upkeep answered with Ok ended whichever life was known on the machine by then, also one that began after it. A predecessor that did either left a list of executors without the living one, and its successor had nobody to wait for. Ruled out: that lists can be left out: a crash is seen in them within 0.7 to 1.7 s, a lease takes ten. Change: a life is over if an earlier list has shown it on a machine that is off by now, or on which another life answers. The machines are kept with the executors. After an upkeep the executor is asked. An executor whose wave is over is used again.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -92,6 +92,9 @@
 pub struct Executor {
     /// Its own account in the store.
     pub info: ExecutorInfo,
+    /// The machine on which the list of machines has shown it; empty if it
+    /// has not yet.
+    pub machine: String,
     /// Whether the store lists it.
     pub listed: bool,
     /// Whether the store knows that this cell orders it.
@@ -104,6 +107,8 @@
     pub runs: BTreeMap<TaskKey, RunOn>,
     /// What is kept for steps that wait for a ticket.
     pub reserved: BTreeMap<StepKey, Resources>,
+    /// Since when it is known to this leader.
+    pub known_since: Millis,
     /// Since when it can't be talked to, if it can't.
     pub silent_since: Millis,
     /// A reading of its clock, and when it was received.
@@ -144,9 +149,11 @@
         Executor {
             free: info.capacity,
             info,
+            machine: String::new(),
             listed: true,
             enrolled: false,
             contact: Contact::Unseen,
+            known_since: now,
             silent_since: now,
             runs: BTreeMap::new(),
             reserved: BTreeMap::new(),
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -530,10 +530,9 @@
 pub enum LifeOver {
     /// Another life has answered at its address.
     AnotherAnswers,
-    /// The list of machines names it no more.
-    OnNoMachine,
-    /// Its machine was taken down for upkeep.
-    TakenDown,
+    /// The machine on which it was shown is not up any more, or another life
+    /// answers there.
+    LeftMachine,
     /// It is silent, and its lease has run out.
     Lapsed,
     /// It was not heard in this tenure, and what a predecessor may have
--- a/puffinknot-core/src/jobs/record.rs
+++ b/puffinknot-core/src/jobs/record.rs
@@ -99,6 +99,8 @@
 pub struct Enrolled {
     /// Each of them.
     pub executors: Vec<ExecutorInfo>,
+    /// The machines on which they were shown, by their names.
+    pub machines: BTreeMap<String, String>,
 }
 
 /// The name of a record. Names are in the order of numbers.
--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -299,6 +299,10 @@
         let mut enrolled = Enrolled::default();
         for (index, executor) in self.executors.iter() {
             enrolled.executors.push(executor.info.clone());
+            if !executor.machine.is_empty() {
+                let id = executor.info.id.clone();
+                enrolled.machines.insert(id, executor.machine.clone());
+            }
             batch.enrolled.push(*index);
         }
         let name = record::EXECUTORS.to_string();
--- a/puffinknot-core/src/jobs/scheduler/lives.rs
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -19,8 +19,7 @@
     fn counter(self) -> &'static str {
         match self {
             LifeOver::AnotherAnswers => "executors_over_another_answers",
-            LifeOver::OnNoMachine => "executors_over_on_no_machine",
-            LifeOver::TakenDown => "executors_over_taken_down",
+            LifeOver::LeftMachine => "executors_over_left_machine",
             LifeOver::Lapsed => "executors_over_lapsed",
             LifeOver::NeverHeard => "executors_over_never_heard",
         }
@@ -66,11 +65,16 @@
         self.due_holds.touch(index);
     }
 
-    pub(super) fn enrol(&mut self, info: ExecutorInfo, now: Millis) {
+    pub(super) fn enrol(
+        &mut self,
+        info: ExecutorInfo,
+        now: Millis,
+    ) -> ExecutorIndex {
         let id = info.id.clone();
         let index = self.executors.add(Executor::new(info, now));
         self.due_holds.touch(index);
         self.by_id.insert(id, index);
+        index
     }
 
     pub(super) fn unlisted(&mut self, id: &str) {
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -4,7 +4,8 @@
 What is done with it has modules of its own: `admit` knows who may call,
 `requests` answers clients, `ledger` counts what client accounts have running,
 `holds` takes in what executors report, `runs` follows single runs to their
-ends, `lives` knows when an executor's life is over, `place` chooses what starts where, `gangs` does so for gangs, `displace`
+ends, `lives` knows when an executor's life is over, `machines` what the
+list of machines tells of that, `place` chooses what starts where, `gangs` does so for gangs, `displace`
 has others give way to them, `shares` knows what comes beyond an account's due,
 `domains` finds data centres that are out of reach, `alarm` connections that
 have fallen silent, `judge` executors that fail what they run, `due` knows
@@ -44,6 +45,7 @@
 mod ledger;
 mod live;
 mod lives;
+mod machines;
 mod pace;
 mod place;
 mod records;
--- a/puffinknot-core/src/jobs/scheduler/restore.rs
+++ b/puffinknot-core/src/jobs/scheduler/restore.rs
@@ -54,7 +54,11 @@
         for kept in named(EXECUTORS) {
             let enrolled: Enrolled = record::decode(&kept.value)?;
             for info in enrolled.executors {
-                scheduler.enrol(info, now);
+                let machine = enrolled.machines.get(&info.id).cloned();
+                let index = scheduler.enrol(info, now);
+                if let Some(executor) = scheduler.executors.get_mut(&index) {
+                    executor.machine = machine.unwrap_or_default();
+                }
             }
         }
         scheduler.machines = Machines::new(now);
--- a/puffinknot-core/src/jobs/scheduler/waves.rs
+++ b/puffinknot-core/src/jobs/scheduler/waves.rs
@@ -13,10 +13,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::Millis;
-use crate::jobs::executor::{Contact, Phase};
+use crate::jobs::executor::Phase;
 use crate::jobs::message::{
-    Action, ExecutorIndex, LifeOver, MachineInfo, MachineState, UpkeepFailure,
-    WaveInfo,
+    Action, ExecutorIndex, MachineInfo, MachineState, UpkeepFailure, WaveInfo,
 };
 use crate::jobs::model::StepKey;
 use crate::jobs::scheduler::Scheduler;
@@ -32,8 +31,6 @@
 const LIST_EVERY: Millis = 500;
 /// The machines are listed this often while executors are silent.
 const LOOK_EVERY: Millis = 1_000;
-/// An executor that has not answered for this long is looked for there.
-const SILENT_FOR: Millis = 500;
 /// A call that was not answered is made again after this time.
 const CALL_AGAIN: Millis = 3_000;
 /// A machine on which the same executor lives on for so long after a call
@@ -73,8 +70,11 @@
     /// Nothing is ordered before this time.
     not_before: Millis,
     listing: bool,
-    asked_at: Millis,
+    /// When the list was asked for last.
+    pub asked_at: Millis,
     listed_at: Option<Millis>,
+    /// When the last list that was answered was asked for.
+    pub answered_for: Millis,
     /// Machines whose upkeep this wave has done, as written.
     pub finished: BTreeMap<u64, BTreeSet<String>>,
 }
@@ -119,7 +119,7 @@
     ) {
         self.machines.listing = false;
         let Some(machines) = machines else { return };
-        self.bury(&machines, now);
+        self.machines_told(&machines, now);
         self.machines.listed_at = Some(now);
         self.machines.machines = machines
             .into_iter()
@@ -156,38 +156,18 @@
         }
         for (number, machine) in done {
             let finished = self.machines.finished.entry(number).or_default();
-            finished.insert(machine);
+            finished.insert(machine.clone());
             self.commits.waves();
+            self.stays(&machine);
         }
     }
 
-    /// Whether executors are silent that something may depend on.
-    fn misses_executors(&self, now: Millis) -> bool {
-        self.executors.values().any(|executor| {
-            let silent = executor.contact != Contact::Ready
-                && executor.silent_since + SILENT_FOR < now;
-            silent && (!executor.runs.is_empty() || !self.settled())
-        })
-    }
-
-    /// Gives up silent executors that live on no machine any more. The list
-    /// was asked for after they had become silent.
-    fn bury(&mut self, machines: &[MachineInfo], now: Millis) {
-        let living: BTreeSet<&str> =
-            machines.iter().map(|m| m.executor.as_str()).collect();
-        if living.is_empty() {
-            return;
-        }
-        let asked_at = self.machines.asked_at;
-        let gone = self.executors.iter().filter(|(_, executor)| {
-            executor.contact != Contact::Ready
-                && executor.silent_since + SILENT_FOR < asked_at
-                && !living.contains(executor.info.id.as_str())
-        });
-        let gone: Vec<ExecutorIndex> = gone.map(|(index, _)| *index).collect();
-        for index in gone {
-            self.count("executors_gone");
-            self.executor_over(index, LifeOver::OnNoMachine, now);
+    /// The executor on a machine is not about to go any more.
+    fn stays(&mut self, machine: &str) {
+        let index = self.executor_of(machine);
+        let executor = index.and_then(|i| self.executors.get_mut(&i));
+        if let Some(executor) = executor {
+            executor.going = false;
         }
     }
 
@@ -202,11 +182,12 @@
         let Some(wave) = self.machines.waves.get_mut(&number) else { return };
         let Some(turn) = wave.turns.get_mut(machine) else { return };
         match answer {
-            // What ran there is dead; its executor is replaced.
+            // The answer may be to an earlier call, whose upkeep is over: the
+            // executor that is known there by now is asked.
             Ok(()) => {
                 *turn = Turn::Down(now);
                 if let Some(index) = self.executor_of(machine) {
-                    self.executor_over(index, LifeOver::TakenDown, now);
+                    self.ask_at_once(index, now);
                 }
             }
             // Another leader orders.
@@ -214,11 +195,7 @@
             Err(UpkeepFailure::Refused) => {
                 *turn = Turn::Waiting;
                 wave.not_before.insert(machine.to_string(), now + AGAIN);
-                let index = self.executor_of(machine);
-                let executor = index.and_then(|i| self.executors.get_mut(&i));
-                if let Some(executor) = executor {
-                    executor.going = false;
-                }
+                self.stays(machine);
             }
             Err(UpkeepFailure::NoSuchMachine) => {
                 *turn = Turn::Done;
@@ -247,7 +224,7 @@
         self.report_waves();
         let every = if open.is_empty() { LOOK_EVERY } else { LIST_EVERY };
         let due = self.machines.asked_at + every <= now;
-        let wanted = !open.is_empty() || self.misses_executors(now);
+        let wanted = !open.is_empty() || self.wants_machines(now);
         if wanted && due && !self.machines.listing {
             self.machines.listing = true;
             self.machines.asked_at = now;
--- a/tests/jobs/lives.rs
+++ b/tests/jobs/lives.rs
@@ -11,6 +11,10 @@
 const LIFE: usize = 1;
 /// An executor with room for the task.
 const OTHER: usize = 2;
+/// After this time the leader has read on which machines executors live.
+const SHOWN: u64 = 4_500;
+/// Within this time a silent executor is looked for in the list of machines.
+const SEEN: u64 = 4_500;
 /// How long the task works.
 const LONG: u64 = 5_000;
 
@@ -324,3 +328,73 @@
     world.tell_entry(LIFE);
     ends_after_one_start(world);
 }
+
+/// The machine of an executor goes off, and the list of machines shows that:
+/// what ran there starts elsewhere long before its lease has run out.
+#[test]
+fn a_machine_that_is_off_ends_the_life_there() {
+    let mut world = two_executors();
+    world.run(SHOWN);
+    world.die(0);
+    world.off.insert("x0".into());
+    world.run(SEEN);
+    assert_eq!(world.starts[&task()], 2);
+    world.check();
+}
+
+/// The same where a successor takes over at that moment: it knows from its
+/// predecessor which machine the executor was on.
+#[test]
+fn a_successor_knows_which_machines_executors_are_on() {
+    let mut world = two_executors();
+    world.run(SHOWN);
+    world.die(0);
+    world.off.insert("x0".into());
+    world.replace_leader();
+    world.run(SEEN);
+    assert_eq!(world.starts[&task()], 2);
+    world.check();
+}
+
+/// A machine comes back with another life, which listens elsewhere. Once that
+/// one answers, the former life is over.
+#[test]
+fn another_life_that_answers_on_the_machine_ends_the_former() {
+    let mut world = two_executors();
+    world.run(SHOWN);
+    world.die(0);
+    world.add_executor("y1");
+    let next = world.executors.len() - 1;
+    world.shown.insert("x0".into(), "y1".into());
+    world.run(SEEN);
+    assert_eq!(world.starts[&task()], 1, "it has not answered yet");
+    world.tell_entry(next);
+    world.run(SEEN);
+    assert_eq!(world.starts[&task()], 2);
+    world.check();
+}
+
+/// An executor goes on to be used after an upkeep that was carried out
+/// before: its machine is not called for again.
+#[test]
+fn an_executor_is_used_again_after_its_wave() {
+    let wave = WaveInfo {
+        wave: 7,
+        machines: vec!["x0".into()],
+        within: 1_000,
+        most: 1,
+    };
+    let mut world = World::new(1);
+    world.run(50);
+    world.event(Event::Wave(wave.clone()));
+    world.run(600);
+    // The successor does not hear of it, and calls once more.
+    world.replace_leader();
+    world.event(Event::Wave(wave));
+    world.run(3 * LEASE);
+    assert!(world.waves[&7], "the wave has succeeded");
+    submit_long(&mut world, LONG);
+    world.run(LONG + LEASE);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -150,6 +150,8 @@
     /// The executors that the list of machines shows on some machines,
     /// whatever lives there; empty for none.
     pub shown: BTreeMap<String, String>,
+    /// Machines that are off: the list shows them so, and no executor.
+    pub off: BTreeSet<String>,
     /// The next calls for upkeep are carried out late and not answered.
     pub late_upkeeps: u32,
     /// The next calls for advice are never answered.
@@ -330,6 +332,7 @@
             upkeeps: Vec::new(),
             had_upkeep: BTreeSet::new(),
             shown: BTreeMap::new(),
+            off: BTreeSet::new(),
             late_upkeeps: 0,
             lost_advice: 0,
             advice_takes: 30,
@@ -767,14 +770,19 @@
         for executor in &self.executors {
             let machine = executor.info.address.clone();
             let down = self.down.contains_key(&machine);
-            let state =
-                if down { MachineState::Upkeep } else { MachineState::Up };
+            let off = self.off.contains(&machine);
+            let state = match (down, off) {
+                (true, _) => MachineState::Upkeep,
+                (_, true) => MachineState::Down,
+                _ => MachineState::Up,
+            };
             let info = MachineInfo {
                 machine: machine.clone(),
                 pool: "s".into(),
                 state,
                 executor: match self.shown.get(&machine) {
                     Some(shown) => shown.clone(),
+                    None if off => String::new(),
                     None => executor.info.id.clone(),
                 },
             };
