Before the time for a stop is over, what is open is answered

Cause: a node that stops goes on taking requests, and the process ended with those open that the leader had not answered, so that clients saw their connections cut. Ruled out: nodes that say they are ready while they stop. The end of a node has a module of its own.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -19,7 +19,8 @@
   try on the way to the leader.
 * [`logs`] and [`stats`] are what on-call engineers look at.
 * [`decisions`] logs what the leader decides, and from what.
-* [`ingress`] answers clients, and whoever asks whether the node is ready.
+* [`ingress`] answers clients, and whoever asks whether the node is ready;
+  [`stop`] ends the node so that all are answered.
 */
 
 pub mod channel;
@@ -38,6 +39,7 @@
 pub mod relay;
 pub mod search;
 pub mod stats;
+pub mod stop;
 pub mod store;
 
 pub use self::node::{run, NodeSettings, Orders};
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -28,6 +28,7 @@
 use crate::cell::ports::{Leader, Platform};
 use crate::cell::reach::{self, Reach};
 use crate::cell::stats::Stats;
+use crate::cell::stop::{self, Closing};
 use crate::cell::store::Store;
 use crate::cell::{follow, ingress};
 use crate::clock;
@@ -82,8 +83,6 @@
 const REPLACE_AGAIN: Millis = 8_000;
 /// The time until a node is asked again for a newer policy, in milliseconds.
 const ASK_POLICY_AGAIN: Millis = 500;
-/// At a planned stop, requests are taken for this part of the time for it.
-const DRAIN_PART: f64 = 0.6;
 
 /// What the parts of a node share.
 pub struct Shared<P> {
@@ -120,6 +119,8 @@
     pub peers: RefCell<BTreeSet<SocketAddr>>,
     /// Whether the node is about to stop.
     pub draining: Cell<bool>,
+    /// Whether its time for that is nearly over.
+    pub closing: Closing,
     /// The number of client requests under way.
     pub under_way: Cell<usize>,
     /// Counters and latencies.
@@ -152,6 +153,7 @@
             reach: Reach::default(),
             peers: RefCell::new(settings.seeds.iter().copied().collect()),
             draining: Cell::new(false),
+            closing: Closing::default(),
             under_way: Cell::new(0),
             stats: Stats::default(),
             settings: RefCell::new(settings),
@@ -284,6 +286,10 @@
             self.count("refused_cut_off");
             return Outcome::Refused(NO_LEADER);
         }
+        if self.closing.has_begun() {
+            self.count("refused_closing");
+            return Outcome::Refused(NO_LEADER);
+        }
         let sent = Cell::new(false);
         tokio::select! {
             biased;
@@ -292,6 +298,10 @@
                 self.count("given_up_cut_off");
                 self.give_up(sent.get())
             }
+            () = self.closing.begun() => {
+                self.count("given_up_closing");
+                self.give_up(sent.get())
+            }
         }
     }
 
@@ -481,23 +491,7 @@
     info!("node_stops");
     shared.draining.set(true);
     lead::hand_over(&shared).await;
-    drain(&shared, stop_within).await;
+    stop::drain(&shared, stop_within).await;
     info!("node_stopped");
     Ok(())
 }
-
-/// Waits until clients have gone elsewhere and all are answered.
-async fn drain<P: Platform>(shared: &Shared<P>, within: Millis) {
-    const STEP: Duration = Duration::from_millis(50);
-    let least = Duration::from_millis((within as f64 * DRAIN_PART) as u64);
-    let most = Duration::from_millis(within.saturating_sub(700));
-    let started = Instant::now();
-    loop {
-        tokio::time::sleep(STEP).await;
-        let past = started.elapsed();
-        let idle = shared.under_way.get() == 0;
-        if past >= most || (idle && past >= least) {
-            return;
-        }
-    }
-}
