--- a/puffinknot-standin/src/users/store.rs
+++ b/puffinknot-standin/src/users/store.rs
@@ -173,6 +173,14 @@
         String::from_utf8(bytes.ok()?).ok()
     }
 
+    /// The length of the lease that a key goes with, in milliseconds, if
+    /// there is one.
+    pub fn lease_of(&self, key: &str) -> Option<u64> {
+        let state = self.lock();
+        let item = state.items.get(key)?;
+        state.leases.get(&item.lease).map(|lease| lease.ttl)
+    }
+
     async fn answer(&self, mut request: Request) -> Reply {
         let method = request.method().clone();
         let path = request.path().to_string();
