Tests of an account that comes late and lists a run that has ended

They fail on the code as it is: the later run of the task at the same executor drops out of the leader's books. It is stopped for nothing, or, if the executor crashes just then, its task is never started again. No task runs twice by this.

--- a/tests/jobs/lives.rs
+++ b/tests/jobs/lives.rs
@@ -392,3 +392,45 @@
         world.check();
     }
 }
+
+/// The first run of a task fails, shortly after its executor has given an
+/// account that still lists it. That account is held up on its way. The next
+/// one is not, and by that the task is started again at the same executor.
+fn account_of_a_run_that_has_failed_since() -> World {
+    let mut world = World::new(1);
+    world.run(50);
+    world.failing.insert(task(), 1);
+    submit_long(&mut world, 2_500);
+    // Answers take 2.2 s, and a hold is given up after 0.7 s.
+    world.executors[0].held_up = Some(1_500);
+    world.run(1_200);
+    world.executors[0].held_up = None;
+    world
+}
+
+/// A run was stopped for nothing. An account that came late listed an earlier
+/// run of its task at the same executor, which had failed since. That run took
+/// the place of the later one among the runs of the executor, so that the
+/// later one was not known any more when the next account listed it.
+#[test]
+fn an_account_that_comes_late_stops_no_later_run() {
+    let mut world = account_of_a_run_that_has_failed_since();
+    world.run(3 * LEASE);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    assert_eq!(world.starts[&task()], 2, "one failed, one was done");
+    world.check();
+}
+
+/// A task was never started again, and its job never ended. As above, and then
+/// the executor crashed before it had listed the later run, which was not
+/// among the runs that were given up with it.
+#[test]
+fn an_account_that_comes_late_loses_no_later_run() {
+    let mut world = account_of_a_run_that_has_failed_since();
+    world.run(2_020);
+    assert_eq!(world.starts[&task()], 2);
+    world.crash(0, "y1");
+    world.run(3 * LEASE);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
