Test of a superseded leader that is told of the end of a life

It fails on the code as it is: the end of a life settles the takeover of a leader that does not know that it is superseded, though what ran there may have been taken over, and be done, under its successor.

--- a/tests/jobs/lives.rs
+++ b/tests/jobs/lives.rs
@@ -434,3 +434,29 @@
     assert_eq!(world.state(1), Some(JobState::Succeeded));
     world.check();
 }
+
+/// A task was started again after its end was written. A leader that had not
+/// heard one executor yet was superseded and did not know it. Its successor
+/// took the task over there and wrote that it is done. Then the executor
+/// crashed, and its next life answered the superseded leader: nobody was left
+/// to wait for, so that it started the task on an executor that its successor
+/// had not reached yet.
+#[test]
+fn a_superseded_leader_starts_nothing_for_the_end_of_a_life() {
+    let mut world = two_executors();
+    world.executors[0].cut_from = Some(world.token + 1);
+    world.replace_leader();
+    world.run(100);
+    world.executors[1].cut_from = Some(world.token + 1);
+    world.replace_leader();
+    // The successor hears of the end.
+    world.run(LONG);
+    world.crash(0, "y1");
+    world.executors[0].cut_from = None;
+    world.run(2_000);
+    world.executors[1].cut_from = None;
+    world.run(2 * LEASE);
+    world.check();
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    assert_eq!(world.starts[&task()], 1);
+}
