An account that is older than the last one tells nothing of what runs

Cause: an answer that was held up could list a run that had ended since and whose task was started again on the same executor. It took the place of the later run: that one was stopped for nothing, its room counted twice, and if the executor crashed just then, its task was never started again. Ruled out: the order in which holds were sent (a call may be carried out late). Change: accounts are ordered by the executor's clock; an older one tells of ends only. Before: an_account_that_comes_late (2 tests) fails; after: passes.

--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -177,7 +177,14 @@
                 ended: answer.ended.len() as u32,
             });
         }
-        executor.clock = Some((answer.clock, now));
+        // An answer that was held up may be older than one that came before
+        // it. It still tells of ends, which are numbered, but not of what
+        // runs: a task may have been started again since.
+        let clock = executor.clock.map(|(reading, _)| reading);
+        let outdated = clock.is_some_and(|newest| answer.clock < newest);
+        if !outdated {
+            executor.clock = Some((answer.clock, now));
+        }
         executor.failures = 0;
         executor.contact = Contact::Ready;
         let fresh: Vec<EndRow> = answer
@@ -198,11 +205,13 @@
             }
             self.run_ended(index, end, now);
         }
-        for row in &answer.running {
-            self.run_seen(index, row, now);
+        if !outdated {
+            for row in &answer.running {
+                self.run_seen(index, row, now);
+            }
+            self.find_missing(index, &answer.running, sent_at);
+            self.pace(index, &answer.running, now);
         }
-        self.find_missing(index, &answer.running, sent_at);
-        self.pace(index, &answer.running, now);
         if first {
             self.settle(now);
         }
