A life that is over is given up once it is confirmed who leads

Cause: a superseded leader that did not know it yet learned from another life's answer that an executor was over, and started anew what its successor had heard the end of, on an executor that the successor had not reached yet. A lapse was counted only up to the last confirmation; an end of a life was not. Ruled out: fencing (the next life has seen no token).

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -9,7 +9,7 @@
 use crate::config::Resources;
 use crate::ids::Millis;
 use crate::jobs::health::Health;
-use crate::jobs::message::AccountIndex;
+use crate::jobs::message::{AccountIndex, LifeOver};
 use crate::jobs::model::{StepKey, TaskKey};
 
 /// What an executor says of itself in the store.
@@ -95,6 +95,8 @@
     /// The machine on which the list of machines has shown it; empty if it
     /// has not yet.
     pub machine: String,
+    /// By what, and when, its life was found to be over, if it was.
+    pub over: Option<(LifeOver, Millis)>,
     /// Whether the store lists it.
     pub listed: bool,
     /// Whether the store knows that this cell orders it.
@@ -150,6 +152,7 @@
             free: info.capacity,
             info,
             machine: String::new(),
+            over: None,
             listed: true,
             enrolled: false,
             contact: Contact::Unseen,
@@ -194,6 +197,14 @@
         (self.expiry > 0).then(|| self.expiry as i64 - now as i64)
     }
 
+    /// It has stopped to answer, if it answered before.
+    pub fn falls_silent(&mut self, now: Millis) {
+        if self.contact == Contact::Ready {
+            self.contact = Contact::Silent;
+            self.silent_since = now;
+        }
+    }
+
     /// Whether new tasks may go there.
     pub fn usable(&self) -> bool {
         self.contact == Contact::Ready
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -51,6 +51,9 @@
         let lease = self.config.lease;
         let close = self.watched_closely(index);
         let Some(executor) = self.executors.get_mut(&index) else { return };
+        if executor.over.is_some() {
+            return;
+        }
         if executor.holding {
             // An answer is told from that to the main hold by its time.
             if executor.probe && executor.held_at < now {
@@ -148,8 +151,7 @@
         executor.next_hold = now + (RETRY << doublings);
         let silent = executor.failures >= FAILURES;
         if silent && executor.contact == Contact::Ready {
-            executor.contact = Contact::Silent;
-            executor.silent_since = now;
+            executor.falls_silent(now);
             self.count("executors_silent");
         }
         self.doubted(index);
@@ -186,7 +188,9 @@
             executor.clock = Some((answer.clock, now));
         }
         executor.failures = 0;
-        executor.contact = Contact::Ready;
+        if executor.over.is_none() {
+            executor.contact = Contact::Ready;
+        }
         let fresh: Vec<EndRow> = answer
             .ended
             .into_iter()
--- a/puffinknot-core/src/jobs/scheduler/lives.rs
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -85,12 +85,41 @@
         }
     }
 
-    /// A life of an executor is over, and with it all that ran there.
+    /// A life of an executor is over, and with it all that ran there. It is
+    /// given up once the store has confirmed after that that nobody else
+    /// leads: a successor may have heard of ends there before.
     pub(super) fn executor_over(
         &mut self,
         index: ExecutorIndex,
         why: LifeOver,
         now: Millis,
+    ) {
+        let Some(executor) = self.executors.get_mut(&index) else { return };
+        if executor.over.is_none() {
+            executor.over = Some((why, now));
+            executor.falls_silent(now);
+        }
+    }
+
+    /// Gives up the lives that are over, as far as it is confirmed that this
+    /// node led by then.
+    pub(super) fn give_up_lives(&mut self, now: Millis) {
+        let confirmed = self.confirmed;
+        let over = self.executors.iter().filter_map(|(index, executor)| {
+            let (why, at) = executor.over?;
+            (at <= confirmed).then_some((*index, why))
+        });
+        let over: Vec<(ExecutorIndex, LifeOver)> = over.collect();
+        for (index, why) in over {
+            self.give_up_life(index, why, now);
+        }
+    }
+
+    fn give_up_life(
+        &mut self,
+        index: ExecutorIndex,
+        why: LifeOver,
+        now: Millis,
     ) {
         let Some(executor) = self.executors.get(&index) else { return };
         self.actions.push(Action::ExecutorOver {
@@ -148,7 +177,7 @@
         for (index, why, listed) in lapsed {
             match listed {
                 true => self.give_up_runs(index, why),
-                false => self.executor_over(index, why, now),
+                false => self.give_up_life(index, why, now),
             }
         }
     }
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -298,6 +298,7 @@
 
     fn tick(&mut self, now: Millis) {
         self.ended.forget(now);
+        self.give_up_lives(now);
         self.expire(now);
         self.expire_advice(now);
         self.repeat_stops(now);
