Review: tests of what else is taken for over, or for done, by no word of its own

In the tests' world an account lists 500 ends at most, the list of machines may lack some, and calls for upkeep may be lost or refused as not of the wave.

--- /dev/null
+++ b/tests/jobs/lives_beyond.rs
@@ -0,0 +1,258 @@
+//! What is taken for over, or for done, by something else than its own word:
+//! tasks that run on two executors, that are lost, or that wait.
+
+use std::sync::Arc;
+
+use puffinknot_core::jobs::message::Kept;
+use puffinknot_core::jobs::{
+    record, Event, HoldAnswer, JobState, RunRow, Scheduler, SchedulerConfig,
+    Step, TaskKey, WaveInfo, Without,
+};
+
+use super::world::{job, policy, room, step, World, LEASE, WORK};
+
+/// After this time the leader has read on which machines executors live.
+const SHOWN: u64 = 4_500;
+
+fn task() -> TaskKey {
+    "0000000000000001.0.0.0".parse().expect("a task")
+}
+
+fn long(work: u64) -> Step {
+    Step { estimate: work, ..step(1, room(3_000, 100)) }
+}
+
+fn wave(wave: u64, machine: &str) -> Event {
+    Event::Wave(WaveInfo {
+        wave,
+        machines: vec![machine.into()],
+        within: 1_000,
+        most: 1,
+    })
+}
+
+/// An account that was given while the first run was at work.
+fn earlier_account(world: &World, sent_at: u64) -> Event {
+    let row = RunRow {
+        task: task(),
+        run: 1_000_001,
+        checkpoint: String::new(),
+        percent: 100,
+        usage: 0,
+    };
+    let answer = HoldAnswer {
+        clock: sent_at,
+        running: vec![row],
+        ended: Vec::new(),
+    };
+    assert_eq!(world.token, 1);
+    Event::Held { executor: 0, sent_at, answer: Ok(answer) }
+}
+
+/// A task whose first run has failed has just been ordered again, at the same
+/// executor, when an account comes that was given while the first one ran.
+fn ordered_again_before_an_earlier_account() -> World {
+    let mut world = World::new(1);
+    world.run(50);
+    world.failing.insert(task(), 1);
+    world.submit(job(1, "batch", vec![long(WORK)]));
+    world.run(200);
+    assert!(world.executors[0].runs(&task()));
+    let sent_at = world.now;
+    while world.scheduler.counters()["starts"] < 2 {
+        world.run(1);
+        assert!(world.now < sent_at + 2 * WORK);
+    }
+    let late = earlier_account(&world, sent_at);
+    world.event(late);
+    world
+}
+
+/// A task waited for ever. Its first run had failed, and the order of the
+/// second, at the same executor, was lost on the way. Before that was known,
+/// an account came late that was given while the first run was at work. The
+/// run that had ended was taken up in place of the one that was ordered, so
+/// that nobody asked what had become of that one.
+#[test]
+fn an_earlier_account_does_not_hide_an_order_that_is_lost() {
+    let mut world = ordered_again_before_an_earlier_account();
+    world.executors[0].cut = true;
+    world.run(20);
+    world.executors[0].cut = false;
+    world.run(5 * LEASE);
+    world.check();
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+}
+
+/// The same where the executor crashes before the order arrives: what was on
+/// it was given up, but for this run.
+#[test]
+fn an_earlier_account_does_not_hide_a_run_from_the_end_of_its_executor() {
+    let mut world = ordered_again_before_an_earlier_account();
+    world.crash(0, "y1");
+    world.run(5 * LEASE);
+    world.check();
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+}
+
+/// A task ran on two executors while one node led all the time. The executor
+/// that ran it was cut off, and the list of machines lacked its machine, as
+/// it may when a page of it was short or machines came and went between two
+/// pages. An earlier list had shown it; so the executor was taken for gone
+/// before its lease had run out.
+#[test]
+fn a_machine_that_a_list_lacks_ends_no_life() {
+    let mut world = World::new(1);
+    world.run(50);
+    world.submit(job(1, "batch", vec![long(4 * LEASE)]));
+    world.run(200);
+    world.add_executor("x9");
+    world.tell_entry(1);
+    world.run(SHOWN);
+    assert!(world.executors[0].runs(&task()));
+    world.left_out.insert("x0".into());
+    world.executors[0].cut = true;
+    world.run(LEASE - 1_500);
+    assert!(world.executors[0].runs(&task()), "its lease runs on");
+    world.check();
+}
+
+/// Tasks waited for a dozen seconds after a change of leaders. A machine had
+/// gone off for good, and the leader before had found its executor to be
+/// over. Its entry still stood in the store. The successor enrolled it anew,
+/// did not know its machine, and took the takeover for settled only when a
+/// lease that nobody could have given had run out.
+#[test]
+fn an_entry_of_an_executor_that_is_over_holds_no_takeover_up() {
+    let mut world = World::new(2);
+    world.run(SHOWN + 1_000);
+    let tasks = Step { count: 5, ..long(2_000) };
+    world.submit(job(1, "batch", vec![tasks]));
+    world.run(200);
+    world.die(0);
+    world.off.insert("x0".into());
+    world.run(4_000);
+    assert_eq!(world.lives_over.len(), 1, "the leader has found its end");
+    world.replace_leader();
+    world.tell_entry(0);
+    // Two tasks are done, and one is at work. Two wait for room.
+    world.run(9_000);
+    world.check();
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+}
+
+/// Nothing was ever run on an executor again. A wave had named its machine,
+/// and when it was called for, the platform said that it is not of the wave.
+/// The executor had been marked as about to go before the call, and stayed so.
+#[test]
+fn an_executor_whose_machine_is_not_of_the_wave_is_used_again() {
+    let mut world = World::new(1);
+    world.run(50);
+    world.foreign.insert("x0".into());
+    world.event(wave(7, "x0"));
+    world.run(2_000);
+    assert!(world.waves[&7], "the wave is over");
+    world.submit(job(1, "batch", vec![step(1, room(1_000, 100))]));
+    world.run(4 * LEASE);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+}
+
+/// The same where the operators take the machine out of the wave while a call
+/// for it is unanswered that was never carried out.
+#[test]
+fn an_executor_whose_machine_left_the_wave_is_used_again() {
+    let mut world = World::new(1);
+    world.run(50);
+    world.lost_upkeeps = 1;
+    world.event(wave(7, "x0"));
+    while !world.scheduler.counters().contains_key("upkeeps") {
+        world.run(10);
+    }
+    world.event(Event::Wave(WaveInfo {
+        wave: 7,
+        machines: Vec::new(),
+        within: 1_000,
+        most: 1,
+    }));
+    world.run(2_000);
+    world.submit(job(1, "batch", vec![step(1, room(1_000, 100))]));
+    world.run(4 * LEASE);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+}
+
+/// A wave never came to its end. The call for a machine was lost, so that its
+/// executor was marked as about to go though it went on. The task there then
+/// counted as away already, and once more as lost by the next call, which the
+/// step does not bear.
+#[test]
+fn a_call_for_upkeep_that_is_lost_is_made_again() {
+    let mut world = World::new(2);
+    world.run(50);
+    let lasting = Step {
+        lasting: true,
+        may_miss: Some(1),
+        max_per_executor: 1,
+        ..step(2, room(1_000, 100))
+    };
+    world.submit(job(1, "batch", vec![lasting]));
+    world.run(500);
+    world.lost_upkeeps = 1;
+    world.event(wave(7, "x0"));
+    world.run(30_000);
+    assert_eq!(world.lost_upkeeps, 0);
+    assert_eq!(world.upkeeps, ["x0"]);
+    assert!(world.waves[&7], "the wave has succeeded");
+}
+
+/// A wave showed as succeeded though one of its machines had not had its
+/// upkeep. The machine was in two waves; while it was down for the one, the
+/// list of machines showed it so, and that was taken for the upkeep of the
+/// other.
+#[test]
+fn the_upkeep_of_one_wave_is_not_that_of_another() {
+    let mut world = World::new(1);
+    world.run(50);
+    world.event(wave(7, "x0"));
+    world.event(wave(8, "x0"));
+    world.run(20_000);
+    assert!(world.waves[&7] && world.waves[&8], "both have succeeded");
+    assert_eq!(world.upkeeps, ["x0", "x0"]);
+}
+
+/// Tasks ran once more after they were done. More of them had ended on one
+/// executor at a time than an account lists. The rest were neither among what
+/// ran nor among what had ended, and were taken for lost.
+#[test]
+fn ends_that_an_account_has_no_room_for_are_waited_for() {
+    let mut world = World::new(1);
+    world.run(50);
+    let many = Step { count: 600, ..step(600, room(1, 1)) };
+    world.submit(job(1, "batch", vec![many]));
+    world.run(20 * WORK);
+    let again = world.starts.values().filter(|starts| **starts > 1).count();
+    assert_eq!(again, 0, "tasks were started again");
+}
+
+/// No node could lead after an upgrade: the list of executors that the
+/// version before had left in the store could not be read.
+#[test]
+fn a_list_of_executors_without_machines_is_readable() {
+    let info = World::new(1).executors[0].info.clone();
+    let kept = Kept {
+        name: record::EXECUTORS.into(),
+        value: record::encode(&vec![info]),
+        revision: 0,
+    };
+    let config = SchedulerConfig {
+        token: 2,
+        lease: LEASE,
+        keep_ended: 120_000,
+        inherited_for: 2 * LEASE,
+        advice_batch: 100,
+        commit_gap: 20,
+        without: Without::default(),
+    };
+    let restored =
+        Scheduler::restore(config, Arc::new(policy()), &[kept], 1_000);
+    assert_eq!(restored.err(), None);
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod fuzz;
 mod lives;
+mod lives_beyond;
 mod rules;
 mod services;
 mod world;
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -41,6 +41,8 @@
 const UPKEEP_LATE: Millis = 1_500;
 /// How long a task works on an executor that fails all.
 const FAILS_AFTER: Millis = 20;
+/// The most ends that an account lists.
+const ENDS_AT_ONCE: usize = 500;
 /// How long each task works.
 pub const WORK: Millis = 500;
 
@@ -152,6 +154,12 @@
     pub shown: BTreeMap<String, String>,
     /// Machines that are off: the list shows them so, and no executor.
     pub off: BTreeSet<String>,
+    /// Machines that the list lacks.
+    pub left_out: BTreeSet<String>,
+    /// Machines that the platform says are not of the wave.
+    pub foreign: BTreeSet<String>,
+    /// The next calls for upkeep are neither carried out nor answered.
+    pub lost_upkeeps: u32,
     /// The next calls for upkeep are carried out late and not answered.
     pub late_upkeeps: u32,
     /// The next calls for advice are never answered.
@@ -333,6 +341,9 @@
             had_upkeep: BTreeSet::new(),
             shown: BTreeMap::new(),
             off: BTreeSet::new(),
+            left_out: BTreeSet::new(),
+            foreign: BTreeSet::new(),
+            lost_upkeeps: 0,
             late_upkeeps: 0,
             lost_advice: 0,
             advice_takes: 30,
@@ -620,6 +631,15 @@
                     let event = Event::Machines(Some(self.machines()));
                     self.later(2 * WAY, Pending::Tell(token, event));
                 }
+                Action::Upkeep { wave, machine } if self.lost_upkeeps > 0 => {
+                    self.lost_upkeeps -= 1;
+                    let event = Event::UpkeepAnswered {
+                        wave: *wave,
+                        machine: machine.clone(),
+                        answer: Err(UpkeepFailure::Unknown),
+                    };
+                    self.later(ORDER_TIMEOUT, Pending::Tell(token, event));
+                }
                 Action::Upkeep { wave, machine } if self.late_upkeeps > 0 => {
                     self.late_upkeeps -= 1;
                     let late = Pending::Upkeep(*wave, machine.clone());
@@ -788,6 +808,7 @@
             };
             machines.insert(machine, info);
         }
+        machines.retain(|machine, _| !self.left_out.contains(machine));
         machines.into_values().collect()
     }
 
@@ -798,6 +819,9 @@
         wave: u64,
         machine: &str,
     ) -> Result<(), UpkeepFailure> {
+        if self.foreign.contains(machine) {
+            return Err(UpkeepFailure::NoSuchMachine);
+        }
         let called = (wave, machine.to_string());
         if self.had_upkeep.contains(&called) {
             return Ok(());
@@ -1071,7 +1095,7 @@
         let answer = Ok(HoldAnswer {
             clock,
             running: running.collect(),
-            ended: there.ended.clone(),
+            ended: there.ended.iter().take(ENDS_AT_ONCE).cloned().collect(),
         });
         let way = there.held_up.map_or(WAY, |late| HOLD_SLACK + late);
         self.answer(way, token, Event::Held { executor, sent_at, answer });
