--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod failures;
 mod fuzz;
+mod gone;
 mod health;
 mod input;
 mod jobs;
