--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -76,8 +76,7 @@
         rack: "rack".into(),
         leaving: false,
     };
-    let mut states =
-        [WorkerState::new(info.clone()), WorkerState::new(info)];
+    let mut states = [WorkerState::new(info.clone()), WorkerState::new(info)];
     // The former holder has all tasks run on one worker.
     let mut former = placer(1, true, &both[..1]);
     let mut now = 1_000;
--- a/tests/jobs/lives_beyond.rs
+++ b/tests/jobs/lives_beyond.rs
@@ -40,11 +40,8 @@
         percent: 100,
         usage: 0,
     };
-    let answer = HoldAnswer {
-        clock: sent_at,
-        running: vec![row],
-        ended: Vec::new(),
-    };
+    let answer =
+        HoldAnswer { clock: sent_at, running: vec![row], ended: Vec::new() };
     assert_eq!(world.token, 1);
     Event::Held { executor: 0, sent_at, answer: Ok(answer) }
 }
@@ -204,6 +201,56 @@
     assert!(world.waves[&7], "the wave has succeeded");
 }
 
+/// A wave took a machine down while the only other task of a step had been
+/// away for over a second, which was more than the step bears. The executor
+/// of that one had fallen silent; as long as it was not known to be over, its
+/// task counted as at work.
+#[test]
+fn a_task_on_a_silent_executor_is_away() {
+    let mut world = World::new(2);
+    world.run(50);
+    let lasting = Step {
+        lasting: true,
+        may_miss: Some(1),
+        max_per_executor: 1,
+        ..step(2, room(1_000, 100))
+    };
+    world.submit(job(1, "batch", vec![lasting]));
+    world.run(500);
+    world.die(1);
+    world.run(3_600);
+    assert_eq!(world.scheduler.counters()["executors_silent"], 1);
+    world.event(wave(7, "x0"));
+    world.run(1_200);
+    let over = world.scheduler.counters().get("executors_over");
+    assert_eq!(over, None, "it is not known to be over yet");
+    assert!(world.upkeeps.is_empty(), "{:?}", world.upkeeps);
+}
+
+/// What an upkeep had ended was started elsewhere only seconds later, though
+/// the platform had said that the upkeep is carried out.
+#[test]
+fn what_an_upkeep_ends_is_started_elsewhere_at_once() {
+    let mut world = World::new(2);
+    world.run(SHOWN + 1_000);
+    let lasting = Step { lasting: true, ..step(2, room(1_000, 100)) };
+    let lasting = Step { max_per_executor: 1, count: 1, ..lasting };
+    world.submit(job(1, "batch", vec![lasting]));
+    world.run(500);
+    let at = usize::from(!world.executors[0].runs(&task()));
+    let machine = world.executors[at].info.address.clone();
+    world.event(wave(7, &machine));
+    while world.upkeeps.is_empty() {
+        world.run(1);
+    }
+    let ended = world.now;
+    while world.starts[&task()] < 2 {
+        world.run(1);
+    }
+    let after = world.now - ended;
+    assert!(after < 500, "{after} ms");
+}
+
 /// A wave showed as succeeded though one of its machines had not had its
 /// upkeep. The machine was in two waves; while it was down for the one, the
 /// list of machines showed it so, and that was taken for the upkeep of the
