--- a/tests/jobs/lives_beyond.rs
+++ b/tests/jobs/lives_beyond.rs
@@ -303,3 +303,29 @@
         Scheduler::restore(config, Arc::new(policy()), &[kept], 1_000);
     assert_eq!(restored.err(), None);
 }
+
+/// An executor was asked hundreds of times in a second. While an account that
+/// waits for an end was under way, it was asked for one at once, since another
+/// life was listed with its address. It was unhealthy and said so at once, and
+/// each such answer had it asked again without a pause.
+#[test]
+fn an_executor_that_gives_no_account_is_not_asked_again_at_once() {
+    let mut world = World::new(1);
+    world.run(50);
+    world.submit(job(1, "batch", vec![long(4 * LEASE)]));
+    world.run(500);
+    // An account that waits for an end is under way.
+    let at = world.executors[0].info.address.clone();
+    let before = world.holds;
+    world.run(100);
+    assert_eq!(world.holds, before);
+    world.executors[0].unhealthy = true;
+    world.add_executor("former");
+    world.executors[1].info.address = at;
+    world.executors[1].dead = true;
+    world.tell_entry(1);
+    let before = world.holds;
+    world.run(300);
+    let asked = world.holds - before;
+    assert!(asked <= 10, "asked {asked} times in 300 ms");
+}
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -78,6 +78,9 @@
     /// waited for.
     pub held_up: Option<Millis>,
     pub dead: bool,
+    /// It answers at once that it can't give an account, but for those that
+    /// are under way.
+    pub unhealthy: bool,
     /// All that it starts fails.
     pub fails: bool,
 }
@@ -384,6 +387,7 @@
             late: None,
             held_up: None,
             dead: false,
+            unhealthy: false,
             fails: false,
         });
     }
@@ -932,6 +936,9 @@
             };
         }
         let there = &mut self.executors[at];
+        if there.unhealthy && matches!(action, Action::Hold { .. }) {
+            return self.refuse(action, token, OrderFailure::Unhealthy);
+        }
         let silent = there.silent_to(token);
         if let (Some(late), false) = (there.late, silent) {
             if answer_to.is_some() && !matches!(action, Action::Hold { .. }) {
