--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -11,7 +11,7 @@
 use puffinknot_core::tenure::Tenure;
 use puffinknot_standin::worker::WorkerState;
 
-use crate::cell::Cell;
+use crate::cell::{Cell, Message};
 
 const FILE: &str = include_str!("../testdata/fuzz.toml");
 const DC: &str = "goya";
@@ -192,3 +192,51 @@
         assert!(cell.faults.is_empty(), "{:?}", cell.faults);
     }
 }
+
+/// An executor ran more calls than it has slots. Its word on what it runs was
+/// given before a call arrived there, and came after the connection of that
+/// call had been lost. The call was known to run on, unseen; the earlier word
+/// did not name it, and its slot was taken for free.
+#[test]
+fn an_earlier_word_of_an_executor_frees_no_slot_of_a_lost_call() {
+    let mut cell = Cell::new(FILE);
+    cell.add_executor("x0", DC, 1);
+    cell.run_ms = 60_000;
+    let vm = cell.start("vm0", DC);
+    cell.run_in_order(8_000);
+    let deliver_all = |cell: &mut Cell| {
+        while let Some(index) = cell.next_useful() {
+            cell.deliver(index);
+        }
+    };
+    let asked = |cell: &Cell| {
+        let mut all = cell.net.iter();
+        all.position(|message| matches!(message, Message::Ask(..)))
+    };
+    while asked(&cell).is_none() {
+        deliver_all(&mut cell);
+        cell.pass(50);
+        cell.housekeep(&vm);
+    }
+    let index = asked(&cell).expect("a question");
+    cell.deliver(index);
+    // The answer is on its way while a call begins, and is lost.
+    let early = cell.net.pop().expect("an answer");
+    let call = |cell: &mut Cell| {
+        let key = cell.new_key("coop");
+        cell.call(&vm, "coop", "vent-check", Some(key))
+    };
+    call(&mut cell);
+    deliver_all(&mut cell);
+    let running = cell.executors[&TargetId("x0".into())].running.len();
+    assert_eq!(running, 1);
+    cell.cut(vm.as_str(), "x0", true);
+    deliver_all(&mut cell);
+    cell.cut(vm.as_str(), "x0", false);
+    cell.net.push(early);
+    deliver_all(&mut cell);
+    call(&mut cell);
+    deliver_all(&mut cell);
+    cell.check();
+    assert!(cell.faults.is_empty(), "{:?}", cell.faults);
+}
