--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -41,6 +41,8 @@
 const UPKEEP_LATE: Millis = 1_500;
 /// How long a task works on an executor that fails all.
 const FAILS_AFTER: Millis = 20;
+/// The most ends that an account lists.
+const ENDS_AT_ONCE: usize = 500;
 /// How long each task works.
 pub const WORK: Millis = 500;
 
@@ -76,6 +78,9 @@
     /// waited for.
     pub held_up: Option<Millis>,
     pub dead: bool,
+    /// It answers at once that it can't give an account, but for those that
+    /// are under way.
+    pub unhealthy: bool,
     /// All that it starts fails.
     pub fails: bool,
     /// How much its clock loses, in thousandths.
@@ -161,6 +166,12 @@
     pub off: BTreeSet<String>,
     /// The machines can't be listed.
     pub unlistable: bool,
+    /// Machines that the list lacks.
+    pub left_out: BTreeSet<String>,
+    /// Machines that the platform says are not of the wave.
+    pub foreign: BTreeSet<String>,
+    /// The next calls for upkeep are neither carried out nor answered.
+    pub lost_upkeeps: u32,
     /// The next calls for upkeep are carried out late and not answered.
     pub late_upkeeps: u32,
     /// The next calls for advice are never answered.
@@ -343,6 +354,9 @@
             shown: BTreeMap::new(),
             off: BTreeSet::new(),
             unlistable: false,
+            left_out: BTreeSet::new(),
+            foreign: BTreeSet::new(),
+            lost_upkeeps: 0,
             late_upkeeps: 0,
             lost_advice: 0,
             advice_takes: 30,
@@ -383,6 +397,7 @@
             late: None,
             held_up: None,
             dead: false,
+            unhealthy: false,
             fails: false,
             slow: 0,
         });
@@ -632,6 +647,15 @@
                     let event = Event::Machines(listed);
                     self.later(2 * WAY, Pending::Tell(token, event));
                 }
+                Action::Upkeep { wave, machine } if self.lost_upkeeps > 0 => {
+                    self.lost_upkeeps -= 1;
+                    let event = Event::UpkeepAnswered {
+                        wave: *wave,
+                        machine: machine.clone(),
+                        answer: Err(UpkeepFailure::Unknown),
+                    };
+                    self.later(ORDER_TIMEOUT, Pending::Tell(token, event));
+                }
                 Action::Upkeep { wave, machine } if self.late_upkeeps > 0 => {
                     self.late_upkeeps -= 1;
                     let late = Pending::Upkeep(*wave, machine.clone());
@@ -810,6 +834,7 @@
             };
             machines.insert(machine, info);
         }
+        machines.retain(|machine, _| !self.left_out.contains(machine));
         machines.into_values().collect()
     }
 
@@ -820,6 +845,9 @@
         wave: u64,
         machine: &str,
     ) -> Result<(), UpkeepFailure> {
+        if self.foreign.contains(machine) {
+            return Err(UpkeepFailure::NoSuchMachine);
+        }
         let called = (wave, machine.to_string());
         if self.had_upkeep.contains(&called) {
             return Ok(());
@@ -930,6 +958,9 @@
             };
         }
         let there = &mut self.executors[at];
+        if there.unhealthy && matches!(action, Action::Hold { .. }) {
+            return self.refuse(action, token, OrderFailure::Unhealthy);
+        }
         let silent = there.silent_to(token);
         if let (Some(late), false) = (there.late, silent) {
             if answer_to.is_some() && !matches!(action, Action::Hold { .. }) {
@@ -1093,7 +1124,7 @@
         let answer = Ok(HoldAnswer {
             clock,
             running: running.collect(),
-            ended: there.ended.clone(),
+            ended: there.ended.iter().take(ENDS_AT_ONCE).cloned().collect(),
         });
         let way = there.held_up.map_or(WAY, |late| HOLD_SLACK + late);
         self.answer(way, token, Event::Held { executor, sent_at, answer });
