--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -99,6 +99,8 @@
     pub over: Option<(LifeOver, Millis)>,
     /// Whether the store lists it.
     pub listed: bool,
+    /// Whether a predecessor may have ordered it.
+    pub inherited: bool,
     /// Whether the store knows that this cell orders it.
     pub enrolled: bool,
     /// Whether it can be talked to.
@@ -123,6 +125,8 @@
     pub held_at: Millis,
     /// An account is wanted at once, beside the hold that waits.
     pub probe: bool,
+    /// Before this time no account is asked for beside a hold that waits.
+    pub next_probe: Millis,
     /// When to send the next hold.
     pub next_hold: Millis,
     /// The last hold failed this many times in a row.
@@ -154,6 +158,7 @@
             machine: String::new(),
             over: None,
             listed: true,
+            inherited: false,
             enrolled: false,
             contact: Contact::Unseen,
             known_since: now,
@@ -165,6 +170,7 @@
             holding: false,
             held_at: 0,
             probe: false,
+            next_probe: now,
             next_hold: now,
             failures: 0,
             taken: 0,
@@ -205,6 +211,11 @@
         }
     }
 
+    /// Whether something that a predecessor ordered may run there unseen.
+    pub fn may_hide_runs(&self) -> bool {
+        self.inherited && self.contact == Contact::Unseen
+    }
+
     /// Whether new tasks may go there.
     pub fn usable(&self) -> bool {
         self.contact == Contact::Ready
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -160,6 +160,8 @@
     pub running: Vec<RunRow>,
     /// What has ended and was not acknowledged.
     pub ended: Vec<EndRow>,
+    /// There may be more ends than are listed.
+    pub more_ended: bool,
 }
 
 /// Why an order has not been carried out, as far as is known.
@@ -229,6 +231,8 @@
     Upkeep,
     /// It is down.
     Down,
+    /// In a state that is not known here.
+    Unknown,
 }
 
 /// A wave of upkeep.
--- a/puffinknot-core/src/jobs/record.rs
+++ b/puffinknot-core/src/jobs/record.rs
@@ -27,6 +27,12 @@
 /// The name of the list of executors.
 pub const EXECUTORS: &str = "executors";
 
+/// The name of the list of machines on which executors were shown.
+pub const MACHINES: &str = "machines";
+
+/// The machines on which executors were shown, by the executors' names.
+pub type Shown = BTreeMap<String, String>;
+
 /// The name of the list of machines that have had their upkeep.
 pub const WAVES: &str = "waves";
 
@@ -99,8 +105,6 @@
 pub struct Enrolled {
     /// Each of them.
     pub executors: Vec<ExecutorInfo>,
-    /// The machines on which they were shown, by their names.
-    pub machines: BTreeMap<String, String>,
 }
 
 /// The name of a record. Names are in the order of numbers.
--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -12,7 +12,7 @@
 use crate::jobs::message::{Action, Change, ExecutorIndex, Outcome};
 use crate::jobs::model::{JobId, JobState, StepKey};
 use crate::jobs::record::{
-    self, EndedJob, Enrolled, Record, RecordNumber, Stopping,
+    self, EndedJob, Enrolled, Record, RecordNumber, Shown, Stopping,
 };
 use crate::jobs::scheduler::records::Records;
 use crate::jobs::scheduler::Scheduler;
@@ -297,17 +297,21 @@
             return;
         }
         let mut enrolled = Enrolled::default();
+        let mut shown = Shown::new();
         for (index, executor) in self.executors.iter() {
             enrolled.executors.push(executor.info.clone());
+            batch.enrolled.push(*index);
             if !executor.machine.is_empty() {
                 let id = executor.info.id.clone();
-                enrolled.machines.insert(id, executor.machine.clone());
+                shown.insert(id, executor.machine.clone());
             }
-            batch.enrolled.push(*index);
         }
         let name = record::EXECUTORS.to_string();
         let value = record::encode(&enrolled);
         changes.push(Change::Put { name, value });
+        let name = record::MACHINES.to_string();
+        let value = record::encode(&shown);
+        changes.push(Change::Put { name, value });
     }
 
     /// The outstanding commit is written.
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -56,7 +56,8 @@
         }
         if executor.holding {
             // An answer is told from that to the main hold by its time.
-            if executor.probe && executor.held_at < now {
+            let probes = executor.next_probe.max(executor.held_at + 1);
+            if executor.probe && probes <= now {
                 executor.probe = false;
                 self.actions.push(Action::Hold {
                     executor: index,
@@ -67,7 +68,7 @@
                     wait: 0,
                 });
             } else if executor.probe {
-                self.due_holds.at(now + 1, index);
+                self.due_holds.at(probes, index);
             }
             return;
         }
@@ -142,6 +143,7 @@
         let Some(executor) = self.executors.get_mut(&index) else { return };
         if !main {
             executor.probe = true;
+            executor.next_probe = now + RETRY;
             return;
         }
         self.order_unanswered(now);
@@ -213,7 +215,10 @@
             for row in &answer.running {
                 self.run_seen(index, row, now);
             }
-            self.find_missing(index, &answer.running, sent_at);
+            // What is not listed may have ended and be told of later.
+            if !answer.more_ended {
+                self.find_missing(index, &answer.running, sent_at);
+            }
             self.pace(index, &answer.running, now);
         }
         if first {
--- a/puffinknot-core/src/jobs/scheduler/ledger.rs
+++ b/puffinknot-core/src/jobs/scheduler/ledger.rs
@@ -14,7 +14,7 @@
 use crate::config::Resources;
 use crate::ids::Millis;
 use crate::jobs::accounts;
-use crate::jobs::executor::{Charge, Contact, RunOn};
+use crate::jobs::executor::{Charge, RunOn};
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{AccountIndex, ExecutorIndex};
 use crate::jobs::model::{JobId, StepKey, TaskKey};
@@ -229,7 +229,7 @@
             return self.ledger.settled();
         }
         let unseen = self.executors.values();
-        let unseen = unseen.filter(|e| e.contact == Contact::Unseen);
+        let unseen = unseen.filter(|e| e.may_hide_runs());
         let most = unseen.fold(Resources::default(), |sum, executor| {
             sum.plus(&executor.info.capacity)
         });
--- a/puffinknot-core/src/jobs/scheduler/lives.rs
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -65,16 +65,11 @@
         self.due_holds.touch(index);
     }
 
-    pub(super) fn enrol(
-        &mut self,
-        info: ExecutorInfo,
-        now: Millis,
-    ) -> ExecutorIndex {
+    pub(super) fn enrol(&mut self, info: ExecutorInfo, now: Millis) {
         let id = info.id.clone();
         let index = self.executors.add(Executor::new(info, now));
         self.due_holds.touch(index);
         self.by_id.insert(id, index);
-        index
     }
 
     pub(super) fn unlisted(&mut self, id: &str) {
--- a/puffinknot-core/src/jobs/scheduler/restore.rs
+++ b/puffinknot-core/src/jobs/scheduler/restore.rs
@@ -12,13 +12,13 @@
 use std::sync::Arc;
 
 use crate::ids::Millis;
-use crate::jobs::executor::Contact;
 use crate::jobs::message::{Action, Kept};
 use crate::jobs::model::{Job, JobId, StepKey};
 use crate::jobs::policy::{Policy, Queue};
 use crate::jobs::record::{
     self, EndedChunk, Enrolled, FinishedUpkeep, Progress, Record,
-    RecordNumber, Stopping, ENDED, EXECUTORS, RECORD, STOPPING, WAVES,
+    RecordNumber, Shown, Stopping, ENDED, EXECUTORS, MACHINES, RECORD,
+    STOPPING, WAVES,
 };
 use crate::jobs::scheduler::waves::Machines;
 use crate::jobs::scheduler::{Scheduler, SchedulerConfig};
@@ -54,13 +54,12 @@
         for kept in named(EXECUTORS) {
             let enrolled: Enrolled = record::decode(&kept.value)?;
             for info in enrolled.executors {
-                let machine = enrolled.machines.get(&info.id).cloned();
-                let index = scheduler.enrol(info, now);
-                if let Some(executor) = scheduler.executors.get_mut(&index) {
-                    executor.machine = machine.unwrap_or_default();
-                }
+                scheduler.enrol(info, now);
             }
         }
+        for kept in named(MACHINES) {
+            scheduler.restore_machines(record::decode(&kept.value)?);
+        }
         scheduler.machines = Machines::new(now);
         for kept in named(WAVES) {
             let finished: FinishedUpkeep = record::decode(&kept.value)?;
@@ -74,6 +73,7 @@
         // They are enrolled already, but what they are by now is unknown.
         for executor in scheduler.executors.values_mut() {
             executor.enrolled = true;
+            executor.inherited = true;
             executor.listed = false;
         }
         let until = now + scheduler.config.inherited_for;
@@ -86,6 +86,16 @@
         Ok(scheduler)
     }
 
+    fn restore_machines(&mut self, shown: Shown) {
+        for (id, machine) in shown {
+            let index = self.by_id.get(&id);
+            let executor = index.and_then(|i| self.executors.get_mut(i));
+            if let Some(executor) = executor {
+                executor.machine = machine;
+            }
+        }
+    }
+
     fn restore_ended(
         &mut self,
         kept: &Kept,
@@ -164,7 +174,7 @@
     pub(super) fn settle(&mut self, now: Millis) {
         let Some(until) = self.unsettled else { return };
         let unseen = self.executors.values();
-        let unseen = unseen.filter(|e| e.contact == Contact::Unseen).count();
+        let unseen = unseen.filter(|e| e.may_hide_runs()).count();
         if unseen > 0 && now.min(self.confirmed) < until {
             return;
         }
--- a/puffinknot-core/src/jobs/scheduler/waves.rs
+++ b/puffinknot-core/src/jobs/scheduler/waves.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::Millis;
-use crate::jobs::executor::Phase;
+use crate::jobs::executor::{Contact, Phase};
 use crate::jobs::message::{
     Action, ExecutorIndex, MachineInfo, MachineState, UpkeepFailure, WaveInfo,
 };
@@ -84,6 +84,22 @@
     pub fn new(now: Millis) -> Machines {
         Machines { not_before: now + SETTLE, ..Machines::default() }
     }
+
+    /// By how many waves machines are still wanted.
+    fn wanted(&self) -> BTreeMap<String, usize> {
+        let mut wanted = BTreeMap::new();
+        let turns = self.waves.values().flat_map(|wave| &wave.turns);
+        for (machine, _) in turns.filter(|(_, turn)| **turn != Turn::Done) {
+            *wanted.entry(machine.clone()).or_default() += 1;
+        }
+        wanted
+    }
+
+    /// Whether the list shows a machine down for its upkeep.
+    fn is_in_upkeep(&self, machine: &str) -> bool {
+        let info = self.machines.get(machine);
+        info.is_some_and(|info| info.state == MachineState::Upkeep)
+    }
 }
 
 impl Scheduler {
@@ -107,7 +123,13 @@
             reported: known.and_then(|wave| wave.reported),
             info,
         };
+        let dropped = known.into_iter().flat_map(|known| known.turns.keys());
+        let dropped = dropped.filter(|m| !wave.turns.contains_key(*m));
+        let dropped: Vec<String> = dropped.cloned().collect();
         self.machines.waves.insert(wave.info.wave, wave);
+        for machine in dropped {
+            self.stays(&machine);
+        }
         self.count("waves");
     }
 
@@ -126,6 +148,8 @@
             .map(|machine| (machine.machine.clone(), machine))
             .collect();
         let mut done = Vec::new();
+        let mut again = Vec::new();
+        let wanted = self.machines.wanted();
         for (number, wave) in &mut self.machines.waves {
             for (machine, turn) in &mut wave.turns {
                 let Some(info) = self.machines.machines.get(machine) else {
@@ -137,7 +161,15 @@
                 match (*turn, info.state) {
                     (Turn::Done, _) => {}
                     (Turn::Down(_), MachineState::Upkeep) => {}
-                    (_, MachineState::Upkeep) => *turn = Turn::Down(now),
+                    (Turn::Called(_), MachineState::Upkeep) => {
+                        *turn = Turn::Down(now);
+                    }
+                    // By a predecessor, if no other wave may have it down.
+                    (Turn::Waiting, MachineState::Upkeep)
+                        if wanted.get(machine) == Some(&1) =>
+                    {
+                        *turn = Turn::Down(now);
+                    }
                     // With the same life for long it had been down before.
                     (Turn::Down(at), MachineState::Up)
                         if replaced || at + SAME_LIFE < now =>
@@ -149,11 +181,15 @@
                         if at + CALL_AGAIN < now =>
                     {
                         *turn = Turn::Waiting;
+                        again.push(machine.clone());
                     }
                     _ => {}
                 }
             }
         }
+        for machine in again {
+            self.stays(&machine);
+        }
         for (number, machine) in done {
             let finished = self.machines.finished.entry(number).or_default();
             finished.insert(machine.clone());
@@ -203,6 +239,7 @@
                     self.machines.finished.entry(number).or_default();
                 finished.insert(machine.to_string());
                 self.commits.waves();
+                self.stays(machine);
             }
             // It may be carried out yet; the list of machines tells.
             Err(UpkeepFailure::Unknown) => {}
@@ -241,10 +278,13 @@
 
     fn advance_wave(&mut self, number: u64, now: Millis) {
         let Some(wave) = self.machines.waves.get(&number) else { return };
-        let down = wave.turns.values();
-        let down = down
-            .filter(|t| matches!(t, Turn::Called(_) | Turn::Down(_)))
-            .count();
+        let down = wave.turns.iter().filter(|(machine, turn)| match turn {
+            Turn::Called(_) | Turn::Down(_) => true,
+            // For another wave, but it is down.
+            Turn::Waiting => self.machines.is_in_upkeep(machine),
+            Turn::Done => false,
+        });
+        let down = down.count();
         let most = wave.info.most.max(1) as usize;
         let waiting: Vec<String> = wave
             .turns
@@ -252,7 +292,8 @@
             .filter(|(_, turn)| **turn == Turn::Waiting)
             .map(|(machine, _)| machine.clone())
             .collect();
-        let done = wave.turns.len() - waiting.len() - down;
+        let done = wave.turns.values();
+        let done = done.filter(|turn| **turn == Turn::Done).count();
         let rounds = wave.turns.len().div_ceil(most).max(1) as f64;
         let share = wave.info.within as f64 / rounds;
         let elapsed = now.saturating_sub(wave.since) as f64;
@@ -344,7 +385,9 @@
         let places = state.map(|s| s.places.clone()).unwrap_or_default();
         let at_work = places.iter().filter(|(index, (at, run))| {
             let task = key.task(**index);
-            let executor = self.executors.get(at).filter(|e| !e.going);
+            let there = self.executors.get(at);
+            let executor =
+                there.filter(|e| !e.going && e.contact == Contact::Ready);
             let on = executor.and_then(|e| e.runs.get(&task));
             on.is_some_and(|on| on.run == *run && on.phase == Phase::Running)
         });
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -60,6 +60,10 @@
         let info = known
             .entry(index)
             .or_insert_with(|| Rc::new(executor.info.clone()));
+        // Its entry may have changed, and its address with it.
+        if **info != executor.info {
+            *info = Rc::new(executor.info.clone());
+        }
         Some(info.clone())
     }
 
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -1125,6 +1125,7 @@
             clock,
             running: running.collect(),
             ended: there.ended.iter().take(ENDS_AT_ONCE).cloned().collect(),
+            more_ended: there.ended.len() >= ENDS_AT_ONCE,
         });
         let way = there.held_up.map_or(WAY, |late| HOLD_SLACK + late);
         self.answer(way, token, Event::Held { executor, sent_at, answer });
