Random sequences of what lets a life be taken for over

Former entries told again or read at a takeover in any order, executors that no entry tells of, silence after a takeover, lists of machines that show a former executor or none or are not to be had, and upkeeps that are carried out late. The sequences of the test before stay as they are.

--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -1,10 +1,13 @@
 //! Random sequences of jobs and faults, with the oracle of the world.
 
 use proptest::prelude::*;
-use puffinknot_core::jobs::{Event, JobId, Request};
+use puffinknot_core::jobs::{Event, JobId, Request, WaveInfo};
 
 use super::world::{job, room, step, World, FREE, LEASE, LIMITED, WORK};
 
+/// The machines, which are named as the addresses of executors.
+const MACHINES: usize = 4;
+
 /// Which queue a job is handed in to, with whose key.
 #[derive(Clone, Copy, Debug)]
 enum Door {
@@ -35,6 +38,67 @@
     StoreDown(bool),
     Replace,
     Fail(u64, u32),
+    Lives(Mistaken),
+}
+
+/// What may let a leader take a life of an executor for over that goes on.
+/// Executors are named by their numbers among all that ever lived.
+#[derive(Clone, Debug)]
+enum Mistaken {
+    /// One of any life crashes; the entry of the next may be told later.
+    Crash(usize, bool),
+    /// One of any life is cut off, or no more.
+    Cut(usize, bool),
+    /// One is cut off from the present leader, or from its successor.
+    CutFrom(usize, u64),
+    /// An entry is told, whether its executor lives or not.
+    Told(usize),
+    /// An entry is gone from the store, whether its executor lives or not.
+    Gone(usize),
+    /// Another leader takes over, and reads the entries of some executors in
+    /// an order of their own.
+    Takeover(Vec<(u8, bool)>),
+    /// Another leader takes over; an executor answers it so much later than
+    /// it is waited for, and is cut off after some time, for so long at least.
+    Silence(usize, u64, u64, u64),
+    /// The list of machines shows a machine without an executor, or with a
+    /// former one, or as it is.
+    Shown(usize, Shown),
+    Unlistable(bool),
+    /// A wave wants a machine down.
+    Wave(usize),
+    LateUpkeep,
+}
+
+/// Which executor the list of machines shows on one.
+#[derive(Clone, Copy, Debug)]
+enum Shown {
+    Present,
+    First,
+    Nobody,
+}
+
+fn mistaken() -> impl Strategy<Value = Mistaken> {
+    let order = prop::collection::vec((any::<u8>(), any::<bool>()), 16);
+    let shown = [Shown::Present, Shown::First, Shown::Nobody];
+    let shown = prop::sample::select(shown.to_vec());
+    prop_oneof![
+        3 => (0usize..12, any::<bool>())
+            .prop_map(|(a, told)| Mistaken::Crash(a, told)),
+        3 => (0usize..12, any::<bool>())
+            .prop_map(|(a, cut)| Mistaken::Cut(a, cut)),
+        1 => (0usize..12, 0u64..2).prop_map(|(a, t)| Mistaken::CutFrom(a, t)),
+        3 => (0usize..12).prop_map(Mistaken::Told),
+        1 => (0usize..12).prop_map(Mistaken::Gone),
+        2 => order.prop_map(Mistaken::Takeover),
+        2 => (0usize..12, 1u64..700, 600u64..1_800, 0u64..4_000)
+            .prop_map(|(a, l, t, r)| Mistaken::Silence(a, l, t, r)),
+        2 => (0usize..MACHINES, shown)
+            .prop_map(|(m, shown)| Mistaken::Shown(m, shown)),
+        1 => any::<bool>().prop_map(Mistaken::Unlistable),
+        1 => (0usize..MACHINES).prop_map(Mistaken::Wave),
+        1 => Just(Mistaken::LateUpkeep),
+    ]
 }
 
 fn moves() -> impl Strategy<Value = Move> {
@@ -56,6 +120,10 @@
     ]
 }
 
+fn moves_with_mistaken_lives() -> impl Strategy<Value = Move> {
+    prop_oneof![moves(), mistaken().prop_map(Move::Lives)]
+}
+
 fn submission() -> impl Strategy<Value = Move> {
     let work = prop_oneof![Just(WORK), Just(5 * WORK), Just(12 * WORK)];
     let door = prop_oneof![
@@ -78,8 +146,88 @@
     )
 }
 
+/// Plays what may let a leader take a life for over.
+fn mistake(world: &mut World, one: Mistaken, lives: &mut usize) {
+    let all = world.executors.len();
+    match one {
+        Mistaken::Crash(at, told) => {
+            let at = at % all;
+            if world.executors[at].dead {
+                return;
+            }
+            *lives += 1;
+            let id = format!("y{lives}");
+            match told {
+                true => world.crash(at, &id),
+                false => {
+                    world.crash_untold(at, &id);
+                }
+            }
+        }
+        Mistaken::Cut(at, cut) => world.executors[at % all].cut = cut,
+        Mistaken::CutFrom(at, after) => {
+            world.executors[at % all].cut_from = Some(world.token + after);
+        }
+        Mistaken::Told(at) => world.tell_entry(at % all),
+        Mistaken::Gone(at) => {
+            let id = world.executors[at % all].info.id.clone();
+            world.event(Event::Unlisted(id));
+        }
+        Mistaken::Takeover(order) => {
+            let order = order.iter().cycle().take(all).enumerate();
+            let read = order.filter(|(_, (_, read))| *read);
+            let mut read: Vec<(u8, usize)> =
+                read.map(|(at, (place, _))| (*place, at)).collect();
+            read.sort();
+            let read: Vec<usize> = read.iter().map(|(_, at)| *at).collect();
+            world.replace_leader_told(&read);
+        }
+        Mistaken::Silence(at, late, until, rest) => {
+            world.executors[at % all].held_up = Some(late);
+            world.replace_leader();
+            world.run(until);
+            world.executors[at % all].held_up = None;
+            world.executors[at % all].cut = true;
+            world.run(rest);
+        }
+        Mistaken::Shown(machine, shown) => {
+            let address = format!("x{machine}");
+            match shown {
+                Shown::Present => world.shown.remove(&address),
+                Shown::First => world.shown.insert(address.clone(), address),
+                Shown::Nobody => world.shown.insert(address, String::new()),
+            };
+        }
+        Mistaken::Unlistable(is_so) => world.unlistable = is_so,
+        Mistaken::Wave(machine) => {
+            let wave = WaveInfo {
+                wave: machine as u64 + 1,
+                machines: vec![format!("x{machine}")],
+                within: 3_000,
+                most: 1,
+            };
+            world.event(Event::Wave(wave));
+        }
+        Mistaken::LateUpkeep => world.late_upkeeps += 1,
+    }
+}
+
+/// No life can be mistaken for over any more, and all entries are told.
+fn no_more_mistakes(world: &mut World) {
+    for at in 0..world.executors.len() {
+        world.executors[at].cut_from = None;
+        if world.executors[at].dead {
+            let id = world.executors[at].info.id.clone();
+            world.event(Event::Unlisted(id));
+        }
+    }
+    world.shown.clear();
+    world.unlistable = false;
+    world.tell_all();
+}
+
 fn play(sequence: &[Move]) -> World {
-    let mut world = World::new(4);
+    let mut world = World::new(MACHINES);
     world.set_limit(6_000);
     world.run(50);
     let mut jobs = 0;
@@ -143,6 +291,7 @@
                 };
                 world.failing.insert(step.task(0), times);
             }
+            Move::Lives(one) => mistake(&mut world, one, &mut lives),
         }
     }
     // All faults end; then everything that was accepted has to end too.
@@ -152,6 +301,9 @@
         executor.late = None;
         executor.held_up = None;
     }
+    if sequence.iter().any(|one| matches!(one, Move::Lives(_))) {
+        no_more_mistakes(&mut world);
+    }
     world.store_up();
     // A limit may have fallen below what a gang needs.
     world.set_limit(0);
@@ -161,13 +313,13 @@
     world
 }
 
-fn config() -> ProptestConfig {
+fn config(cases: u64) -> ProptestConfig {
     let number = |name: &str, default: u64| {
         let set = std::env::var(name).ok();
         set.and_then(|text| text.parse().ok()).unwrap_or(default)
     };
     ProptestConfig {
-        cases: number("PUFFINKNOT_FUZZ_CASES", 60) as u32,
+        cases: number("PUFFINKNOT_FUZZ_CASES", cases) as u32,
         rng_seed: proptest::test_runner::RngSeed::Fixed(number(
             "PUFFINKNOT_FUZZ_SEED",
             1,
@@ -179,7 +331,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(60))]
 
     #[test]
     fn no_rule_breaks_under_any_sequence_of_faults(
@@ -191,3 +343,20 @@
         prop_assert!(left.is_empty(), "not ended: {left:?}");
     }
 }
+
+proptest! {
+    #![proptest_config(config(200))]
+
+    #[test]
+    fn no_rule_breaks_however_lives_may_be_mistaken(
+        sequence in prop::collection::vec(
+            moves_with_mistaken_lives(),
+            10..60,
+        ),
+    ) {
+        let mut world = play(&sequence);
+        prop_assert!(world.broken.is_empty(), "{:#?}", world.broken);
+        let left = world.unfinished();
+        prop_assert!(left.is_empty(), "not ended: {left:?}");
+    }
+}
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -741,6 +741,16 @@
         self.deposed = false;
     }
 
+    /// The same, told of these entries in turn, and of one that asks for
+    /// advice.
+    pub fn replace_leader_told(&mut self, entries: &[usize]) {
+        self.take_over();
+        self.event(Event::Advisors(vec!["node".into()]));
+        for at in entries {
+            self.tell_entry(*at);
+        }
+    }
+
     /// Tells the leader of an entry that stands in the store, whether the
     /// executor lives or not.
     pub fn tell_entry(&mut self, at: usize) {
