--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -59,8 +59,8 @@
     /// an order of their own.
     Takeover(Vec<(u8, bool)>),
     /// Another leader takes over; an executor answers it so much later than
-    /// it is waited for, and is cut off after some time.
-    Silence(usize, u64, u64),
+    /// it is waited for, and is cut off after some time, for so long at least.
+    Silence(usize, u64, u64, u64),
     /// The list of machines shows a machine without an executor, or with a
     /// former one, or as it is.
     Shown(usize, Shown),
@@ -91,8 +91,8 @@
         3 => (0usize..12).prop_map(Mistaken::Told),
         1 => (0usize..12).prop_map(Mistaken::Gone),
         2 => order.prop_map(Mistaken::Takeover),
-        2 => (0usize..12, 1u64..700, 600u64..1_800)
-            .prop_map(|(a, l, t)| Mistaken::Silence(a, l, t)),
+        2 => (0usize..12, 1u64..700, 600u64..1_800, 0u64..4_000)
+            .prop_map(|(a, l, t, r)| Mistaken::Silence(a, l, t, r)),
         2 => (0usize..MACHINES, shown)
             .prop_map(|(m, shown)| Mistaken::Shown(m, shown)),
         1 => any::<bool>().prop_map(Mistaken::Unlistable),
@@ -182,12 +182,13 @@
             let read: Vec<usize> = read.iter().map(|(_, at)| *at).collect();
             world.replace_leader_told(&read);
         }
-        Mistaken::Silence(at, late, until) => {
+        Mistaken::Silence(at, late, until, rest) => {
             world.executors[at % all].held_up = Some(late);
             world.replace_leader();
             world.run(until);
             world.executors[at % all].held_up = None;
             world.executors[at % all].cut = true;
+            world.run(rest);
         }
         Mistaken::Shown(machine, shown) => {
             let address = format!("x{machine}");
@@ -312,13 +313,13 @@
     world
 }
 
-fn config() -> ProptestConfig {
+fn config(cases: u64) -> ProptestConfig {
     let number = |name: &str, default: u64| {
         let set = std::env::var(name).ok();
         set.and_then(|text| text.parse().ok()).unwrap_or(default)
     };
     ProptestConfig {
-        cases: number("PUFFINKNOT_FUZZ_CASES", 60) as u32,
+        cases: number("PUFFINKNOT_FUZZ_CASES", cases) as u32,
         rng_seed: proptest::test_runner::RngSeed::Fixed(number(
             "PUFFINKNOT_FUZZ_SEED",
             1,
@@ -330,7 +331,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(60))]
 
     #[test]
     fn no_rule_breaks_under_any_sequence_of_faults(
@@ -341,6 +342,10 @@
         let left = world.unfinished();
         prop_assert!(left.is_empty(), "not ended: {left:?}");
     }
+}
+
+proptest! {
+    #![proptest_config(config(200))]
 
     #[test]
     fn no_rule_breaks_however_lives_may_be_mistaken(
