A run that a successor does not want holds its task until it has ended

What had set it off was a life taken for over by an entry. Ruled out: gangs whose member is really lost; the others end by themselves, so that no test fails without this (the new one is a guard and passes before). Change: a run that is heard of takes its task's place also if it is stopped.

--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -295,13 +295,10 @@
             let place = live.step_run(key.time, key.step);
             if let (None, Some(run)) = (ended, place) {
                 let others = run.places.values().all(|(_, r)| *r == row.run);
-                if run.waiting.contains(&row.task.index)
-                    && !run.breaking
-                    && (others || !gang)
-                {
-                    run.waiting.remove(&row.task.index);
+                // Wanted or not, its task is started nowhere until it ends.
+                if run.waiting.remove(&row.task.index) {
                     run.places.insert(row.task.index, (index, row.run));
-                    wanted = true;
+                    wanted = !run.breaking && (others || !gang);
                 }
             }
         }
--- a/tests/jobs/lives.rs
+++ b/tests/jobs/lives.rs
@@ -1,7 +1,7 @@
 //! Lives of executors that were taken for over though they went on: each way
 //! by which a task came to run on two executors at once.
 
-use puffinknot_core::jobs::{Event, JobState, TaskKey, WaveInfo};
+use puffinknot_core::jobs::{Event, JobState, Step, TaskKey, WaveInfo};
 
 use super::world::{job, room, step, World, LEASE};
 
@@ -534,3 +534,34 @@
     assert_eq!(world.state(1), Some(JobState::Succeeded));
     assert_eq!(world.starts[&task()], 1);
 }
+
+/// A gang's member ran on two executors after a change of leaders. While the
+/// successor was still hearing executors, one with a member crashed, so that
+/// it stopped the others. One more member was heard of then and stopped, but
+/// not counted: when those stopped before had ended, the whole gang was
+/// started again, and that member was still there.
+#[test]
+fn a_member_that_is_heard_of_last_is_waited_for() {
+    // A stop takes 200 ms; a silent executor is asked again within 1.3 s.
+    for crashes_after in (50..1_500).step_by(25) {
+        let mut world = World::new(5);
+        let gang = Step { gang: true, max_per_executor: 1, ..long_gang() };
+        world.submit(job(1, "batch", vec![gang]));
+        world.run(200);
+        let members = world.executors_with(1);
+        assert_eq!(members.len(), 3);
+        world.executors[members[0]].cut_from = Some(world.token + 1);
+        world.replace_leader();
+        world.run(50);
+        world.executors[members[0]].cut_from = None;
+        world.run(crashes_after);
+        world.crash(members[1], "y1");
+        world.run(3 * LONG);
+        world.check();
+        assert_eq!(world.state(1), Some(JobState::Succeeded));
+    }
+}
+
+fn long_gang() -> Step {
+    Step { estimate: LONG, ..step(3, room(3_000, 100)) }
+}
