--- a/puffinknot-standin/src/users.rs
+++ b/puffinknot-standin/src/users.rs
@@ -5,6 +5,9 @@
 Each is an HTTP server on a thread of its own. The store can be made to
 refuse or to say nothing, and executors keep a record of every run, from
 which a test can tell what was doubled or lost.
+
+An [`Executor`] is one life. A [`Fleet`] has machines on which executors are
+born and end, their heartbeats to the store, and the list of machines.
 */
 
 use std::time::Duration;
@@ -17,9 +20,11 @@
 use crate::server::Running;
 
 mod executor;
+mod fleet;
 mod store;
 
 pub use self::executor::{Executor, Run};
+pub use self::fleet::{Fleet, Gone, HEARTBEAT};
 pub use self::store::{Store, StoreFault};
 
 /// The largest body that is read, in bytes.
--- a/puffinknot-standin/src/users/executor.rs
+++ b/puffinknot-standin/src/users/executor.rs
@@ -23,6 +23,8 @@
 /// A run on an executor, as its record tells it.
 #[derive(Clone, Debug)]
 pub struct Run {
+    /// The life of the executor that it is on.
+    pub executor: String,
     /// The task.
     pub task: String,
     /// Which run of it.
@@ -65,26 +67,55 @@
     ended: Vec<EndRow>,
     number: u64,
     record: Vec<Run>,
+    /// This life of it is over.
+    over: bool,
 }
 
-/// An executor. A task works for as many milliseconds as its text says.
+/// One life of an executor. A task works for as many milliseconds as its text
+/// says.
 #[derive(Clone)]
 pub struct Executor {
     id: String,
     born: Instant,
+    /// How fast its clock runs; 1 is right.
+    rate: f64,
     state: Arc<Mutex<ExecutorState>>,
 }
 
 impl Executor {
     /// An executor with this id.
     pub fn new(id: &str) -> Executor {
+        Executor::with_clock(id, 1.0)
+    }
+
+    /// The same, with a clock that runs at this rate; 1 is right.
+    pub fn with_clock(id: &str, rate: f64) -> Executor {
         Executor {
             id: id.to_string(),
             born: Instant::now(),
+            rate,
             state: Arc::default(),
         }
     }
 
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Ends this life. What runs dies now, and nothing is answered any more.
+    pub fn crash(&self) {
+        let mut state = self.lock();
+        self.work(&mut state);
+        let now = Instant::now();
+        let running = std::mem::take(&mut state.running);
+        for (task, run) in running {
+            end_record(&mut state.record, &task, now, "crashed");
+            state.sealed.insert(task, run.run);
+        }
+        state.over = true;
+    }
+
     /// Serves at an address; port 0 takes any free port.
     ///
     /// # Errors
@@ -122,13 +153,19 @@
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    fn is_over(&self) -> bool {
+        self.lock().over
+    }
+
     fn clock(&self) -> u64 {
-        CLOCK_START + self.born.elapsed().as_millis() as u64
+        let lived = self.born.elapsed().mul_f64(self.rate);
+        CLOCK_START + lived.as_millis() as u64
     }
 
     /// When its clock shows this.
     fn instant(&self, clock: u64) -> Instant {
-        self.born + Duration::from_millis(clock.saturating_sub(CLOCK_START))
+        let lived = Duration::from_millis(clock.saturating_sub(CLOCK_START));
+        self.born + lived.div_f64(self.rate)
     }
 
     /// Lets tasks work, and their lease run out.
@@ -155,12 +192,8 @@
                 how,
                 lapsed: false,
             });
-            let known = state.record.iter_mut().rev();
-            let mut known = known.filter(|r| r.task == task);
-            if let Some(record) = known.next() {
-                record.ended = Some(run.ends.min(lapse));
-                record.how = how;
-            }
+            let ended = run.ends.min(lapse);
+            end_record(&mut state.record, &task, ended, how);
         }
         if lapsed {
             for end in &mut state.ended {
@@ -186,7 +219,8 @@
         }
     }
 
-    async fn answer(&self, mut request: Request) -> Reply {
+    /// Answers a call to the address where it lives.
+    pub(super) async fn answer(&self, mut request: Request) -> Reply {
         let path = request.path().to_string();
         let expected = expected(request.headers());
         let payload = request.take_payload();
@@ -199,6 +233,9 @@
         }
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let token = body["FencingToken"].as_u64().unwrap_or(0);
+        if self.is_over() {
+            return no_answer().await;
+        }
         {
             let mut state = self.lock();
             self.work(&mut state);
@@ -234,6 +271,9 @@
             return text(StatusCode::BAD_REQUEST, "not a start");
         };
         let mut state = self.lock();
+        if state.over {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "over");
+        }
         if state.sealed.get(task).is_some_and(|sealed| run <= *sealed) {
             return self.rejected("old");
         }
@@ -251,6 +291,7 @@
         let running = Working { run, ends, how: "done" };
         state.running.insert(task.to_string(), running);
         state.record.push(Run {
+            executor: self.id.clone(),
             task: task.to_string(),
             run,
             began: now,
@@ -286,6 +327,9 @@
         }
         let until = Instant::now() + Duration::from_millis(wait);
         loop {
+            if self.is_over() {
+                return no_answer().await;
+            }
             {
                 let mut state = self.lock();
                 self.work(&mut state);
@@ -314,6 +358,27 @@
     }
 }
 
+/// Writes down the end of the newest run of a task.
+fn end_record(
+    record: &mut [Run],
+    task: &str,
+    ended: Instant,
+    how: &'static str,
+) {
+    let newest = record.iter_mut().rev().find(|run| run.task == task);
+    if let Some(run) = newest {
+        run.ended = Some(ended);
+        run.how = how;
+    }
+}
+
+/// A process that is gone answers nothing.
+pub(super) async fn no_answer() -> Reply {
+    loop {
+        sleep(Duration::from_secs(3_600)).await;
+    }
+}
+
 fn expected(headers: &HeaderMap) -> Option<String> {
     let value = headers.get("X-Expect-Instance")?;
     value.to_str().ok().map(str::to_string)
--- a/puffinknot-standin/src/users/store.rs
+++ b/puffinknot-standin/src/users/store.rs
@@ -51,6 +51,8 @@
     calls: u64,
     /// The number of watches, by the prefix that they are about.
     watches: BTreeMap<String, u64>,
+    /// How often all waiting watches were cut.
+    cuts: u64,
 }
 
 impl StoreState {
@@ -141,6 +143,17 @@
         self.lock().fault = fault;
     }
 
+    /// Whether it answers nobody.
+    pub fn is_away(&self) -> bool {
+        let fault = self.lock().fault;
+        matches!(fault, Some(StoreFault::Busy | StoreFault::Silent))
+    }
+
+    /// Cuts every watch that waits now.
+    pub fn cut_watches(&self) {
+        self.lock().cuts += 1;
+    }
+
     /// The number of calls so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -160,6 +173,15 @@
         state.put(key, value, 0);
     }
 
+    /// Takes a key away; watches show it.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.lock();
+        if state.items.contains_key(key) {
+            state.revision += 1;
+            state.remove(key);
+        }
+    }
+
     /// Takes a key away so that no watch shows it.
     pub fn revoke(&self, key: &str) {
         self.lock().items.remove(key);
@@ -260,17 +282,23 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait: u64) -> Reply {
         let until = Instant::now() + Duration::from_millis(wait);
-        *self.lock().watches.entry(prefix.to_string()).or_default() += 1;
+        let cuts = {
+            let mut state = self.lock();
+            *state.watches.entry(prefix.to_string()).or_default() += 1;
+            state.cuts
+        };
         loop {
             {
                 let mut state = self.lock();
                 state.expire();
-                let events: Vec<Value> = state
-                    .history
+                if state.cuts != cuts {
+                    return text(StatusCode::SERVICE_UNAVAILABLE, "cut");
+                }
+                let known = |change: &(u64, String, _)| change.0 <= after;
+                let new = state.history.partition_point(known);
+                let events: Vec<Value> = state.history[new..]
                     .iter()
-                    .filter(|(revision, key, _)| {
-                        *revision > after && key.starts_with(prefix)
-                    })
+                    .filter(|(_, key, _)| key.starts_with(prefix))
                     .map(|(revision, key, item)| match item {
                         Some(item) => item_json(key, item),
                         None => json!({
