--- a/puffinknot-standin/src/users/fleet.rs
+++ b/puffinknot-standin/src/users/fleet.rs
@@ -107,6 +107,7 @@
     random: StdRng,
     was_away: bool,
     lapse_while_away: bool,
+    linger: bool,
 }
 
 fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -138,14 +139,16 @@
             random: StdRng::seed_from_u64(seed),
             was_away: false,
             lapse_while_away: false,
+            linger: true,
         }));
         beats::spawn(&state);
         let list = List::default();
         let listed = list.serve("127.0.0.1:0")?;
         let fleet = Fleet { machines, state, list, _listed: listed };
         for at in 0..fleet.len() {
-            fleet.begin(at);
+            fleet.live(at);
         }
+        fleet.tell();
         Ok(fleet)
     }
 
@@ -196,6 +199,11 @@
 
     /// Lets a new executor live on a machine where nobody does.
     pub fn begin(&self, at: usize) {
+        self.live(at);
+        self.tell();
+    }
+
+    fn live(&self, at: usize) {
         let machine = &self.machines[at];
         let mut state = lock(&self.state);
         // Of two ids at one address either may come first in a list.
@@ -210,7 +218,6 @@
         drop(state);
         *lock(&machine.life) = Some(life);
         machine.way.set_harm(Harm::None);
-        self.tell();
     }
 
     /// Ends the life on a machine at once. It says nothing, and its entry
@@ -230,6 +237,9 @@
         let Some(life) = lock(&machine.life).take() else { return };
         life.crash();
         self.entry(life.id(), |entry| entry.over = true);
+        if !lock(&self.state).linger {
+            self.take_entry(&life);
+        }
         self.tell();
     }
 
@@ -270,15 +280,21 @@
     pub fn leave(&self, at: usize) {
         let life = self.life(at);
         self.crash(at, Gone::Seen);
-        let Some(life) = life else { return };
-        let mut state = lock(&self.state);
-        let state = &mut *state;
-        let entries = state.entries.iter_mut();
-        for entry in entries.filter(|entry| entry.id == life.id()) {
-            entry.lapse(&state.store);
+        if let Some(life) = life {
+            self.take_entry(&life);
         }
     }
 
+    fn take_entry(&self, life: &Executor) {
+        let store = lock(&self.state).store.clone();
+        self.entry(life.id(), |entry| entry.lapse(&store));
+    }
+
+    /// Chooses whether the entry of an executor that has crashed lingers.
+    pub fn entries_linger(&self, linger: bool) {
+        lock(&self.state).linger = linger;
+    }
+
     /// Chooses whether entries lapse while the store is away.
     pub fn lapse_while_away(&self, lapse: bool) {
         lock(&self.state).lapse_while_away = lapse;
--- a/puffinknot-standin/src/users/fleet/list.rs
+++ b/puffinknot-standin/src/users/fleet/list.rs
@@ -62,6 +62,7 @@
         let lag = state.lag;
         let shown = state.history.iter().rev();
         let mut shown = shown.skip_while(|(since, _)| since.elapsed() < lag);
-        shown.next().map(|(_, rows)| rows.clone()).unwrap_or_default()
+        let shown = shown.next().or(state.history.first());
+        shown.map(|(_, rows)| rows.clone()).unwrap_or_default()
     }
 }
