--- a/puffinknot-standin/src/users/executor.rs
+++ b/puffinknot-standin/src/users/executor.rs
@@ -103,6 +103,11 @@
         &self.id
     }
 
+    /// The highest fencing token that it has seen.
+    pub fn token(&self) -> u64 {
+        self.lock().token
+    }
+
     /// Ends this life. What runs dies now, and nothing is answered any more.
     pub fn crash(&self) {
         let mut state = self.lock();
