A lease that a former holder gave a worker counts from its first answer

Cause: the end of a worker's lease is zero until this holder gives one, and a holder that may not start yet gives none. A worker that had answered once and then fell silent counted as lapsed as soon as the platform confirmed the claim, though the former holder's lease ran on, and its tasks were started elsewhere. Ruled out: a worker that has not answered (it is waited for); setting the end itself, which is sent: a claim made alone would renew by it. Change: the first answer sets a second end, that of a lease given with it, which is only reckoned with; the former holder can give none after it. The margin for clocks applies as before.

--- a/puffinknot-core/src/tasks/placer/exchange.rs
+++ b/puffinknot-core/src/tasks/placer/exchange.rs
@@ -15,11 +15,18 @@
 impl Placer {
     /// A worker answered. `read_at` is when the answer arrived.
     pub fn reply(&mut self, read_at: Millis, id: &TargetId, reply: SyncReply) {
+        let lease = self.config.lease;
         let Some(state) = self.workers.get_mut(id) else { return };
         if state.outstanding.as_ref().map(|o| o.seq) != Some(reply.seq) {
             return;
         }
         state.outstanding = None;
+        if state.contact == Contact::Unseen {
+            // Its first answer does not show the end of the lease that a
+            // former holder gave it. None can be given after that answer,
+            // so none ends later than one given with it.
+            state.former_until = reply.clock + lease;
+        }
         state.contact = Contact::Ready;
         state.clock = reply.clock;
         state.read_at = read_at;
--- a/puffinknot-core/src/tasks/placer/mod.rs
+++ b/puffinknot-core/src/tasks/placer/mod.rs
@@ -118,6 +118,10 @@
     read_at: Millis,
     /// The end of its lease, in its clock.
     until: Millis,
+    /// The latest end of a lease that a former holder gave it, in its clock.
+    /// It bounds when the worker may be given up, and is never sent: this
+    /// holder renews nothing by it.
+    former_until: Millis,
     seq: u64,
     counter: u64,
     outstanding: Option<Outstanding>,
@@ -145,6 +149,7 @@
             clock: 0,
             read_at: now,
             until: 0,
+            former_until: 0,
             seq: 0,
             counter: 0,
             outstanding: None,
@@ -175,9 +180,10 @@
         self.clock + now.saturating_sub(self.read_at)
     }
 
-    /// When its lease has certainly lapsed, on the holder's clock.
+    /// When every lease of it has certainly lapsed, on the holder's clock.
     fn lapses_at(&self, config: &PlacerConfig) -> Millis {
-        let left = self.until.saturating_sub(self.clock);
+        let until = self.until.max(self.former_until);
+        let left = until.saturating_sub(self.clock);
         self.read_at + left + config.margin()
     }
 }
