--- a/puffinknot-core/src/node/view.rs
+++ b/puffinknot-core/src/node/view.rs
@@ -13,7 +13,7 @@
 use crate::store::{Key, Member, Stored, Value};
 use crate::tasks::Progress;
 
-use super::{Action, Listed, Node, Now, Summary};
+use super::{Action, Listed, Node, Now, Summary, Unread};
 
 /// A peer is forgotten after this many times the span in which it should
 /// have been heard.
@@ -54,7 +54,10 @@
     /// The room under each contract, as its holder said last.
     pub(super) loads: BTreeMap<(DcName, Scope), Load>,
     pub(super) listed: BTreeMap<TargetId, Listed>,
-    /// Targets of a contract that the VM list has lost, and since when.
+    /// When the VM list was read last, so that it shows who is missing.
+    pub(super) listed_at: Option<Millis>,
+    /// Targets of a contract that no reading of the VM list has named since
+    /// the one at this time.
     pub(super) missing: BTreeMap<TargetId, Millis>,
     /// Targets that a peer or the target itself called leaving.
     pub(super) leaving: BTreeSet<TargetId>,
@@ -113,6 +116,17 @@
         listed || self.leaving.contains(target)
     }
 
+    /// Targets that have stopped for good: readings over `span` lacked them.
+    /// It is counted from reading to reading, the last one recent, since a
+    /// time without readings shows nothing.
+    pub(super) fn gone(&self, now: Now, span: Millis) -> Vec<TargetId> {
+        let recent = |at: &Millis| at + span > now.mono;
+        let Some(last) = self.listed_at.filter(recent) else { return vec![] };
+        let gone = |since: Millis| since + span <= last;
+        let missing = self.missing.iter().filter(|(_, since)| gone(**since));
+        missing.map(|(target, _)| target.clone()).collect()
+    }
+
     /// Whether a peer that was heard before has missed its last summaries.
     pub(super) fn is_quiet(&self, vm: &VmId) -> bool {
         self.quiet.contains(vm)
@@ -344,24 +358,56 @@
         }
     }
 
-    pub(super) fn on_listed(&mut self, now: Now, listed: Vec<Listed>) {
-        let listed: BTreeMap<TargetId, Listed> =
-            listed.into_iter().map(|l| (l.id.clone(), l)).collect();
+    /// The VM list was read. An entry that could not be changes nothing of
+    /// what is known of its target; one that may be anybody's leaves it open
+    /// who is missing, so that the reading counts for nobody's end.
+    pub(super) fn on_listed(
+        &mut self,
+        now: Now,
+        listed: Vec<Listed>,
+        unread: &Unread,
+    ) {
+        let known = std::mem::take(&mut self.view.listed);
+        let mut all: BTreeMap<TargetId, Listed> =
+            known.into_iter().filter(|(id, _)| unread.may_be(id)).collect();
+        all.extend(listed.into_iter().map(|l| (l.id.clone(), l)));
+        self.view.listed = all;
+        let listed = &self.view.listed;
+        let may_be =
+            |id: &TargetId| listed.contains_key(id) || unread.may_be(id);
+        self.view.leaving.retain(may_be);
+        if unread.nameless == 0 {
+            self.note_missing(now, unread);
+        } else {
+            self.view.missing.retain(|id, _| {
+                !listed.contains_key(id) && !unread.named.contains(id)
+            });
+        }
+        self.after_change(now);
+    }
+
+    /// Takes note of the targets that a reading of the VM list lacks.
+    fn note_missing(&mut self, now: Now, unread: &Unread) {
         let enrolled = self.view.map(&self.config.dc).map(|map| {
             let contracts = map.contracts.values();
             contracts.flat_map(|c| c.targets.iter().cloned()).collect()
         });
         let enrolled: BTreeSet<TargetId> = enrolled.unwrap_or_default();
+        // What was missing before a gap in the readings may have been named
+        // in it: the count begins anew.
+        let span = self.config.gone_after;
+        let last = self.view.listed_at.replace(now.mono);
+        if !last.is_some_and(|at| at + span > now.mono) {
+            self.view.missing.clear();
+        }
         let mut missing = BTreeMap::new();
         for target in enrolled {
-            if !listed.contains_key(&target) {
+            let listed = self.view.listed.contains_key(&target);
+            if !listed && !unread.named.contains(&target) {
                 let since = self.view.missing.get(&target).copied();
                 missing.insert(target, since.unwrap_or(now.mono));
             }
         }
-        self.view.leaving.retain(|target| listed.contains_key(target));
         self.view.missing = missing;
-        self.view.listed = listed;
-        self.after_change(now);
     }
 }
