--- a/puffinknot-core/src/node/view.rs
+++ b/puffinknot-core/src/node/view.rs
@@ -397,7 +397,7 @@
         // in it: the count begins anew.
         let span = self.config.gone_after;
         let last = self.view.listed_at.replace(now.mono);
-        if !last.is_some_and(|at| at + span > now.mono) {
+        if last.is_none_or(|at| at + span <= now.mono) {
             self.view.missing.clear();
         }
         let mut missing = BTreeMap::new();
