A target is gone only after three seconds of readings that lack it

Cause: a target that one reading of the VM list lacked counted as gone three seconds later by the clock, though the list could not be read in between. docs/TARGETS.md takes it for stopped after three seconds of readings. Its tasks were started elsewhere while it ran them. Ruled out: counting readings alone (three may come in an instant); a longer time (a list may be away for any time). Change: the time is counted from the first reading that lacks a target to the last one, which must be recent; a gap of three seconds in the readings begins the count anew, so that two readings with an outage between prove nothing.

--- a/puffinknot-core/src/node/claims.rs
+++ b/puffinknot-core/src/node/claims.rs
@@ -425,14 +425,11 @@
                 contract.targets.insert(listed.id.clone());
             }
         }
-        for (target, since) in &self.view.missing {
-            if since + self.config.gone_after > now.mono {
-                continue;
-            }
+        for target in self.view.gone(now, self.config.gone_after) {
             let scopes: Vec<Scope> = map.contracts.keys().copied().collect();
             for scope in scopes {
                 if let Some(contract) = self.mine(map, scope) {
-                    contract.targets.remove(target);
+                    contract.targets.remove(&target);
                 }
             }
         }
--- a/puffinknot-core/src/node/mod.rs
+++ b/puffinknot-core/src/node/mod.rs
@@ -64,7 +64,7 @@
     pub member_ttl: Millis,
     /// How long contracts stay where they are after a member has come.
     pub rebalance_after: Millis,
-    /// How long a target must be missing from the VM list to be gone.
+    /// For how long readings of the VM list must lack a target that is gone.
     pub gone_after: Millis,
     /// The limits of the memory for keys.
     pub keys: KeysConfig,
--- a/puffinknot-core/src/node/view.rs
+++ b/puffinknot-core/src/node/view.rs
@@ -54,7 +54,10 @@
     /// The room under each contract, as its holder said last.
     pub(super) loads: BTreeMap<(DcName, Scope), Load>,
     pub(super) listed: BTreeMap<TargetId, Listed>,
-    /// Targets of a contract that the VM list has lost, and since when.
+    /// When the VM list was read last.
+    pub(super) listed_at: Option<Millis>,
+    /// Targets of a contract that no reading of the VM list has named since
+    /// the one at this time.
     pub(super) missing: BTreeMap<TargetId, Millis>,
     /// Targets that a peer or the target itself called leaving.
     pub(super) leaving: BTreeSet<TargetId>,
@@ -113,6 +116,17 @@
         listed || self.leaving.contains(target)
     }
 
+    /// Targets that have stopped for good: readings over `span` lacked them.
+    /// It is counted from reading to reading, the last one recent, since a
+    /// time without readings shows nothing.
+    pub(super) fn gone(&self, now: Now, span: Millis) -> Vec<TargetId> {
+        let recent = |at: &Millis| at + span > now.mono;
+        let Some(last) = self.listed_at.filter(recent) else { return vec![] };
+        let gone = |since: Millis| since + span <= last;
+        let missing = self.missing.iter().filter(|(_, since)| gone(**since));
+        missing.map(|(target, _)| target.clone()).collect()
+    }
+
     /// Whether a peer that was heard before has missed its last summaries.
     pub(super) fn is_quiet(&self, vm: &VmId) -> bool {
         self.quiet.contains(vm)
@@ -352,6 +366,13 @@
             contracts.flat_map(|c| c.targets.iter().cloned()).collect()
         });
         let enrolled: BTreeSet<TargetId> = enrolled.unwrap_or_default();
+        // What was missing before a gap in the readings may have been named
+        // in it: the count begins anew.
+        let span = self.config.gone_after;
+        let last = self.view.listed_at.replace(now.mono);
+        if last.is_none_or(|at| at + span <= now.mono) {
+            self.view.missing.clear();
+        }
         let mut missing = BTreeMap::new();
         for target in enrolled {
             if !listed.contains_key(&target) {
