An entry of the VM list that can't be read ends no target

Cause: entries of the VM list that could not be read (no address, no or another kind, no data centre) were dropped from the reading without a word. Ruled out: refusing the whole reading (one bad entry would keep new targets out and leaving ones in); a list in another form (it is refused already and is no reading). Change: a reading tells which entries were unread: by name, if they have one, else their number. What is known of a named target, its address too, stays as it was. With an entry without name the reading is none as to who is missing. What is unread is logged when it changes. Entries of entry VMs end no target.

--- a/puffinknot-core/src/node/mod.rs
+++ b/puffinknot-core/src/node/mod.rs
@@ -108,6 +108,22 @@
     pub leaving: bool,
 }
 
+/// Entries of the VM list that could not be read.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Unread {
+    /// The targets that they name.
+    pub named: BTreeSet<TargetId>,
+    /// How many name no target, so that they may be anybody's.
+    pub nameless: usize,
+}
+
+impl Unread {
+    /// Whether an entry of this target may be among them.
+    pub fn may_be(&self, target: &TargetId) -> bool {
+        self.nameless > 0 || self.named.contains(target)
+    }
+}
+
 /// An executor's word on itself.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ExecutorInfo {
@@ -218,6 +234,8 @@
     },
     /// The VM list was read.
     Listed(Vec<Listed>),
+    /// The VM list was read, but for some entries.
+    ListedInPart(Vec<Listed>, Unread),
     /// A peer has sent its summary.
     Heard(Summary),
     /// A peer has sent what it knows of the platform's values.
@@ -463,7 +481,12 @@
             Event::Written { key, result } => {
                 self.on_written(now, key, result);
             }
-            Event::Listed(listed) => self.on_listed(now, listed),
+            Event::Listed(listed) => {
+                self.on_listed(now, listed, &Unread::default());
+            }
+            Event::ListedInPart(listed, unread) => {
+                self.on_listed(now, listed, &unread);
+            }
             Event::Heard(summary) => self.on_heard(now, summary),
             Event::Learned(stored) => self.on_learned(now, stored),
             Event::Call(id, call) => self.on_call(now, id, call),
--- a/puffinknot-core/src/node/view.rs
+++ b/puffinknot-core/src/node/view.rs
@@ -13,7 +13,7 @@
 use crate::store::{Key, Member, Stored, Value};
 use crate::tasks::Progress;
 
-use super::{Action, Listed, Node, Now, Summary};
+use super::{Action, Listed, Node, Now, Summary, Unread};
 
 /// A peer is forgotten after this many times the span in which it should
 /// have been heard.
@@ -54,7 +54,7 @@
     /// The room under each contract, as its holder said last.
     pub(super) loads: BTreeMap<(DcName, Scope), Load>,
     pub(super) listed: BTreeMap<TargetId, Listed>,
-    /// When the VM list was read last.
+    /// When the VM list was read last, so that it shows who is missing.
     pub(super) listed_at: Option<Millis>,
     /// Targets of a contract that no reading of the VM list has named since
     /// the one at this time.
@@ -358,9 +358,36 @@
         }
     }
 
-    pub(super) fn on_listed(&mut self, now: Now, listed: Vec<Listed>) {
-        let listed: BTreeMap<TargetId, Listed> =
-            listed.into_iter().map(|l| (l.id.clone(), l)).collect();
+    /// The VM list was read. An entry that could not be changes nothing of
+    /// what is known of its target; one that may be anybody's leaves it open
+    /// who is missing, so that the reading counts for nobody's end.
+    pub(super) fn on_listed(
+        &mut self,
+        now: Now,
+        listed: Vec<Listed>,
+        unread: &Unread,
+    ) {
+        let known = std::mem::take(&mut self.view.listed);
+        let mut all: BTreeMap<TargetId, Listed> =
+            known.into_iter().filter(|(id, _)| unread.may_be(id)).collect();
+        all.extend(listed.into_iter().map(|l| (l.id.clone(), l)));
+        self.view.listed = all;
+        let listed = &self.view.listed;
+        let may_be =
+            |id: &TargetId| listed.contains_key(id) || unread.may_be(id);
+        self.view.leaving.retain(may_be);
+        if unread.nameless == 0 {
+            self.note_missing(now, unread);
+        } else {
+            self.view.missing.retain(|id, _| {
+                !listed.contains_key(id) && !unread.named.contains(id)
+            });
+        }
+        self.after_change(now);
+    }
+
+    /// Takes note of the targets that a reading of the VM list lacks.
+    fn note_missing(&mut self, now: Now, unread: &Unread) {
         let enrolled = self.view.map(&self.config.dc).map(|map| {
             let contracts = map.contracts.values();
             contracts.flat_map(|c| c.targets.iter().cloned()).collect()
@@ -375,14 +402,12 @@
         }
         let mut missing = BTreeMap::new();
         for target in enrolled {
-            if !listed.contains_key(&target) {
+            let listed = self.view.listed.contains_key(&target);
+            if !listed && !unread.named.contains(&target) {
                 let since = self.view.missing.get(&target).copied();
                 missing.insert(target, since.unwrap_or(now.mono));
             }
         }
-        self.view.leaving.retain(|target| listed.contains_key(target));
         self.view.missing = missing;
-        self.view.listed = listed;
-        self.after_change(now);
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,7 +16,7 @@
 use log::{info, warn};
 use puffinknot_core::calls::CallId;
 use puffinknot_core::ids::{TargetId, VmId};
-use puffinknot_core::node::{Action, Event, Node, TargetError};
+use puffinknot_core::node::{Action, Event, Node, TargetError, Unread};
 use puffinknot_core::store::Member;
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -167,6 +167,8 @@
     admin_addr: SocketAddr,
     steps: HashMap<CallId, mpsc::UnboundedSender<Step>>,
     targets: HashMap<TargetId, SocketAddr>,
+    /// The entries of the VM list that could not be read last time.
+    unread: Unread,
     /// Where links of entry VMs listen, to start from without the platform.
     entries: Vec<SocketAddr>,
     /// Tells the keeper of the lease to write this VM's entry anew.
@@ -216,6 +218,7 @@
             admin_addr: self.admin_addr,
             steps: HashMap::new(),
             targets: HashMap::new(),
+            unread: Unread::default(),
             entries: settings.peers.clone(),
             register,
             registrations: Some(registrations),
@@ -359,11 +362,19 @@
     }
 
     fn listed(&mut self, list: VmList) {
-        self.targets = list.addrs;
+        let unread = list.unread;
+        if unread != self.unread {
+            let (named, nameless) = (&unread.named, unread.nameless);
+            warn!("list: can't be read: {named:?}, {nameless} without name.");
+        }
+        // A target whose entry can't be read stays where it was.
+        self.targets.retain(|target, _| unread.may_be(target));
+        self.targets.extend(list.addrs);
         let mut entries = self.settings.peers.clone();
         entries.extend(list.entries);
         self.entries = entries;
-        self.event(Event::Listed(list.targets));
+        self.unread = unread.clone();
+        self.event(Event::ListedInPart(list.targets, unread));
     }
 
     fn drain(&mut self) {
--- a/src/vmlist.rs
+++ b/src/vmlist.rs
@@ -3,7 +3,8 @@
 
 Each entry names one target and has the labels `vm`, `kind` (`entry`,
 `executor` or `worker`), `data_centre` and `state` (`live` or `leaving`).
-Entries without them are passed over.
+An entry without them can't be read; it is not taken for absent, since it
+may be that of a target that is enrolled.
 */
 
 use std::collections::HashMap;
@@ -11,7 +12,7 @@
 
 use awc::Client;
 use puffinknot_core::ids::{DcName, TargetId};
-use puffinknot_core::node::{Listed, TargetKind};
+use puffinknot_core::node::{Listed, TargetKind, Unread};
 use serde::Deserialize;
 
 use crate::error::{Error, ErrorKind, Result};
@@ -28,6 +29,8 @@
     pub addrs: HashMap<TargetId, SocketAddr>,
     /// Where the links of entry VMs listen.
     pub entries: Vec<SocketAddr>,
+    /// The entries that could not be read.
+    pub unread: Unread,
 }
 
 #[derive(Deserialize)]
@@ -59,19 +62,33 @@
         Ok(list)
     }
 
-    fn add(&mut self, entry: &Entry) -> Option<()> {
-        let addr: SocketAddr = entry.targets.first()?.parse().ok()?;
+    fn add(&mut self, entry: &Entry) {
+        let label = |name: &str| entry.labels.get(name);
+        let addr = entry.targets.first().and_then(|addr| addr.parse().ok());
+        if label("kind").is_some_and(|kind| kind == "entry") {
+            self.entries.extend(addr);
+            return;
+        }
+        if addr.and_then(|addr| self.add_target(entry, addr)).is_some() {
+            return;
+        }
+        match label("vm").filter(|vm| !vm.is_empty()) {
+            Some(vm) => {
+                self.unread.named.insert(TargetId(vm.clone()));
+            }
+            None => self.unread.nameless += 1,
+        }
+    }
+
+    fn add_target(&mut self, entry: &Entry, addr: SocketAddr) -> Option<()> {
         let label = |name: &str| entry.labels.get(name);
         let kind = match label("kind")?.as_str() {
             "executor" => TargetKind::Executor,
             "worker" => TargetKind::Worker,
-            "entry" => {
-                self.entries.push(addr);
-                return None;
-            }
             _ => return None,
         };
-        let id = TargetId(label("vm")?.clone());
+        let id = label("vm").filter(|vm| !vm.is_empty())?;
+        let id = TargetId(id.clone());
         let dc = DcName(label("data_centre")?.clone());
         let leaving = label("state").is_some_and(|s| s == "leaving");
         self.addrs.insert(id.clone(), addr);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -6,7 +6,7 @@
 use puffinknot_core::calls::CallId;
 use puffinknot_core::contract::Scope;
 use puffinknot_core::ids::{TargetId, VmId};
-use puffinknot_core::node::Event;
+use puffinknot_core::node::{Event, Listed, Unread};
 use puffinknot_core::outcome::{Outcome, Reason};
 use puffinknot_core::store::{Key, Stored, Value};
 
@@ -331,6 +331,40 @@
     no_faults(&cell);
 }
 
+/// Readings of the VM list lacked a worker, and had an entry that could not be
+/// read: the worker's own, or one that might have been. It was taken for gone.
+#[test]
+fn a_worker_whose_entry_may_be_unread_is_not_gone() {
+    let (mut cell, vms) = cell(1, 0, 2);
+    let worker = place(&cell, "api/0").expect("a place");
+    let without = cell.listed.values().filter(|l| l.id != worker);
+    let without: Vec<Listed> = without.cloned().collect();
+    let read = |cell: &mut Cell, unread: &Unread| {
+        for _ in 0..5 {
+            let (listed, unread) = (without.clone(), unread.clone());
+            cell.tell(&vms[0], Event::ListedInPart(listed, unread));
+            for _ in 0..10 {
+                cell.pass(100);
+                cell.housekeep(&vms[0]);
+                while let Some(index) = cell.next_useful() {
+                    cell.deliver(index);
+                }
+                cell.check();
+            }
+        }
+        let placer = cell.vms[&vms[0]].node.placer().expect("a placer");
+        placer.worker_ids().any(|id| *id == worker)
+    };
+    let nameless = Unread { nameless: 1, ..Unread::default() };
+    assert!(read(&mut cell, &nameless));
+    let named = [worker.clone()].into();
+    assert!(read(&mut cell, &Unread { named, nameless: 0 }));
+    // A missing worker comes to its end though others can't be read.
+    let named = [TargetId("other".into())].into();
+    no_faults(&cell);
+    assert!(!read(&mut cell, &Unread { named, nameless: 0 }));
+}
+
 #[test]
 fn tasks_stay_where_they_are_when_their_holder_dies() {
     let (mut cell, vms) = cell(2, 0, 2);
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -118,6 +118,44 @@
     runner().run(&input, check).expect("no panic");
 }
 
+/// An entry of the VM list that could not be read was dropped, so that its
+/// target looked gone though it was named.
+#[test]
+fn an_entry_of_the_list_that_cannot_be_read_is_not_taken_for_absent() {
+    let list = br#"[
+        {"targets": ["127.0.0.1:1"], "labels": {"vm": "whole",
+            "kind": "worker", "data_centre": "goya", "state": "live"}},
+        {"targets": ["nowhere"], "labels": {"vm": "no-address",
+            "kind": "worker", "data_centre": "goya"}},
+        {"targets": [], "labels": {"vm": "no-target",
+            "kind": "worker", "data_centre": "goya"}},
+        {"targets": ["127.0.0.1:2"], "labels": {"vm": "no-kind",
+            "data_centre": "goya"}},
+        {"targets": ["127.0.0.1:3"], "labels": {"vm": "other-kind",
+            "kind": "wroker", "data_centre": "goya"}},
+        {"targets": ["127.0.0.1:4"], "labels": {"vm": "no-data-centre",
+            "kind": "worker"}},
+        {"targets": ["127.0.0.1:5"], "labels": {"vm": "",
+            "kind": "worker", "data_centre": "goya"}},
+        {"targets": ["127.0.0.1:6"], "labels": {
+            "kind": "worker", "data_centre": "goya"}},
+        {"targets": ["127.0.0.1:7"]},
+        {"targets": ["nowhere"], "labels": {"kind": "entry"}},
+        {"targets": ["127.0.0.1:8"], "labels": {"kind": "entry"}}
+    ]"#;
+    let list = VmList::parse(list).expect("a list in order");
+    let read: Vec<&str> =
+        list.targets.iter().map(|listed| listed.id.as_str()).collect();
+    assert_eq!(read, ["whole"]);
+    let named: Vec<&str> =
+        list.unread.named.iter().map(|id| id.as_str()).collect();
+    let expected =
+        ["no-address", "no-data-centre", "no-kind", "no-target", "other-kind"];
+    assert_eq!(named, expected);
+    assert_eq!(list.unread.nameless, 3);
+    assert_eq!(list.entries.len(), 1);
+}
+
 /// A wrong file and the keys that its errors have to name.
 #[derive(Deserialize)]
 struct WrongFile {
