An answer that may be older than the loss of a call frees no slot

Cause: an executor's answer sets the slots that count as used by lost calls and those of earlier tenures. One that was given before a call arrived there, and came after the connection of that call was lost, does not name the call; its slot was taken for free, and the executor got more calls than it has slots. Ruled out: comparing times (an answer does not say to which question it belongs, and one that was given up may still be answered); asking no more while a question is open (an executor that loses one would be asked no more). Change: a home counts the questions to an executor that have not ended. If some were open when a call was lost, answers free nothing before all have ended; an executor with such slots is asked every half second as before.

--- a/puffinknot-core/src/calls.rs
+++ b/puffinknot-core/src/calls.rs
@@ -88,7 +88,8 @@
     slots: u32,
     /// Slots used by calls of this tenure.
     own: u32,
-    /// Slots used by calls of earlier tenures, as the executor said.
+    /// Slots used by calls of earlier tenures, as the executor said, and by
+    /// those whose connection was lost since.
     older: u32,
 }
 
@@ -214,7 +215,8 @@
     }
 
     /// The executor accepted the epoch or answered a status request.
-    /// `older` of its slots are used by calls of earlier tenures.
+    /// `older` of its slots are used by calls of earlier tenures, or by
+    /// those whose connection was lost.
     pub fn report(
         &mut self,
         id: &TargetId,
@@ -239,9 +241,10 @@
         self.executors.get(id).map_or(Condition::Absent, |e| e.condition)
     }
 
-    /// Whether the executor still runs calls of earlier tenures.
-    pub fn has_older(&self, id: &TargetId) -> bool {
-        self.executors.get(id).is_some_and(|e| e.older > 0)
+    /// The slots that count as used by calls of earlier tenures, and by
+    /// those whose connection was lost.
+    pub fn older(&self, id: &TargetId) -> u32 {
+        self.executors.get(id).map_or(0, |e| e.older)
     }
 
     /// The executor is gone for good.
--- a/puffinknot-core/src/node/homes.rs
+++ b/puffinknot-core/src/node/homes.rs
@@ -22,6 +22,33 @@
 /// A request to an executor is given up after this time.
 const ASK_TIMEOUT: Millis = 1_000;
 
+/// What is known of the questions that an executor was asked.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Asked {
+    /// When it was asked last; `None` if it should be at once.
+    at: Option<Millis>,
+    /// Whether that question has yet to be answered.
+    waiting: bool,
+    /// Questions that have not ended, those given up among them.
+    open: u32,
+    /// Some of these may be older than the loss of a call there.
+    before_loss: bool,
+}
+
+impl Asked {
+    /// A question has ended. Returns whether it is surely younger than every
+    /// loss of a call. Answers overtake each other, so that none is before
+    /// all questions have ended that were open at the loss.
+    fn ended(&mut self, now: Now) -> bool {
+        let younger = !self.before_loss;
+        self.at = Some(now.mono);
+        self.waiting = false;
+        self.open = self.open.saturating_sub(1);
+        self.before_loss &= self.open > 0;
+        younger
+    }
+}
+
 /// One contract for calls, while this VM holds it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Home {
@@ -31,8 +58,7 @@
     /// The epoch of the holder that passed its keys on.
     heir_of: Option<Epoch>,
     targets: BTreeSet<TargetId>,
-    /// When each executor was asked last, and whether the answer is due.
-    asked: BTreeMap<TargetId, (Millis, bool)>,
+    asked: BTreeMap<TargetId, Asked>,
 }
 
 impl Home {
@@ -96,14 +122,13 @@
     /// The executors whose state should be asked for now.
     fn due(&self, now: Now) -> Vec<TargetId> {
         let due = |target: &&TargetId| {
-            let Some((at, waiting)) = self.asked.get(*target) else {
-                return true;
-            };
-            let wait = if *waiting {
+            let Some(asked) = self.asked.get(*target) else { return true };
+            let Some(at) = asked.at else { return true };
+            let wait = if asked.waiting {
                 ASK_TIMEOUT
             } else if self.pool.condition(target) == Condition::Absent {
                 ASK_AGAIN
-            } else if self.pool.has_older(target) {
+            } else if self.pool.older(target) > 0 {
                 ASK_OLDER
             } else {
                 ASK_READY
@@ -124,7 +149,30 @@
         for target in &self.targets {
             self.pool.set_condition(target, Condition::Absent);
         }
-        self.asked.clear();
+        for asked in self.asked.values_mut() {
+            asked.at = None;
+            asked.waiting = false;
+        }
+    }
+
+    /// The connection to a call's executor was lost.
+    pub(super) fn lose(&mut self, target: &TargetId, id: CallId) {
+        self.pool.lose(id);
+        if let Some(asked) = self.asked.get_mut(target) {
+            asked.before_loss = asked.open > 0;
+        }
+    }
+
+    /// An executor has answered. Returns the slots that count as used by
+    /// calls that are not this tenure's, or lost; it named `foreign`.
+    fn answered(&mut self, now: Now, target: &TargetId, foreign: u32) -> u32 {
+        let asked = self.asked.entry(target.clone()).or_default();
+        if asked.ended(now) {
+            return foreign;
+        }
+        // What it said may have been true before a call that was lost had
+        // arrived there, so it frees nothing.
+        foreign.max(self.pool.older(target))
     }
 
     /// Whether what was inherited is all there is. Had another VM served
@@ -155,12 +203,13 @@
     fn ask_executors(&mut self, now: Now, scope: Scope) {
         let Some(home) = self.homes.get_mut(&scope) else { return };
         for target in home.due(now) {
-            let waiting = home.asked.get(&target).is_some_and(|(_, w)| *w);
-            if waiting {
+            let asked = home.asked.entry(target.clone()).or_default();
+            asked.at = Some(now.mono);
+            asked.open += 1;
+            if std::mem::replace(&mut asked.waiting, true) {
                 // No answer is no reason to believe that it takes work.
                 home.executor_failed(&target);
             }
-            home.asked.insert(target.clone(), (now.mono, true));
             let epoch = home.tenure.epoch.clone();
             self.out.push(Action::Ask { target, epoch });
         }
@@ -202,7 +251,7 @@
             Err(error) => {
                 let home = self.homes.get_mut(&scope);
                 if let Some(home) = home {
-                    home.asked.insert(target.clone(), (now.mono, false));
+                    home.asked.entry(target.clone()).or_default().ended(now);
                     home.pool.set_condition(&target, Condition::Absent);
                 }
                 if let TargetError::Stale(highest) = error {
@@ -228,9 +277,9 @@
         let own: BTreeSet<String> =
             home.pool.running_at(target).map(|id| mine(&id)).collect();
         let foreign = info.running.iter().filter(|id| !own.contains(*id));
-        let older = foreign.count() as u32;
+        let foreign = foreign.count() as u32;
         let Some(home) = self.homes.get_mut(&scope) else { return };
-        home.asked.insert(target.clone(), (now.mono, false));
+        let older = home.answered(now, target, foreign);
         home.check_heritage(&info.previous);
         home.pool.report(target, condition, info.slots, older);
         home.tenure.seen(target);
--- a/puffinknot-core/src/node/routing.rs
+++ b/puffinknot-core/src/node/routing.rs
@@ -423,7 +423,7 @@
         if let Some(home) = home.filter(|h| h.tenure.epoch == epoch) {
             match attempt {
                 Attempt::Answered => home.pool.finish(now.mono, id),
-                Attempt::Lost => home.pool.lose(id),
+                Attempt::Lost => home.lose(&target, id),
                 _ => home.pool.undo(id),
             }
             match (&key, &attempt) {
