--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -331,6 +331,43 @@
     no_faults(&cell);
 }
 
+/// Lets a VM read the VM list, and time pass without another reading.
+fn read_list(cell: &mut Cell, vm: &VmId, event: Event, span: u64) {
+    cell.tell(vm, event);
+    for _ in 0..span / 100 {
+        cell.pass(100);
+        cell.housekeep(vm);
+        while let Some(index) = cell.next_useful() {
+            cell.deliver(index);
+        }
+        cell.check();
+    }
+}
+
+/// Whether a VM that places tasks counts a worker among its own.
+fn knows(cell: &Cell, vm: &VmId, worker: &TargetId) -> bool {
+    let placer = cell.vms[vm].node.placer().expect("a placer");
+    placer.worker_ids().any(|id| id == worker)
+}
+
+/// Readings of the VM list that lack a worker end it, but not with a time in
+/// between in which there was none.
+#[test]
+fn readings_with_a_gap_between_them_end_no_worker() {
+    let (mut cell, vms) = cell(1, 0, 2);
+    let worker = place(&cell, "api/0").expect("a place");
+    let without = cell.listed.values().filter(|l| l.id != worker);
+    let without: Vec<Listed> = without.cloned().collect();
+    for span in [5_000, 1_000, 5_000, 2_000, 1_000] {
+        let event = Event::Listed(without.clone());
+        read_list(&mut cell, &vms[0], event, span);
+        assert!(knows(&cell, &vms[0], &worker));
+        no_faults(&cell);
+    }
+    read_list(&mut cell, &vms[0], Event::Listed(without), 1_000);
+    assert!(!knows(&cell, &vms[0], &worker));
+}
+
 /// Readings of the VM list lacked a worker, and had an entry that could not be
 /// read: the worker's own, or one that might have been. It was taken for gone.
 #[test]
@@ -342,18 +379,10 @@
     let read = |cell: &mut Cell, unread: &Unread| {
         for _ in 0..5 {
             let (listed, unread) = (without.clone(), unread.clone());
-            cell.tell(&vms[0], Event::ListedInPart(listed, unread));
-            for _ in 0..10 {
-                cell.pass(100);
-                cell.housekeep(&vms[0]);
-                while let Some(index) = cell.next_useful() {
-                    cell.deliver(index);
-                }
-                cell.check();
-            }
+            let event = Event::ListedInPart(listed, unread);
+            read_list(cell, &vms[0], event, 1_000);
         }
-        let placer = cell.vms[&vms[0]].node.placer().expect("a placer");
-        placer.worker_ids().any(|id| *id == worker)
+        knows(cell, &vms[0], &worker)
     };
     let nameless = Unread { nameless: 1, ..Unread::default() };
     assert!(read(&mut cell, &nameless));
