A machine counts as lacking only once the entries of executors were read

Found by a second reading: a successor knows of no entries until it has read them, so that a list of machines that came first and lacked a machine ended a life at a takeover. Also: an answer of an executor that was taken for gone from its machine takes that back; a wave goes by lists that were asked for after a machine was called for, and forgets whom it called for when the call was refused; the time of a stop counts from the signal, not from the hand-over. Ruled out: executors outside the predecessor's list (no order of events found). Before: a_machine_that_a_list_lacks_ends_no_life_before_entries_are_read fails; after: passes.

--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -297,6 +297,8 @@
     Listed(ExecutorInfo),
     /// An executor is no longer listed.
     Unlisted(String),
+    /// All entries of executors have been told.
+    EntriesRead,
     /// An executor answered a hold.
     Held {
         /// The executor.
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -5,8 +5,8 @@
 use crate::ids::Millis;
 use crate::jobs::executor::{Charge, Contact, Phase, RunOn};
 use crate::jobs::message::{
-    AccountIndex, Action, EndRow, ExecutorIndex, HoldAnswer, OrderFailure,
-    RunRow,
+    AccountIndex, Action, EndRow, ExecutorIndex, HoldAnswer, LifeOver,
+    OrderFailure, RunRow,
 };
 use crate::jobs::model::{JobId, TaskKey};
 use crate::jobs::scheduler::Scheduler;
@@ -190,6 +190,9 @@
             executor.clock = Some((answer.clock, now));
         }
         executor.failures = 0;
+        if matches!(executor.over, Some((LifeOver::LeftMachine, _))) {
+            executor.over = None;
+        }
         if executor.over.is_none() {
             executor.contact = Contact::Ready;
         }
--- a/puffinknot-core/src/jobs/scheduler/machines.rs
+++ b/puffinknot-core/src/jobs/scheduler/machines.rs
@@ -92,7 +92,7 @@
         let asked_at = self.machines.asked_at;
         let departed = self.executors.iter().filter(|(_, executor)| {
             executor.contact != Contact::Ready
-                && executor.silent_since < asked_at
+                && executor.silent_since + SILENT_FOR < asked_at
                 && !executor.machine.is_empty()
                 && self.departed(executor, by_name.get(&*executor.machine))
         });
@@ -110,9 +110,11 @@
         executor: &Executor,
         machine: Option<&&MachineInfo>,
     ) -> bool {
-        // A list may lack machines; that the executor's entry has gone from
-        // the store too is told by somebody else.
-        let Some(machine) = machine else { return !executor.listed };
+        // A list may lack machines. The executor's entry, which the store
+        // keeps, has to be gone as well.
+        let Some(machine) = machine else {
+            return self.entries_read && !executor.listed;
+        };
         if machine.executor == executor.info.id {
             return false;
         }
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -134,6 +134,8 @@
     ended: Ended,
     executors: Executors,
     by_id: BTreeMap<String, ExecutorIndex>,
+    /// Whether the entries of executors were read in this tenure.
+    entries_read: bool,
     /// Executors that may be due for a hold.
     due_holds: DueHolds,
     /// Steps with tasks that may be started.
@@ -187,6 +189,7 @@
             jobs: BTreeMap::new(),
             ended: Ended::default(),
             executors: Executors::default(),
+            entries_read: false,
             due_holds: DueHolds::default(),
             by_id: BTreeMap::new(),
             ready: BTreeSet::new(),
@@ -230,8 +233,9 @@
     }
 
     /// Sets when the store was last asked and confirmed that nobody else
-    /// leads. Only leases that ran out before are known to have lapsed: a
-    /// successor may have renewed them since.
+    /// leads. Only leases that ran out before, and lives that were over
+    /// before, are given up: a successor may have renewed them since, or
+    /// heard what has ended there.
     pub fn set_confirmed(&mut self, at: Millis) {
         self.confirmed = self.confirmed.max(at);
     }
@@ -254,6 +258,7 @@
             }
             Event::Listed(info) => self.listed(info, now),
             Event::Unlisted(id) => self.unlisted(&id),
+            Event::EntriesRead => self.entries_read = true,
             Event::Held { executor, sent_at, answer } => {
                 self.held(executor, sent_at, answer, now);
             }
--- a/puffinknot-core/src/jobs/scheduler/waves.rs
+++ b/puffinknot-core/src/jobs/scheduler/waves.rs
@@ -150,6 +150,7 @@
         let mut done = Vec::new();
         let mut again = Vec::new();
         let wanted = self.machines.wanted();
+        let asked_at = self.machines.asked_at;
         for (number, wave) in &mut self.machines.waves {
             for (machine, turn) in &mut wave.turns {
                 let Some(info) = self.machines.machines.get(machine) else {
@@ -172,13 +173,14 @@
                     }
                     // With the same life for long it had been down before.
                     (Turn::Down(at), MachineState::Up)
-                        if replaced || at + SAME_LIFE < now =>
+                        if at < asked_at
+                            && (replaced || at + SAME_LIFE < now) =>
                     {
                         *turn = Turn::Done;
                         done.push((*number, machine.clone()));
                     }
                     (Turn::Called(at), MachineState::Up)
-                        if at + CALL_AGAIN < now =>
+                        if at + CALL_AGAIN < asked_at =>
                     {
                         *turn = Turn::Waiting;
                         again.push(machine.clone());
@@ -198,12 +200,14 @@
         }
     }
 
-    /// The executor on a machine is not about to go any more.
+    /// The executor on a machine is not about to go any more. The list may
+    /// lack the machine by now.
     fn stays(&mut self, machine: &str) {
-        let index = self.executor_of(machine);
-        let executor = index.and_then(|i| self.executors.get_mut(&i));
-        if let Some(executor) = executor {
-            executor.going = false;
+        let there = self.executor_of(machine);
+        for (index, executor) in self.executors.iter_mut() {
+            if there == Some(*index) || executor.machine == machine {
+                executor.going = false;
+            }
         }
     }
 
@@ -230,6 +234,7 @@
             Err(UpkeepFailure::Fenced) => self.deposed(),
             Err(UpkeepFailure::Refused) => {
                 *turn = Turn::Waiting;
+                wave.lives.remove(machine);
                 wave.not_before.insert(machine.to_string(), now + AGAIN);
                 self.stays(machine);
             }
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -72,6 +72,7 @@
         | Event::Paced { .. }
         | Event::Wave(_)
         | Event::Machines(_)
+        | Event::EntriesRead
         | Event::Committed
         | Event::Tick => {}
     }
--- a/src/cell/lead/executors.rs
+++ b/src/cell/lead/executors.rs
@@ -107,6 +107,7 @@
     for item in &listing.items {
         told.tell(&**platform, handle, item);
     }
+    handle.send(Input::Event(Event::EntriesRead));
     let mut revision = listing.revision;
     while !handle.is_over() {
         let changes = store.watch(prefix, revision, WATCH).await;
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -478,7 +478,6 @@
         Some(address) => Some(listen("metrics", address).await?),
         None => None,
     };
-    let stop_within = settings.stop_within;
     let shared = Rc::new(Shared::new(platform, settings));
     info!(
         node = shared.settings.borrow().node,
@@ -498,9 +497,10 @@
     actix_rt::spawn(reload);
     orders.stop.notified().await;
     info!("node_stops");
+    let stopped_at = Instant::now();
     shared.draining.set(true);
     lead::hand_over(&shared).await;
-    stop::drain(&shared, stop_within).await;
+    stop::drain(&shared, stopped_at).await;
     info!("node_stopped");
     Ok(())
 }
--- a/src/cell/stop.rs
+++ b/src/cell/stop.rs
@@ -10,10 +10,11 @@
 */
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use puffinknot_core::ids::Millis;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::cell::node::Shared;
 use crate::cell::ports::Platform;
@@ -55,13 +56,13 @@
     }
 }
 
-/// Waits until clients have gone elsewhere and all are answered, for this
-/// many milliseconds at the most.
-pub(super) async fn drain<P: Platform>(shared: &Shared<P>, within: Millis) {
+/// Waits until clients have gone elsewhere and all are answered, at the most
+/// for what the settings give a stop, counted from `started`.
+pub(super) async fn drain<P: Platform>(shared: &Shared<P>, started: Instant) {
+    let within = shared.settings.borrow().stop_within;
     let least = Duration::from_millis((within as f64 * DRAIN_PART) as u64);
     let most = Duration::from_millis(within.saturating_sub(SPARE));
     let closes = most.saturating_sub(Duration::from_millis(CLOSING));
-    let started = Instant::now();
     loop {
         tokio::time::sleep(STEP).await;
         let past = started.elapsed();
--- a/tests/jobs/lives_beyond.rs
+++ b/tests/jobs/lives_beyond.rs
@@ -117,6 +117,27 @@
     world.check();
 }
 
+/// The same at a takeover. A successor had read no entries yet when the list
+/// of machines came, so that it knew of none that the store lists.
+#[test]
+fn a_machine_that_a_list_lacks_ends_no_life_before_entries_are_read() {
+    let mut world = World::new(1);
+    world.run(50);
+    world.submit(job(1, "batch", vec![long(4 * LEASE)]));
+    world.run(200);
+    world.add_executor("x9");
+    world.tell_entry(1);
+    world.run(SHOWN);
+    assert!(world.executors[0].runs(&task()));
+    world.left_out.insert("x0".into());
+    world.executors[0].cut = true;
+    world.take_over();
+    world.tell_entry(1);
+    world.run(LEASE - 1_500);
+    assert!(world.executors[0].runs(&task()), "its lease runs on");
+    world.check();
+}
+
 /// Tasks waited for a dozen seconds after a change of leaders. A machine had
 /// gone off for good, and the leader before had found its executor to be
 /// over. Its entry still stood in the store. The successor enrolled it anew,
--- a/tests/jobs/world.rs
+++ b/tests/jobs/world.rs
@@ -412,6 +412,7 @@
                 self.event(Event::Listed(info));
             }
         }
+        self.event(Event::EntriesRead);
     }
 
     pub fn submit(&mut self, job: Job) -> u64 {
