--- a/tests/jobs/lives.rs
+++ b/tests/jobs/lives.rs
@@ -401,6 +401,21 @@
     world.check();
 }
 
+/// An executor that no list of machines has shown yet, and that the store
+/// lists no more, is cut off: what runs there goes on until its lease is over.
+#[test]
+fn an_executor_that_no_list_has_shown_ends_by_its_lease() {
+    let mut world = two_executors();
+    world.left_out.insert("x0".into());
+    world.run(SHOWN - 1_000);
+    let id = world.executors[0].info.id.clone();
+    world.event(Event::Unlisted(id));
+    world.executors[0].cut = true;
+    world.run(LEASE - 1_500);
+    world.check();
+    assert_eq!(world.starts[&task()], 1, "its lease runs on");
+}
+
 /// A machine comes back with another life, which listens elsewhere. Once that
 /// one answers, the former life is over.
 #[test]
