--- a/puffinknot-core/src/jobs/scheduler/lives.rs
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -27,6 +27,7 @@
 }
 
 impl Scheduler {
+    /// The store lists an executor.
     pub(super) fn listed(&mut self, info: ExecutorInfo, now: Millis) {
         if let Some(index) = self.by_id.get(&info.id) {
             let Some(executor) = self.executors.get_mut(index) else { return };
@@ -65,6 +66,7 @@
         self.due_holds.touch(index);
     }
 
+    /// Takes an executor up, to be asked at once.
     pub(super) fn enrol(&mut self, info: ExecutorInfo, now: Millis) {
         let id = info.id.clone();
         let index = self.executors.add(Executor::new(info, now));
@@ -72,6 +74,8 @@
         self.by_id.insert(id, index);
     }
 
+    /// The store lists an executor no more. Its entry may have lapsed while
+    /// it lives on.
     pub(super) fn unlisted(&mut self, id: &str) {
         let index = self.by_id.get(id);
         let executor = index.and_then(|i| self.executors.get_mut(i));
--- a/puffinknot-core/src/jobs/scheduler/machines.rs
+++ b/puffinknot-core/src/jobs/scheduler/machines.rs
@@ -5,8 +5,9 @@
 than the life that is looked for, or not know yet what lives on a machine, so
 that it is no sign of an end that a life is missing from it. A life is over
 only if an earlier list has shown it on a machine that is not up any more, or
-on which another life stands that answers. Which machine that was is kept in
-the store with the executors, so that a successor knows it too.
+on which another life stands that answers. A machine that the list lacks counts
+only if the store lists the executor no more. Which machine it was is kept in
+the store beside the executors, so that a successor knows it too.
 */
 
 use std::collections::BTreeMap;
