Data centres that operators empty take no new work

Cause: nothing read the operator's key.

One notion in the core, a cordon (jobs::cordon), with two sources: the operator's key on the users' platform, and a key of our own below own/cordon/. All nodes watch both with the watch that they have. What a node knows is the set of these keys as of a revision, so that the higher revision is right wherever two nodes differ; a range that is read anew after a dropped history replaces the set. A node that learns something tells the leader over the link, for one that the store turns away. A successor reads policy and cordons together before it decides anything; without that answer it does not lead. An order that is decided is held back where it is sent, at the leader and at a relay that knows more than the leader did.

Runs run on; orders without an answer are settled with their executor as any others; gangs that no longer fit wait; with nowhere left jobs are refused at once. While a node leads, its watch waits 1.5 s in place of 4, so that a connection that has fallen silent hides nothing for longer.

Ruled out: a part of the policy (it has versions, a cordon is a key that goes); a record in our own store (the leader would have to write it first).

The oracle took a limit as in force for all orders if no task had begun, though orders given under the earlier one were under way; it goes by the orders given now, which is the rule and as strict for all that are ordered later.

Without the check in Executor::usable six of the ten tests of the core fail.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -214,6 +214,8 @@
     pub doubted: bool,
     /// Its whole data centre may be out of reach.
     pub dc_suspected: bool,
+    /// Its data centre takes no new work.
+    pub cordoned: bool,
     /// Whether runs there end well.
     pub health: Health,
 }
@@ -260,6 +262,7 @@
             paced_at: 0,
             doubted: false,
             dc_suspected: false,
+            cordoned: false,
             health: Health::default(),
         }
     }
@@ -403,6 +406,7 @@
             && !self.going
             && !self.doubted
             && !self.dc_suspected
+            && !self.cordoned
             && self.clock.is_some()
     }
 
--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 */
 
 pub mod accounts;
+pub mod cordon;
 pub mod executor;
 mod executors;
 pub mod health;
@@ -32,6 +33,7 @@
 pub mod scheduler;
 
 pub use self::accounts::{Account, Caller, KeyDigest, KeyRing};
+pub use self::cordon::{Cordon, CordonSource, Cordons};
 pub use self::executor::ExecutorInfo;
 pub use self::losses::Loss;
 pub use self::mechanism::{Mechanism, Without};
--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -151,6 +151,7 @@
         let fits = self.executors.iter().filter(|(index, executor)| {
             executor.info.service == live.queue.service
                 && !executor.info.draining
+                && !executor.cordoned
                 && executor.info.capacity.fits(&step.room())
                 && label.is_none_or(|label| executor.has_label(label))
                 && !known.contains(index)
--- a/puffinknot-core/src/jobs/scheduler/followers.rs
+++ b/puffinknot-core/src/jobs/scheduler/followers.rs
@@ -118,6 +118,7 @@
         executor.info.born = born;
         executor.described = Described::Not;
         if let Some(info) = executor.take_entry_of(born) {
+            executor.cordoned = self.cordons.covers(&info.dc);
             executor.info = info;
             executor.described = Described::ByEntry;
             executor.recount();
--- a/puffinknot-core/src/jobs/scheduler/lives.rs
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -40,6 +40,7 @@
             self.stale |= executor.described != Described::ByEntry;
             executor.described = Described::ByEntry;
             if executor.info != info {
+                executor.cordoned = self.cordons.covers(&info.dc);
                 executor.info = info;
                 executor.recount();
                 self.stale = true;
@@ -108,7 +109,9 @@
         now: Millis,
     ) -> ExecutorIndex {
         let id = info.id.clone();
-        let index = self.executors.add(Executor::new(info, now));
+        let mut executor = Executor::new(info, now);
+        executor.cordoned = self.cordons.covers(&executor.info.dc);
+        let index = self.executors.add(executor);
         self.due_holds.touch(index);
         self.by_id.insert(id, index);
         index
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -9,6 +9,7 @@
 `machines` what the list of machines tells of lives, `place` chooses what starts where, `gangs` does so
 for gangs, `displace` has others give way to them, `shares` knows what comes
 beyond an account's due, `domains` finds data centres that are out of reach,
+`cordons` knows those that take no new work,
 `alarm` connections that have fallen silent, `judge` executors that fail what
 they run, `suspects` tasks that crash the executors that start them, `due`
 knows which executors to look at, `advise` spreads the calls for advice over
@@ -23,6 +24,7 @@
 
 use crate::ids::Millis;
 use crate::jobs::accounts::KeyRing;
+use crate::jobs::cordon::Cordons;
 use crate::jobs::executor::Executor;
 use crate::jobs::executors::Executors;
 use crate::jobs::losses::CrashRate;
@@ -39,6 +41,7 @@
 mod advisors;
 mod alarm;
 mod commit;
+mod cordons;
 mod displace;
 mod domains;
 mod due;
@@ -166,6 +169,7 @@
     commits: CommitQueue,
     machines: Machines,
     domains: Domains,
+    cordons: Cordons,
     crash_rate: CrashRate,
     alarm: Alarm,
     /// Until when what a predecessor ordered may be unknown, if it may.
@@ -190,6 +194,7 @@
             commits: CommitQueue::new(config.token),
             machines: Machines::default(),
             domains: Domains::default(),
+            cordons: Cordons::default(),
             crash_rate: CrashRate::default(),
             alarm: Alarm::default(),
             config,
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -89,6 +89,10 @@
             self.count("refused_store_trouble");
             return self.reply(id, Outcome::Refused(COME_BACK));
         }
+        if job.repeats.is_none() && self.takes_nothing_new(&queue.service) {
+            self.count("refused_cordoned");
+            return self.reply(id, Outcome::Refused(COME_BACK));
+        }
         job.account = who.owner();
         if self.over_limit(&job) {
             self.count("refused_over_limit");
--- a/src/cell/follow.rs
+++ b/src/cell/follow.rs
@@ -1,7 +1,8 @@
 /*!
-Learns the operators' policy and who leads, and leads if nobody does.
+Learns the operators' policy, which data centres take no new work, and who
+leads, and leads if nobody does.
 
-Both are keys of the store below one prefix, so that one watch a node is
+All are keys of the store below one prefix, so that one watch a node is
 enough. A node that the store turns away learns them from other nodes, see
 [`crate::cell::link`].
 */
@@ -25,6 +26,10 @@
 
 /// How long one watch waits for a change.
 const WATCH: Millis = 4_000;
+/// The same while this node leads. On a connection that has fallen silent
+/// nothing is learnt for so long, and what operators want of executors binds
+/// the leader within seconds.
+const WATCH_LEADING: Millis = 1_500;
 /// How long a vacancy must last before a node claims it, at the least.
 const VACANT: Millis = 60;
 /// What is added to that at random, at the most.
@@ -88,16 +93,11 @@
 
 impl<P: Platform> Follower<P> {
     async fn read(&mut self) -> Result<Revision, ReadError> {
-        let platform = self.shared.platform.clone();
-        let store = self.shared.store.clone();
-        let listing = store.read(platform.watched_prefix()).await?;
-        let Listing { items, revision } = listing;
-        let key = platform.leader_key();
-        if !items.iter().any(|item| item.key == key) {
-            self.seat = Seat::Vacant;
-        }
-        for item in &items {
-            self.learn(item);
+        let Listing { items, revision } = read_wishes(&self.shared).await?;
+        let key = self.shared.platform.leader_key();
+        match items.iter().find(|item| item.key == key) {
+            Some(item) => self.learn_leader(item),
+            None => self.seat = Seat::Vacant,
         }
         Ok(revision)
     }
@@ -118,7 +118,9 @@
                 () = store.regained() => return,
             };
             match changes {
-                Ok(Changes { written, removed, revision: at }) => {
+                Ok(changes) => {
+                    self.learn_cordons(&changes);
+                    let Changes { written, removed, revision: at } = changes;
                     revision = at;
                     for key in &removed {
                         if key == platform.leader_key() {
@@ -147,6 +149,7 @@
                 let deference = deference(&self.shared);
                 VACANT + deference + rand::random_range(0..JITTER)
             }
+            _ if self.shared.lead.borrow().is_some() => WATCH_LEADING,
             _ => WATCH,
         }
     }
@@ -159,14 +162,27 @@
     }
 
     fn learn(&mut self, item: &Item) {
-        let platform = &self.shared.platform;
-        if item.key == platform.policy_key() {
-            self.shared.learn_policy(&item.value);
-        } else if item.key == platform.leader_key() {
+        if item.key == self.shared.platform.leader_key() {
             self.learn_leader(item);
-        } else if item.key.starts_with(platform.waves_prefix()) {
-            self.shared.learn_wave(&item.value);
+        } else {
+            learn_wish(&self.shared, item);
+        }
+    }
+
+    fn learn_cordons(&self, changes: &Changes) {
+        let platform = &self.shared.platform;
+        let mut cordons = self.shared.cordons();
+        for item in &changes.written {
+            if let Some(cordon) = platform.cordon(&item.key) {
+                cordons = cordons.with(cordon, item.revision);
+            }
+        }
+        for key in &changes.removed {
+            if let Some(cordon) = platform.cordon(key) {
+                cordons = cordons.less(&cordon, changes.revision);
+            }
         }
+        self.shared.learn_cordons(cordons);
     }
 
     fn learn_leader(&mut self, item: &Item) {
@@ -218,6 +234,39 @@
     }
 }
 
+/// Learns the policy, or a wave.
+fn learn_wish<P: Platform>(shared: &Shared<P>, item: &Item) {
+    let platform = &shared.platform;
+    if item.key == platform.policy_key() {
+        shared.learn_policy(&item.value);
+    } else if item.key.starts_with(platform.waves_prefix()) {
+        shared.learn_wave(&item.value);
+    }
+}
+
+/// Reads all that operators want now: the policy, cordons and waves.
+///
+/// # Errors
+///
+/// If there is no usable answer.
+pub async fn read_wishes<P: Platform>(
+    shared: &Shared<P>,
+) -> Result<Listing, ReadError> {
+    let platform = &shared.platform;
+    let listing = shared.store.read(platform.watched_prefix()).await?;
+    for item in &listing.items {
+        learn_wish(shared, item);
+    }
+    let cordons = listing
+        .items
+        .iter()
+        .filter_map(|item| Some((platform.cordon(&item.key)?, item.revision)));
+    let cordons = cordons.collect();
+    let cordons = shared.cordons().read(cordons, listing.revision);
+    shared.learn_cordons(cordons);
+    Ok(listing)
+}
+
 /// How much longer than others this node waits before it claims.
 fn deference<P: Platform>(shared: &Shared<P>) -> Millis {
     let cpu = shared.settings.borrow().cpu_millis;
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -17,7 +17,7 @@
     AdviceFailure, AdviceRow, CallId, ExecutorIndex,
 };
 use puffinknot_core::jobs::{
-    Caller, Event, ExecutorInfo, Mechanism, Outcome, Policy, Request,
+    Caller, Cordons, Event, ExecutorInfo, Mechanism, Outcome, Policy, Request,
     RequestId, Scheduler, WaveInfo,
 };
 use tokio::sync::{mpsc, oneshot};
@@ -67,6 +67,7 @@
     StoreSilent(PeerId, Millis),
     Leave(PeerId),
     Policy(Arc<Policy>),
+    Cordons(Cordons),
     /// Whether this node still led after a request about an unknown job came,
     /// if the store says so.
     Confirmed(RequestId, Option<bool>),
@@ -157,6 +158,11 @@
         self.send(Input::Policy(policy));
     }
 
+    /// These data centres take no new work.
+    pub fn cordons(&self, cordons: Cordons) {
+        self.send(Input::Cordons(cordons));
+    }
+
     /// The operators want a wave of upkeep.
     pub fn wave(&self, wave: WaveInfo) {
         self.send(Input::Event(Event::Wave(wave)));
@@ -437,6 +443,7 @@
                 self.tell_advisors(scheduler);
             }
             Input::Policy(policy) => scheduler.set_policy(policy),
+            Input::Cordons(cordons) => scheduler.set_cordons(cordons),
             Input::Confirmed(id, leads) => self.deny(id, leads),
             Input::KeyGone => self.reclaim(),
             Input::HandOver(done) => {
--- a/src/cell/lead/takeover.rs
+++ b/src/cell/lead/takeover.rs
@@ -9,6 +9,7 @@
 use tracing::{info, warn};
 
 use super::{Tenure, PAUSE};
+use crate::cell::follow;
 use crate::cell::journal::head_key;
 use crate::cell::node::UNCONFIRMED;
 use crate::cell::ports::Platform;
@@ -33,15 +34,24 @@
 }
 
 impl<P: Platform> Tenure<P> {
-    /// Learns the newest policy. A node whose watch hangs may be behind, and
-    /// a leader that is would let dropped keys in.
-    async fn read_policy(&self) {
-        let key = self.shared.platform.policy_key();
-        match self.shared.store.get(key).await {
-            Ok(Some(item)) => self.shared.learn_policy(&item.value),
-            Ok(None) => {}
-            Err(error) => warn!(?error, "policy_not_read"),
+    /// Learns what operators want before anything is decided. A node whose
+    /// watch hangs may be behind, and a leader that is would let dropped keys
+    /// in, and start tasks in data centres that take no new work. Returns
+    /// whether the store has said it in time.
+    async fn read_wishes(&self, started: Millis) -> bool {
+        while let Err(error) = follow::read_wishes(&self.shared).await {
+            warn!(?error, "wishes_not_read");
+            if self.is_too_late(started) {
+                return false;
+            }
+            sleep(PAUSE).await;
         }
+        true
+    }
+
+    /// Whether a takeover that began then has taken too long.
+    fn is_too_late(&self, started: Millis) -> bool {
+        clock::mono() > started + UNCONFIRMED || self.handle.is_over()
     }
 
     /// Reads what a predecessor has left.
@@ -53,7 +63,7 @@
                 Ok(listing) => break listing,
                 Err(_) => sleep(PAUSE).await,
             }
-            if clock::mono() > started + UNCONFIRMED || self.handle.is_over() {
+            if self.is_too_late(started) {
                 return None;
             }
         };
@@ -91,11 +101,14 @@
             commit_gap: COMMIT_GAP,
             without: affordable(settings.without, settings.link_bytes_per_ms),
         };
-        self.read_policy().await;
+        if !self.read_wishes(started).await {
+            return None;
+        }
         let policy = self.shared.policy().unwrap_or_default();
         let now = clock::mono();
         match Scheduler::restore(config, policy, &kept, now) {
-            Ok(scheduler) => {
+            Ok(mut scheduler) => {
+                scheduler.set_cordons(self.shared.cordons());
                 info!(
                     token = self.token,
                     items = kept.len(),
--- a/src/cell/lead/ways.rs
+++ b/src/cell/lead/ways.rs
@@ -88,8 +88,13 @@
                 Way::Relay(relay) => relay,
                 Way::Direct => break,
             };
+            if self.withholds(executor, order) {
+                return known(Err(OrderFailure::NotSent), lost);
+            }
             let given = if lost { order.again() } else { order.clone() };
-            let sent = relay.order(executor, self.token, given, text, within);
+            let since = self.shared.cordons_since();
+            let sent =
+                relay.order(executor, self.token, given, text, within, since);
             // A relay that stands still answers nothing.
             let most = Duration::from_millis(within);
             match timeout(most, sent).await {
@@ -99,6 +104,9 @@
             }
             lost = true;
         }
+        if self.withholds(executor, order) {
+            return known(Err(OrderFailure::NotSent), lost);
+        }
         let platform = &*self.shared.platform;
         let again = lost.then(|| order.again());
         let order = again.as_ref().unwrap_or(order);
@@ -107,6 +115,17 @@
         known(answer.await, lost)
     }
 
+    /// Whether an order is not sent, since operators have wanted its data
+    /// centre to take no new work after it was decided.
+    fn withholds(&self, executor: &ExecutorInfo, order: &Order) -> bool {
+        let withholds =
+            order.is_start() && self.shared.is_cordoned(&executor.dc);
+        if withholds {
+            self.shared.count("starts_withheld");
+        }
+        withholds
+    }
+
     async fn choose(&self, executor: &ExecutorInfo) -> Way {
         let until = self.begun + FIRST_RELAY;
         loop {
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -3,7 +3,8 @@
 
 On it go clients' requests to the leader and their answers back, and the
 leader's calls for advice and the advice. A node that the store turns away
-learns over it who leads and which policy is in force.
+learns over it who leads and which policy is in force; a leader that is turned
+away, which data centres take no new work.
 */
 
 use std::cell::{Cell, RefCell};
@@ -15,7 +16,9 @@
 use puffinknot_core::ids::{Millis, Revision};
 use puffinknot_core::jobs::message::{AdviceFailure, AdviceRow, CallId};
 use puffinknot_core::jobs::model::StepKey;
-use puffinknot_core::jobs::{Caller, JobId, Outcome, Request, RequestId};
+use puffinknot_core::jobs::{
+    Caller, Cordons, JobId, OrderFailure, Outcome, Request, RequestId,
+};
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
@@ -69,6 +72,8 @@
     Ask(RequestId, Caller, Request),
     /// The policy as it stands in the store.
     Policy(Vec<u8>),
+    /// The data centres that take no new work.
+    Cordons(Cordons),
     /// Advice.
     Advised(CallId, Result<Vec<AdviceRow>, AdviceFailure>),
     /// The answer to an order.
@@ -146,6 +151,12 @@
         }
     }
 
+    /// Tells the leader which data centres take no new work.
+    pub fn tell_cordons(&self, cordons: Cordons) {
+        // The next leader is told when the channel to it is made.
+        let _ = self.sender.send(&ToLeader::Cordons(cordons));
+    }
+
     fn answer(&self, id: RequestId, outcome: Outcome) {
         if let Some(reply) = self.open.borrow_mut().remove(&id) {
             let _ = reply.send(outcome);
@@ -251,6 +262,7 @@
             shared.learn_leader(leader);
             info!(%address, "leader_linked");
             let link = LinkHandle::new(sender);
+            link.tell_cordons(shared.cordons());
             *shared.link.borrow_mut() = Some(link.clone());
             shared.reach.heard(true);
             shared.leader_changed.notify_waiters();
@@ -340,10 +352,15 @@
             let sender = link.sender.clone();
             let texts = texts.clone();
             shared.count("orders_relayed");
+            let shared = shared.clone();
             actix_rt::spawn(async move {
                 let id = relayed.id;
-                let answer =
-                    relay::carry_out(&*platform, &texts, relayed).await;
+                let answer = match shared.withholds(&relayed) {
+                    true => Err(OrderFailure::NotSent),
+                    false => {
+                        relay::carry_out(&*platform, &texts, relayed).await
+                    }
+                };
                 sender.send(&ToLeader::Ordered(id, answer));
             });
         }
@@ -428,6 +445,7 @@
                 lead.ask_for(peer, id, caller, request);
             }
             ToLeader::Policy(value) => shared.learn_policy(&value),
+            ToLeader::Cordons(cordons) => shared.learn_cordons(cordons),
             ToLeader::Advised(call, answer) => lead.advised(call, answer),
             ToLeader::Ping { policy: version, store_silent } => {
                 lead.store_silent(peer, store_silent);
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -13,10 +13,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use puffinknot_core::ids::Millis;
+use puffinknot_core::ids::{Millis, Revision};
 use puffinknot_core::jobs::policy::Router;
 use puffinknot_core::jobs::{
-    Caller, KeyRing, Mechanism, Outcome, Policy, Request, WaveInfo, Without,
+    Caller, Cordon, Cordons, KeyRing, Mechanism, Outcome, Policy, Request,
+    WaveInfo, Without,
 };
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
@@ -27,6 +28,7 @@
 use crate::cell::link::{self, LinkHandle};
 use crate::cell::ports::{Leader, Platform};
 use crate::cell::reach::{self, Reach};
+use crate::cell::relay::Relayed;
 use crate::cell::stats::Stats;
 use crate::cell::stop::{self, Closing};
 use crate::cell::store::{self, Store};
@@ -108,6 +110,7 @@
     keys: RefCell<Rc<KeyRing>>,
     raw_policy: RefCell<Option<Rc<Vec<u8>>>>,
     leader: RefCell<Option<Leader>>,
+    cordons: RefCell<Cordons>,
     /// The waves of upkeep that the operators want.
     waves: RefCell<BTreeMap<u64, WaveInfo>>,
     /// Told when the leader, or the way to it, changes.
@@ -152,6 +155,7 @@
             keys: RefCell::default(),
             raw_policy: RefCell::default(),
             leader: RefCell::default(),
+            cordons: RefCell::default(),
             waves: RefCell::default(),
             leader_changed: Notify::new(),
             claiming: Cell::new(false),
@@ -266,6 +270,64 @@
         self.waves.borrow().values().cloned().collect()
     }
 
+    /// The data centres that take no new work.
+    pub fn cordons(&self) -> Cordons {
+        self.cordons.borrow().clone()
+    }
+
+    /// Whether a data centre takes no new work.
+    pub fn is_cordoned(&self, dc: &str) -> bool {
+        self.cordons.borrow().covers(dc)
+    }
+
+    /// From which revision of the store on the cordons are known.
+    pub fn cordons_since(&self) -> Revision {
+        self.cordons.borrow().since()
+    }
+
+    /// Takes in which data centres take no new work, unless something as new
+    /// is known, and tells the leader: the store may turn that away.
+    pub fn learn_cordons(&self, cordons: Cordons) {
+        if cordons.since() <= self.cordons_since() {
+            return;
+        }
+        let before = self.cordons.replace(cordons.clone());
+        let (known, revision) = (&self.cordons, cordons.since());
+        for (cordon, revision) in known.borrow().iter() {
+            if !before.covers(&cordon.dc) {
+                let (dc, by) = (&cordon.dc, cordon.by);
+                warn!(dc, ?by, revision, "dc_cordoned");
+                self.count("dcs_cordoned");
+            }
+        }
+        for (Cordon { dc, .. }, _) in before.iter() {
+            if !cordons.covers(dc) {
+                info!(dc, revision, "dc_opened");
+                self.count("dcs_opened");
+            }
+        }
+        self.stats.set_cordons(&cordons);
+        if let Some(lead) = self.lead.borrow().as_ref() {
+            lead.cordons(cordons);
+        } else if let Some(link) = self.link.borrow().as_ref() {
+            link.tell_cordons(cordons);
+        }
+    }
+
+    /// Whether an order of the leader's is not carried out by this node: it
+    /// knows what the leader did not, that its data centre takes no new work.
+    /// The leader hears of that on the same channel before it hears the
+    /// answer.
+    pub fn withholds(&self, relayed: &Relayed) -> bool {
+        let withholds = relayed.order.is_start()
+            && self.cordons_since() > relayed.cordons_since
+            && self.is_cordoned(&self.settings.borrow().dc);
+        if withholds {
+            self.count("starts_withheld");
+        }
+        withholds
+    }
+
     /// The newest leader that was heard of.
     pub fn leader(&self) -> Option<Leader> {
         self.leader.borrow().clone()
--- a/src/cell/order.rs
+++ b/src/cell/order.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Whether it starts a task.
+    pub fn is_start(&self) -> bool {
+        matches!(self, Order::Start { .. })
+    }
+
     /// The same order, to be given once more to an executor that may have
     /// started again since: what it is told of its ends holds for the life
     /// that was meant only.
--- a/src/cell/ports.rs
+++ b/src/cell/ports.rs
@@ -14,8 +14,8 @@
 use puffinknot_core::jobs::message::{AdviceFailure, AdviceRow};
 use puffinknot_core::jobs::model::StepKey;
 use puffinknot_core::jobs::{
-    ExecutorInfo, HoldAnswer, JobId, MachineInfo, OrderFailure, Outcome,
-    Policy, Request, TaskKey, UpkeepFailure, WaveInfo,
+    Cordon, ExecutorInfo, HoldAnswer, JobId, MachineInfo, OrderFailure,
+    Outcome, Policy, Request, TaskKey, UpkeepFailure, WaveInfo,
 };
 
 /// A value in the store.
@@ -163,8 +163,8 @@
 /// A platform.
 #[allow(async_fn_in_trait)]
 pub trait Platform: 'static {
-    /// Every key that a node watches begins so: the policy and the key of
-    /// the leader.
+    /// Every key that a node watches begins so: the policy, the key of the
+    /// leader, and cordons.
     fn watched_prefix(&self) -> &str;
     /// The key of the operators' policy.
     fn policy_key(&self) -> &str;
@@ -175,6 +175,9 @@
     /// Keys of executors' entries begin so.
     fn executors_prefix(&self) -> &str;
 
+    /// The cordon that a key stands for, whatever its value is.
+    fn cordon(&self, key: &str) -> Option<Cordon>;
+
     /// Reads the operators' policy.
     ///
     /// # Errors
--- a/src/cell/relay.rs
+++ b/src/cell/relay.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use puffinknot_core::ids::Millis;
+use puffinknot_core::ids::{Millis, Revision};
 use puffinknot_core::jobs::{ExecutorInfo, JobId, OrderFailure};
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
@@ -58,6 +58,8 @@
     pub address: String,
     /// How long its answer is waited for, in milliseconds.
     pub within: Millis,
+    /// From which revision of the store on the leader knew the cordons.
+    pub cordons_since: Revision,
     /// What it is told.
     pub order: Order,
 }
@@ -151,6 +153,7 @@
         order: Order,
         text: &Arc<str>,
         within: Millis,
+        cordons_since: Revision,
     ) -> Option<Answer> {
         if let Order::Start { task, .. } = &order {
             let job = task.step.job;
@@ -170,6 +173,7 @@
             born: executor.born,
             address: executor.address.clone(),
             within,
+            cordons_since,
             order,
         });
         if !self.sender.send(&message) {
--- a/src/cell/stats.rs
+++ b/src/cell/stats.rs
@@ -12,6 +12,7 @@
 use hdrhistogram::Histogram;
 use puffinknot_core::ids::Millis;
 use puffinknot_core::jobs::scheduler::Usage;
+use puffinknot_core::jobs::{Cordon, Cordons};
 
 /// The digits of a latency that are kept.
 const DIGITS: u8 = 2;
@@ -32,6 +33,7 @@
     latencies: RefCell<BTreeMap<&'static str, Histogram<u64>>>,
     /// What client accounts have running, while this node leads.
     accounts: RefCell<Vec<AccountUsage>>,
+    cordons: RefCell<Cordons>,
 }
 
 /// What a client account has running, and may have, in thousandths of a core.
@@ -66,6 +68,11 @@
         *self.accounts.borrow_mut() = rows.collect();
     }
 
+    /// Takes over which data centres take no new work.
+    pub fn set_cordons(&self, cordons: &Cordons) {
+        self.cordons.borrow_mut().clone_from(cordons);
+    }
+
     /// Takes in how long something took.
     pub fn took(&self, name: &'static str, time: Millis) {
         let mut latencies = self.latencies.borrow_mut();
@@ -101,6 +108,13 @@
                 );
             }
         }
+        for (Cordon { dc, by }, revision) in self.cordons.borrow().iter() {
+            let _ = writeln!(
+                text,
+                "puffinknot_cordon_revision{{dc={dc:?},by=\"{by:?}\"}} \
+                 {revision}"
+            );
+        }
         for (name, histogram) in self.latencies.borrow().iter() {
             for quantile in QUANTILES {
                 let value = histogram.value_at_quantile(quantile);
--- a/src/client/explain.rs
+++ b/src/client/explain.rs
@@ -26,13 +26,15 @@
 }
 
 /// Kinds of lines that concern every job of their time.
-const CONTEXT: [&str; 9] = [
+const CONTEXT: [&str; 11] = [
     "lead_claimed",
     "lead_offered",
     "lead_reclaimed",
     "lead_ended",
     "taken_over",
     "settled",
+    "dc_cordoned",
+    "dc_opened",
     "store_lost",
     "store_regained",
     "leader_link_lost",
--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -5,7 +5,7 @@
 use puffinknot_core::jobs::{Event, ExecutorInfo, JobId, Request, WaveInfo};
 
 use super::world::{
-    job, room, step, Crashes, World, FREE, LEASE, LIMITED, WORK,
+    dc_of, job, room, step, Crashes, World, FREE, LEASE, LIMITED, WORK,
 };
 
 /// The machines, which are named as the addresses of executors.
@@ -44,6 +44,7 @@
     Lives(Mistaken),
     Crashes(Crash),
     Restarts(Restart),
+    Cordon(usize, bool),
 }
 
 /// What makes executors start again under their own names. They are named by
@@ -86,6 +87,15 @@
     ]
 }
 
+fn moves_with_cordons() -> impl Strategy<Value = Move> {
+    prop_oneof![
+        6 => moves(),
+        1 => mistaken().prop_map(Move::Lives),
+        1 => restarts().prop_map(Move::Restarts),
+        2 => (0usize..2, any::<bool>()).prop_map(|(a, c)| Move::Cordon(a, c)),
+    ]
+}
+
 /// What makes executors crash, and their room change. Executors are named by
 /// their numbers among all that ever lived.
 #[derive(Clone, Debug)]
@@ -352,7 +362,11 @@
 }
 
 fn play(sequence: &[Move]) -> World {
-    let mut world = World::new(MACHINES);
+    let cordons = sequence.iter().any(|m| matches!(m, Move::Cordon(..)));
+    let mut world = match cordons {
+        true => World::in_two_dcs(MACHINES),
+        false => World::new(MACHINES),
+    };
     world.set_limit(6_000);
     world.run(50);
     let mut jobs = 0;
@@ -416,6 +430,7 @@
             Move::Lives(one) => mistake(&mut world, one, &mut lives),
             Move::Crashes(one) => crash(&mut world, one, jobs + 1),
             Move::Restarts(one) => restart(&mut world, one, &mut former),
+            Move::Cordon(at, on) => world.set_cordoned(dc_of(at), on),
         }
     }
     // All faults end; then everything that was accepted has to end too.
@@ -435,6 +450,9 @@
         no_more_mistakes(&mut world);
     }
     world.store_up();
+    for at in 0..2 {
+        world.set_cordoned(dc_of(at), false);
+    }
     // A limit may have fallen below what a gang needs.
     world.set_limit(0);
     world.run(2 * LEASE + 160 * WORK);
@@ -515,3 +533,14 @@
         keeps_all_rules(&sequence)?;
     }
 }
+
+proptest! {
+    #![proptest_config(config(200))]
+
+    #[test]
+    fn nothing_starts_in_data_centres_that_are_emptied(
+        sequence in prop::collection::vec(moves_with_cordons(), 10..60),
+    ) {
+        keeps_all_rules(&sequence)?;
+    }
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -3,6 +3,7 @@
 
 mod absence;
 mod accounts;
+mod cordons;
 mod crashing;
 mod displacing;
 mod faults;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -12,18 +12,22 @@
 };
 use puffinknot_core::jobs::model::StepKey;
 use puffinknot_core::jobs::{
-    Account, Action, AdviceCost, Caller, Change, EndKind, EndRow, Event,
-    ExecutorInfo, HoldAnswer, Job, JobId, JobState, KeyDigest, LifeOver,
-    MachineInfo, MachineState, OrderFailure, Outcome, Policy, Queue, Request,
-    RunRow, Scheduler, SchedulerConfig, Step, TaskKey, UpkeepFailure, Without,
+    Account, Action, AdviceCost, Caller, Change, Cordon, CordonSource,
+    Cordons, EndKind, EndRow, Event, ExecutorInfo, HoldAnswer, Job, JobId,
+    JobState, KeyDigest, LifeOver, MachineInfo, MachineState, OrderFailure,
+    Outcome, Policy, Queue, Request, RunRow, Scheduler, SchedulerConfig, Step,
+    TaskKey, UpkeepFailure, Without,
 };
 
+mod cordons;
 mod lives;
 mod machines;
 mod oracle;
 mod orders;
 mod work;
 
+pub use self::cordons::dc_of;
+
 /// The longest lease of an executor.
 pub const LEASE: Millis = 6_000;
 /// A leader that nobody confirms orders for as long as this.
@@ -194,6 +198,8 @@
     failures: BTreeMap<TaskKey, BTreeSet<u64>>,
     noted_failures: BTreeMap<TaskKey, BTreeSet<u64>>,
     pub starts: BTreeMap<TaskKey, u32>,
+    /// Whether any start was ordered, arrived or not.
+    any_ordered: bool,
     pub broken: Vec<String>,
     /// The executors that leaders took for over, and by what.
     pub lives_over: Vec<(String, LifeOver)>,
@@ -260,6 +266,10 @@
     owners: BTreeMap<JobId, String>,
     /// Since when which limit was in force.
     limits: Vec<(Millis, u32)>,
+    /// The data centres that take no new work, as leaders know it, and when
+    /// they were told.
+    cordons: Cordons,
+    cordoned_at: BTreeMap<String, Millis>,
 }
 
 /// An account whose limit tests set.
@@ -413,6 +423,7 @@
             failures: BTreeMap::new(),
             noted_failures: BTreeMap::new(),
             starts: BTreeMap::new(),
+            any_ordered: false,
             broken: Vec::new(),
             lives_over: Vec::new(),
             failing: BTreeMap::new(),
@@ -446,6 +457,8 @@
             submitted: BTreeMap::new(),
             owners: BTreeMap::new(),
             limits: vec![(0, 0)],
+            cordons: Cordons::default(),
+            cordoned_at: BTreeMap::new(),
         };
         for number in 0..executors {
             world.add_executor(&format!("x{number}"));
@@ -751,6 +764,8 @@
                 Action::Hold { executor, .. }
                 | Action::Start { executor, .. }
                 | Action::Stop { executor, .. } => {
+                    let start = matches!(action, Action::Start { .. });
+                    self.any_ordered |= start;
                     let hold = matches!(action, Action::Hold { .. });
                     self.holds += u64::from(hold);
                     let Some(at) = self.index_of(token, *executor) else {
@@ -823,6 +838,7 @@
         let restored = Scheduler::restore(config, policy, &kept, self.now);
         let restored = restored.expect("readable values");
         let former = std::mem::replace(&mut self.scheduler, restored);
+        self.scheduler.set_cordons(self.cordons.clone());
         self.former.insert(token, (former, self.now + UNCONFIRMED));
         self.deposed = false;
     }
--- a/tests/jobs/world/oracle.rs
+++ b/tests/jobs/world/oracle.rs
@@ -4,8 +4,8 @@
 
 impl World {
     pub(super) fn note_limit(&mut self) {
-        if self.starts.is_empty() {
-            // Nothing was started under an earlier one.
+        if !self.any_ordered {
+            // Nothing was ordered under an earlier one.
             self.limits.clear();
         }
         let limit = self.policy.accounts[LIMITED].limit.cpu_millis;
--- a/tests/jobs/world/orders.rs
+++ b/tests/jobs/world/orders.rs
@@ -75,11 +75,15 @@
                 self.later(after, pending);
             }
             Action::Start { executor, task, run, due, .. } => {
+                let there = self.executors[at].runs(&task);
                 let answer = if fenced {
                     Err(OrderFailure::Fenced)
                 } else {
                     self.start(at, task, run, due)
                 };
+                if answer.is_ok() && !there && answer_to.is_some() {
+                    self.check_cordon(at, task, run);
+                }
                 let clock = self.executors[at].clock(self.now);
                 let answer = answer.map(|()| Some(clock));
                 if self.muted(at, answer_to) {
