A crowd of waiting steps is gone over in a bounded share of the time

Cause, by reading: all urgent steps that wait are looked at after each event, and their list is made and sorted each time, so that the more wait the slower each event is taken in, and what comes in makes more wait. Ruled out: a bound on the steps of one turn; the last in order would have none.

--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -33,6 +33,10 @@
 /// If more steps than this wait that are not urgent, they are looked at only
 /// so often.
 const FEW_WAIT: usize = 8;
+/// With each so many steps that wait, all of them, urgent or not, are looked at
+/// less often by [`PLACE_GAP`]: going over them takes a bounded share of the
+/// time however many there are, and a leader that is behind can catch up.
+const CROWD: usize = 256;
 /// What is beyond its account's due comes behind what is urgent, 0, and what
 /// is not, 1.
 const BEYOND_DUE: u32 = 2;
@@ -58,9 +62,15 @@
 }
 
 impl Scheduler {
-    /// Starts what can be started. Urgent steps are looked at each time;
-    /// while many others wait, those are looked at less often.
+    /// Starts what can be started. Urgent steps are looked at each time, unless
+    /// very many steps wait; while some others wait, those are looked at less
+    /// often.
     pub(super) fn place(&mut self, now: Millis) {
+        let crowds = (self.ready.len() / CROWD) as Millis;
+        if now < self.placed_all + PLACE_GAP * crowds {
+            self.stale = true;
+            return;
+        }
         let mut order: Vec<((u32, bool, Millis, u64), StepKey)> = self
             .ready
             .iter()
--- a/puffinknot-measure/src/leader.rs
+++ b/puffinknot-measure/src/leader.rs
@@ -25,7 +25,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::packing::{histogram, resident_kb};
+use crate::packing::resident_kb;
 use crate::report::Report;
 
 /// The way to an executor and back, in milliseconds.
@@ -44,6 +44,10 @@
 const CALM: Millis = 6_000;
 /// How long a successor is looked at, in milliseconds.
 const AFTER: Millis = 8_000;
+/// A crowded cell gets so many times the jobs of a calm one.
+const CROWD_TIMES: u64 = 10;
+/// The longest turn that is told from longer ones, in nanoseconds.
+const LONGEST_TURN: u64 = 60_000_000_000;
 /// One job in so many is a wide gang.
 const GANG_ONE_IN: u64 = 7;
 /// The share of executors that may run a step.
@@ -163,7 +167,8 @@
             order: 0,
             jobs: BTreeMap::new(),
             random: StdRng::seed_from_u64(seed),
-            turns: histogram(),
+            turns: Histogram::new_with_max(LONGEST_TURN, 3)
+                .unwrap_or_else(|_| unreachable!("the bounds are constant")),
             busy: 0,
             events: 0,
             late: 0,
@@ -518,6 +523,10 @@
             }
         }
         row("successor", &cell, cell.now - begun, settled);
+        cell.reset();
+        let begun = cell.now;
+        cell.run(begun + CALM, CROWD_TIMES * per_second);
+        row("crowded", &cell, cell.now - begun, 0.0);
     }
     report
 }
