--- a/puffinknot-core/src/jobs/record.rs
+++ b/puffinknot-core/src/jobs/record.rs
@@ -4,10 +4,10 @@
 What has become of jobs is written as *records*, one for each commit: new
 jobs, and the progress of others. A record stands until nothing in it matters
 any more. When a job ends, its name and final state are added to a *chunk* of
-ended jobs. The executors that the cell has ordered are kept in shards, so
-that a successor knows whom to ask. What may still run of jobs that have ended is
-another: it counts against the limits of client accounts, and no job tells it
-any more.
+ended jobs. The executors that the cell has ordered are kept in *shards*, so
+that a successor knows whom to ask. What may still run of jobs that have ended
+is one value: it counts against the limits of client accounts, and no job
+tells it any more.
 */
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -26,8 +26,7 @@
 
 /// A long call is made in so many parts by several nodes at one time, while
 /// nodes are not scarce: gangs wait for their first advice longest, and a call
-/// about half as many takes seven tenths of the time. Worth +0.019 on eight
-/// days with trouble of 350 executors and 45 nodes, better on seven of them.
+/// about half as many takes less time.
 const PARTS: usize = 2;
 /// A call that takes longer than this is long, in milliseconds.
 const LONG_CALL: Millis = 160;
--- a/src/cell/lead/ways.rs
+++ b/src/cell/lead/ways.rs
@@ -20,9 +20,7 @@
 use crate::clock;
 
 /// A cell with more executors than this is served by relays; up to it the
-/// leader's processor and descriptors bear a call to each. In a cell of 1,100 the busiest of 147
-/// machines then has 1,500 connections and files open and uses 0.2 of a core at
-/// the most, measured on days with trouble.
+/// leader's processor and descriptors bear a call to each.
 const MOST_DIRECT: usize = 128;
 /// So many bytes a millisecond should the leader's link have for each executor
 /// that it calls itself: for four starts of 4 KB a second, the longest text of
--- a/src/cell/store.rs
+++ b/src/cell/store.rs
@@ -47,8 +47,7 @@
 const RANGE_BYTES: u32 = 256 << 10;
 /// A takeover may take so many times what the link needs for that: values grow
 /// by a third on the wire, and the first calls of other nodes and the entries
-/// of executors come beside them. On a link of 2 Mbit/s takeovers of 124 jobs
-/// took 1.3 to 2.0 s.
+/// of executors come beside them.
 const TAKEOVER_TIMES: Millis = 3;
 /// No takeover is waited for longer than this beyond the usual, in
 /// milliseconds: the lead stays vacant for so long if its holder falls silent.
