Tests: the list of executors in shards

An executor that comes has one shard written; a successor knows those of all shards; a whole list of an earlier version becomes shards and goes.

--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -13,4 +13,5 @@
 mod room;
 mod rules;
 mod services;
+mod size;
 mod world;
--- /dev/null
+++ b/tests/jobs/size.rs
@@ -0,0 +1,82 @@
+//! What must not grow with the whole cell for each event in it.
+
+use std::collections::BTreeMap;
+
+use puffinknot_core::jobs::record::{self, Enrolled, Shard};
+use puffinknot_core::jobs::JobState;
+
+use super::world::{job, room, step, World, LEASE, WORK};
+
+const EXECUTORS: usize = 320;
+
+/// What the store keeps of executors.
+fn shards(world: &World) -> BTreeMap<String, Vec<u8>> {
+    let kept = world.store.iter();
+    let kept = kept.filter(|(name, _)| name.starts_with(record::SHARDS));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+/// The whole list was written again when one executor came or went, in one
+/// value, which the store would have refused in a cell of some ten thousand.
+#[test]
+fn an_executor_that_comes_has_a_part_of_the_list_written() {
+    let mut world = World::new(EXECUTORS);
+    world.run(200);
+    let before = shards(&world);
+    assert_eq!(before.len(), usize::from(record::SHARD_COUNT));
+    let all: usize = before.values().map(Vec::len).sum();
+    let largest = before.values().map(Vec::len).max();
+    assert!(largest.is_some_and(|bytes| bytes < all / 8), "{largest:?}");
+    world.add_executor("comes");
+    world.tell_entry(EXECUTORS);
+    world.run(200);
+    let after = shards(&world);
+    let written =
+        after.iter().filter(|(name, v)| before.get(*name) != Some(v));
+    assert_eq!(written.count(), 1);
+}
+
+/// Nobody is forgotten by it: a successor asks each of them.
+#[test]
+fn a_successor_knows_the_executors_of_all_shards() {
+    let mut world = World::new(EXECUTORS);
+    world.run(200);
+    let wide = step(2 * EXECUTORS as u32, room(2_000, 100));
+    world.submit(job(1, "batch", vec![wide]));
+    world.run(100);
+    world.take_over();
+    assert_eq!(world.scheduler.executors(), EXECUTORS);
+    world.tell_all();
+    world.run(4 * WORK);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    let again = world.starts.values().filter(|starts| **starts > 1).count();
+    assert_eq!(again, 0, "tasks were started again");
+    world.check();
+}
+
+/// A leader of this version takes over from one of an earlier version: the
+/// whole list goes once all of it stands in shards.
+#[test]
+fn a_whole_list_of_an_earlier_version_becomes_shards() {
+    let mut world = World::new(8);
+    world.run(200);
+    let mut executors = Vec::new();
+    for value in shards(&world).values() {
+        let shard: Shard = record::decode(value).expect("a shard");
+        executors.extend(shard.executors.into_iter().map(|e| e.info));
+    }
+    assert_eq!(executors.len(), 8);
+    world.store.retain(|name, _| !name.starts_with(record::SHARDS));
+    let whole = record::encode(&Enrolled { executors });
+    world.store.insert(record::EXECUTORS.into(), whole);
+    world.replace_leader();
+    assert_eq!(world.scheduler.executors(), 8);
+    world.run(LEASE);
+    assert!(!world.store.contains_key(record::EXECUTORS));
+    let kept = shards(&world);
+    let kept = kept.values().map(|value| {
+        let shard: Shard = record::decode(value).expect("a shard");
+        shard.executors.len()
+    });
+    assert_eq!(kept.sum::<usize>(), 8);
+}
