Whether a store has cut its answer is learnt, not taken from its size alone

Order: entries changed one at a time, each answer had one change, as many as any before, and was asked on at once. Cause: the mend for full answers took the largest size so far for the bound. In small cells it cost a call to the store for each write. Change: a size counts as the bound once an answer that was asked on at once had the same; a larger one refutes it; answers of under five changes never do. Ruled out: the platform's figure of 500, which a test can't shrink.

--- a/src/cell/lead/executors.rs
+++ b/src/cell/lead/executors.rs
@@ -17,6 +17,7 @@
 use tracing::warn;
 
 use super::{Input, LeadHandle, Tenure, PAUSE};
+use crate::cell::backlog::Backlog;
 use crate::cell::node::Shared;
 use crate::cell::ports::{Item, Platform};
 use crate::clock;
@@ -128,7 +129,7 @@
         told.tell_gone(handle, &id);
     }
     handle.send(Input::Event(Event::EntriesRead));
-    let mut most = 0;
+    let mut backlog = Backlog::default();
     while !handle.is_over() {
         let changes = store.watch(prefix, revision, WATCH).await;
         let Ok(changes) = changes else { return };
@@ -139,14 +140,11 @@
         for item in &changes.written {
             told.tell(&**platform, handle, item);
         }
-        // The store tells a bounded number of changes at once. An answer that
-        // has as many as any may have been cut, and more be there already.
         let told_now = changes.removed.len() + changes.written.len();
-        if told_now >= most && told_now > 0 {
-            most = told_now;
-            shared.count("entries_asked_at_once");
-            continue;
+        if backlog.answered(told_now) {
+            shared.count("entries_asked_on");
+        } else {
+            sleep(GATHER).await;
         }
-        sleep(GATHER).await;
     }
 }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -12,6 +12,7 @@
 * [`lead`] runs the scheduler while this node leads.
 * [`store`] makes calls to the store with as much [`patience`] as it needs.
 * [`journal`] writes the leader's changes, each under a condition.
+* [`backlog`] knows whether the store may have more changes than it has told.
 * [`order`] is what executors are told, and [`relay`] how orders reach them
   by other nodes.
 * [`link`] carries requests to the leader; [`channel`] is what it uses.
@@ -23,6 +24,7 @@
   [`stop`] ends the node so that all are answered.
 */
 
+pub mod backlog;
 pub mod channel;
 pub mod decisions;
 pub mod follow;
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,5 +1,6 @@
 //! The integration tests, one module for each topic.
 
+mod backlog;
 mod cell;
 mod explain;
 mod failures;
