Order, estimate and fit of steps are modules of their own

Cause: the order of steps, the guess at the end of a run and the choice of an executor stood in place.rs and again in four other places, so that no new decision could replace one of them.

Change: order.rs ranks steps, estimate.rs says how long runs take, fit.rs where a task may go; place, gangs, displace, ledger, runs and holds ask them. No decision changes.

--- a/puffinknot-core/src/jobs/mechanism.rs
+++ b/puffinknot-core/src/jobs/mechanism.rs
@@ -67,12 +67,30 @@
     OfferedLead,
     /// Larger machines are preferred to lead.
     LargerLeader,
+    /// In a full cell, room goes by the accounts' shares of what runs.
+    RoomShares,
+    /// Steps are ordered by the latest start that meets their objective.
+    LatestStart,
+    /// Room is kept free for urgent work that should come.
+    UrgentRoom,
+    /// Tasks that save their progress give way to urgent ones.
+    GivingWay,
+    /// What can't be done while it is of use is refused at once.
+    Admission,
+    /// Refused clients come back when there should be room.
+    ReturnTimes,
+    /// The speed of executors and the error of guesses are learnt.
+    Speeds,
+    /// Nothing starts on an executor that leaves before it should end.
+    Leaving,
+    /// What waits while the store is away returns in the order of use.
+    AfterOutage,
 }
 
 use Mechanism::*;
 
 /// All mechanisms and their names.
-const NAMES: [(Mechanism, &str); 27] = [
+const NAMES: [(Mechanism, &str); 36] = [
     (OrderByObjective, "order-by-objective"),
     (BestFit, "best-fit"),
     (RoomForGangs, "room-for-gangs"),
@@ -100,6 +118,15 @@
     (ReplacedLeader, "replaced-leader"),
     (OfferedLead, "offered-lead"),
     (LargerLeader, "larger-leader"),
+    (RoomShares, "room-shares"),
+    (LatestStart, "latest-start"),
+    (UrgentRoom, "urgent-room"),
+    (GivingWay, "giving-way"),
+    (Admission, "admission"),
+    (ReturnTimes, "return-times"),
+    (Speeds, "speeds"),
+    (Leaving, "leaving"),
+    (AfterOutage, "after-outage"),
 ];
 
 impl Mechanism {
--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -20,8 +20,8 @@
 };
 use crate::jobs::model::{JobId, Step, StepKey};
 use crate::jobs::policy::AdviceCost;
+use crate::jobs::scheduler::fit::times;
 use crate::jobs::scheduler::live::Ticket;
-use crate::jobs::scheduler::place::times;
 use crate::jobs::scheduler::Scheduler;
 
 /// A long call is made in so many parts by several nodes at one time, while
--- a/puffinknot-core/src/jobs/scheduler/displace.rs
+++ b/puffinknot-core/src/jobs/scheduler/displace.rs
@@ -17,8 +17,8 @@
 use crate::jobs::executor::{Executor, Phase, RunOn};
 use crate::jobs::message::{Action, ExecutorIndex};
 use crate::jobs::model::{Step, StepKey, TaskKey};
+use crate::jobs::scheduler::fit::times;
 use crate::jobs::scheduler::gangs::Plan;
-use crate::jobs::scheduler::place::times;
 use crate::jobs::scheduler::Scheduler;
 
 /// A gang buys its room once this part of its slack is used.
@@ -201,8 +201,7 @@
         }
         let whole = live.deadline.saturating_sub(live.since);
         let slack = whole.saturating_sub(live.job.chain());
-        let latest =
-            live.deadline.saturating_sub(live.job.chain_from(key.step));
+        let latest = live.deadline.saturating_sub(self.chain_left(key));
         let unused = slack as f64 * (1.0 - SLACK_USED);
         now <= latest && now + unused as Millis >= latest
     }
@@ -257,7 +256,7 @@
             && on.ends > now + ENDS_SOON
             && here == Some(run)
             && !state.gave_way.contains(&task.index);
-        let rest = live.job.chain_from(task.step.step);
+        let rest = self.chain_left(task.step);
         let slack = live.deadline.saturating_sub(now + rest);
         let victim = Victim { task, run, need, slack };
         (may && slack >= SLACK_LEFT).then_some(victim)
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -14,14 +14,14 @@
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::model::{JobId, Step, StepKey};
-use crate::jobs::scheduler::place::{rest, times, Kept, Opening};
+use crate::jobs::scheduler::estimate::expected_end;
+use crate::jobs::scheduler::fit::{rest, times};
+use crate::jobs::scheduler::place::{Kept, Opening};
 use crate::jobs::scheduler::Scheduler;
 
 /// Tickets are asked for this long before the room should be free, beside
 /// the time of the call.
 const LEAD: Millis = 50;
-/// A run that has overstayed its guess should end within this time.
-pub(super) const OVERSTAY: Millis = 500;
 /// More executors than a gang needs are asked about, by this much.
 const SPARES: usize = 2;
 
@@ -47,17 +47,15 @@
         now: Millis,
     ) -> bool {
         let Some(opening) = self.opening(key, now) else { return true };
-        let Opening { step, failed_on, candidates, ends, .. } = opening;
+        let open = self.open_to(&opening, kept, urgent, now);
+        let Opening { step, failed_on, candidates, .. } = opening;
         let state = self.step_run(key);
         if state.is_none_or(|s| s.waiting.len() as u32 != step.count) {
             return true;
         }
         let open: Vec<ExecutorIndex> = candidates
             .iter()
-            .filter(|(at, _)| !self.is_closed(*at, now))
-            .filter(|(at, _)| {
-                urgent || kept.get(at).is_none_or(|&t| ends <= t)
-            })
+            .filter(|(at, _)| !self.is_closed(*at, now) && open.contains(at))
             .map(|(at, _)| *at)
             .collect();
         let open = self.ready_for_trial(key, open, now);
@@ -236,9 +234,7 @@
             let Some(executor) = self.executors.get(&at) else { continue };
             free.insert(at, executor.free);
             for run in executor.runs.values() {
-                let overdue = run.ends <= now;
-                let end = if overdue { now + OVERSTAY } else { run.ends };
-                ends.push((end, at, run.need));
+                ends.push((expected_end(run, now), at, run.need));
             }
         }
         ends.sort_unstable_by_key(|(end, at, _)| (*end, *at));
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -332,12 +332,11 @@
         let mut need = None;
         let mut charge =
             Charge { account: self.account_of(key.job), ..Charge::default() };
-        let mut estimate = 0;
+        let run_time = self.run_time(key, index);
         if let Some(live) = self.jobs.get_mut(&key.job) {
             if let Some(step) = live.job.steps.get(key.step as usize) {
                 need = Some(step.room());
                 charge.amount = step.need;
-                estimate = step.estimate;
             }
             let ended = live.ended;
             let gang = live.job.steps.get(key.step as usize);
@@ -369,7 +368,7 @@
             unsure: None,
             begun: true,
             listed: true,
-            ends: now + estimate / 2,
+            ends: now + run_time / 2,
             // It has been there for some time.
             window: 0,
         };
--- a/puffinknot-core/src/jobs/scheduler/ledger.rs
+++ b/puffinknot-core/src/jobs/scheduler/ledger.rs
@@ -20,7 +20,7 @@
 use crate::jobs::model::{JobId, StepKey, TaskKey};
 use crate::jobs::policy::Policy;
 use crate::jobs::record::Stopping;
-use crate::jobs::scheduler::gangs::OVERSTAY;
+use crate::jobs::scheduler::estimate::OVERSTAY;
 use crate::jobs::scheduler::Scheduler;
 
 /// What a client account has running, and may have.
@@ -265,7 +265,7 @@
         let together = if step.gang { step.count } else { 1 };
         let needed = step.need.times(together);
         let fits = self.ledger.left(live.account).fits(&needed);
-        if fits && turns.admits(account, now + step.estimate) {
+        if fits && turns.admits(account, now + self.usual_run_time(key)) {
             return false;
         }
         if !fits && step.gang && self.has(Mechanism::LimitForGangs) {
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -6,8 +6,9 @@
 `holds` takes in what executors report, `runs` follows single runs to their
 ends, `lives` knows when an executor's life is over, `followers` which life
 follows it under its name, `in_flight` which orders that one may carry out,
-`machines` what the list of machines tells of lives, `place` chooses what starts where, `gangs` does so
-for gangs, `displace` has others give way to them, `shares` knows what comes
+`machines` what the list of machines tells of lives, `order` says what
+comes first, `estimate` how long runs take, `fit` where a task fits, `place`
+chooses what starts where, `gangs` does so for gangs, `displace` has others give way to them, `shares` knows what comes
 beyond an account's due, `domains` finds data centres that are out of reach,
 `cordons` knows those that take no new work,
 `alarm` connections that have fallen silent, `judge` executors that fail what
@@ -45,6 +46,8 @@
 mod displace;
 mod domains;
 mod due;
+mod estimate;
+mod fit;
 mod followers;
 mod gangs;
 mod holds;
@@ -54,6 +57,7 @@
 mod live;
 mod lives;
 mod machines;
+mod order;
 mod pace;
 mod place;
 mod records;
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -1,22 +1,22 @@
 /*!
 Which task starts where.
 
-Steps are taken in order: urgent queues first, then those whose objective
-ends first. Tasks go where least is left over, so that gangs, see
-[`super::gangs`], find room.
+Steps are taken in the order of [`super::order`]. Tasks go where they fit best,
+see [`super::fit`], so that gangs, see [`super::gangs`], find room.
 */
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::config::Resources;
 use crate::ids::Millis;
 use crate::jobs::executor::{Described, Executor};
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{AccountIndex, ExecutorIndex};
 use crate::jobs::model::{Step, StepKey};
+use crate::jobs::scheduler::fit::times;
 use crate::jobs::scheduler::gangs::Waiting;
 use crate::jobs::scheduler::ledger::Turns;
-use crate::jobs::scheduler::live::{Live, StepRun};
+use crate::jobs::scheduler::live::StepRun;
+use crate::jobs::scheduler::order::Rank;
 use crate::jobs::scheduler::Scheduler;
 
 /// Gangs that wait get room kept for them, up to this many at a time.
@@ -24,10 +24,6 @@
 /// An executor on which a run of the step has failed is as bad as so many
 /// thousandths of an executor left over.
 const FAILED_THERE: u64 = 6_000;
-/// Accelerators left over weigh more than processors and memory together:
-/// they are what runs out first where there are any, and wide tasks need them
-/// on one executor.
-const ACCELERATORS: u64 = 3;
 /// Tasks of which no executor holds more than this are wide.
 const WIDE: u32 = 2;
 /// If more steps than this wait that are not urgent, they are looked at only
@@ -37,9 +33,6 @@
 /// less often by [`PLACE_GAP`]: going over them takes a bounded share of the
 /// time however many there are, and a leader that is behind can catch up.
 const CROWD: usize = 256;
-/// What is beyond its account's due comes behind what is urgent, 0, and what
-/// is not, 1.
-const BEYOND_DUE: u32 = 2;
 /// The time between two looks at them, in milliseconds.
 const PLACE_GAP: Millis = 20;
 /// The most tickets that are asked for anew in one call.
@@ -50,13 +43,12 @@
 
 /// What the placing of a step begins with.
 pub(super) struct Opening {
+    pub key: StepKey,
     pub step: Step,
     /// Executors on which runs of it have failed.
     pub failed_on: BTreeSet<ExecutorIndex>,
     /// Executors that may run it, and whether a ticket holds there.
     pub candidates: Vec<(ExecutorIndex, bool)>,
-    /// When a task that starts now should end.
-    pub ends: Millis,
     /// The client account that it counts for.
     pub account: Option<AccountIndex>,
 }
@@ -71,21 +63,16 @@
             self.stale = true;
             return;
         }
-        let mut order: Vec<((u32, bool, Millis, u64), StepKey)> = self
-            .ready
-            .iter()
-            .filter_map(|key| {
-                let live = self.jobs.get(&key.job)?;
-                let by_objective = self.has(Mechanism::OrderByObjective);
-                Some((rank(live, by_objective, now), *key))
-            })
-            .collect();
-        let patient = order.iter().filter(|(rank, _)| rank.0 > 0).count();
+        let ready = self.ready.iter();
+        let ready =
+            ready.filter_map(|key| Some((self.rank(*key, now)?, *key)));
+        let mut order: Vec<(Rank, StepKey)> = ready.collect();
+        let patient = order.iter().filter(|(rank, _)| !rank.urgent()).count();
         let all = patient <= FEW_WAIT || now >= self.placed_all + PLACE_GAP;
         if all {
             self.placed_all = now;
         } else {
-            order.retain(|(rank, _)| rank.0 == 0);
+            order.retain(|(rank, _)| rank.urgent());
         }
         order.sort_unstable();
         self.count_unseen();
@@ -93,7 +80,7 @@
         let mut kept = Kept::new();
         let mut plans = 0;
         for (rank, key) in order {
-            let urgent = rank.0 == 0;
+            let urgent = rank.urgent();
             if !self.may_place(key) || self.is_at_limit(key, &mut turns, now) {
                 continue;
             }
@@ -213,9 +200,8 @@
             BTreeSet::new()
         };
         let candidates = self.candidates(key, now);
-        let ends = now + step.estimate;
         let account = live.account;
-        Some(Opening { step, failed_on, candidates, ends, account })
+        Some(Opening { key, step, failed_on, candidates, account })
     }
 
     /// Places the tasks of a step one by one. If tasks are left that take up
@@ -235,12 +221,11 @@
             .waiting
             .iter()
             .partition(|index| state.suspected(**index).is_some());
-        let may_use = |at: ExecutorIndex| {
-            urgent || kept.get(&at).is_none_or(|&t| opening.ends <= t)
-        };
+        let open = self.open_to(&opening, kept, urgent, now);
+        let may_use = |at: ExecutorIndex| open.contains(&at);
         let mut stale =
             self.place_suspects(key, &opening, suspects, may_use, now);
-        let Opening { step, failed_on, candidates, ends, account } = opening;
+        let Opening { step, failed_on, candidates, account, .. } = opening;
         let Some(state) = self.step_run(key) else { return true };
         let mut on: BTreeMap<ExecutorIndex, u32> = BTreeMap::new();
         for (index, _) in state.places.values() {
@@ -255,8 +240,8 @@
                     return false;
                 };
                 let most = step.max_per_executor;
-                let open = urgent || kept.get(at).is_none_or(|&t| ends <= t);
-                open && !executor.is_closed(now)
+                open.contains(at)
+                    && !executor.is_closed(now)
                     && executor.free.fits(&step.room())
                     && executor.health.admits(now)
                     && (most == 0 || on.get(at).copied().unwrap_or(0) < most)
@@ -330,60 +315,4 @@
         let most = known.map(|e| times(&e.info.capacity, &step.room())).max();
         most.is_some_and(|most| most <= WIDE)
     }
-
-    /// What would be left on an executor: less is better, so that large
-    /// tasks find room elsewhere. The wrong rack counts as much as a whole
-    /// executor.
-    pub(super) fn leftover(&self, at: ExecutorIndex, step: &Step) -> u64 {
-        if !self.has(Mechanism::BestFit) {
-            return 0;
-        }
-        let Some(executor) = self.executors.get(&at) else { return u64::MAX };
-        let left = executor.free.minus(&step.room());
-        let far = match &step.near {
-            Some(rack) if !executor.has_label(rack) => 2_000,
-            _ => 0,
-        };
-        rest(&left, &executor.info.capacity) + far
-    }
-}
-
-/// What is left of an executor, in thousandths of it: processors, memory, and
-/// accelerators by their weight.
-pub(super) fn rest(left: &Resources, whole: &Resources) -> u64 {
-    let part = |left: u32, whole: u32| {
-        u64::from(left) * 1_000 / u64::from(whole.max(1))
-    };
-    part(left.cpu_millis, whole.cpu_millis)
-        + part(left.memory_mb, whole.memory_mb)
-        + part(left.accelerators, whole.accelerators) * ACCELERATORS
-}
-
-/// How often `need` fits into `room`.
-pub(super) fn times(room: &Resources, need: &Resources) -> u32 {
-    let fit =
-        |room: u32, need: u32| room.checked_div(need).unwrap_or(u32::MAX);
-    fit(room.cpu_millis, need.cpu_millis)
-        .min(fit(room.memory_mb, need.memory_mb))
-        .min(fit(room.accelerators, need.accelerators))
-        .min(100_000)
-}
-
-/// The order of steps: urgent queues, then objectives that can be met, then
-/// the others; each by the end of its objective. What is beyond its account's
-/// due comes last.
-fn rank(
-    live: &Live,
-    by_objective: bool,
-    now: Millis,
-) -> (u32, bool, Millis, u64) {
-    let urgency = match live.beyond_due {
-        true => BEYOND_DUE,
-        false => live.queue.priority.min(1),
-    };
-    if !by_objective {
-        return (urgency, false, 0, live.arrival);
-    }
-    let late = live.deadline < now;
-    (urgency, late, live.deadline, live.arrival)
 }
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -25,9 +25,10 @@
         now: Millis,
     ) {
         let lease = self.config.lease;
+        let ends = now + self.run_time(task.step, index);
         let Some(live) = self.jobs.get_mut(&task.step.job) else { return };
         let step = &live.job.steps[task.step.step as usize];
-        let (need, estimate) = (step.room(), step.estimate);
+        let need = step.room();
         let charge = Charge { account: live.account, amount: step.need };
         let place = (task.step.time, task.step.step);
         let Some(state) = live.steps.get_mut(&place) else { return };
@@ -65,7 +66,7 @@
             unsure: None,
             begun: false,
             listed: false,
-            ends: now + estimate,
+            ends,
             window,
         };
         self.put_run(index, task, on);
