--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -544,3 +544,102 @@
         keeps_all_rules(&sequence)?;
     }
 }
+
+fn one_task(cpu: u32, door: Door, work: u64) -> Move {
+    Move::Submit { tasks: 1, cpu, gang: false, steps: 1, door, work }
+}
+
+/// A leader calls for a machine's upkeep and is replaced before it is carried
+/// out. Its successor starts a task there, which the upkeep ends; what the
+/// task crashes then is one executor, not two.
+#[test]
+fn an_upkeep_that_a_predecessor_called_for_is_no_crash() {
+    use Crash::{ByItself, ByTask, Room};
+    let small = || one_task(300, Door::Open, 500);
+    let wave = |at| Move::Lives(Mistaken::Wave(at));
+    let by_itself = |at| Move::Crashes(ByItself(at, false));
+    let by_task = |after| Move::Crashes(ByTask(0, after));
+    let mut read = vec![(0, false); 16];
+    read[2] = (0, true);
+    read[15] = (23, true);
+    let sequences = [
+        vec![
+            Move::Crashes(Room(9, 500)),
+            Move::Run(478),
+            Move::Lives(Mistaken::Shown(0, Shown::Present)),
+            wave(1),
+            Move::Crashes(Room(10, 500)),
+            by_itself(3),
+            small(),
+            small(),
+            small(),
+            by_task(10),
+            Move::Replace,
+            one_task(501, Door::Advised, 500),
+        ],
+        vec![
+            wave(2),
+            Move::Crashes(Room(5, 2_254)),
+            Move::Run(135),
+            Move::Replace,
+            Move::Run(384),
+            Move::Lives(Mistaken::Cut(4, true)),
+            Move::Run(314),
+            wave(0),
+            Move::Run(579),
+            one_task(1_134, Door::Open, 2_500),
+            Move::Run(42),
+            Move::Crashes(ByTask(1, 90)),
+            Move::Submit {
+                tasks: 2,
+                cpu: 561,
+                gang: false,
+                steps: 1,
+                door: Door::Open,
+                work: 500,
+            },
+            Move::Run(1_098),
+            by_task(10),
+            by_itself(5),
+            one_task(300, Door::Advised, 500),
+            by_task(10),
+            small(),
+            Move::Run(148),
+            Move::Lives(Mistaken::Takeover(read)),
+            Move::Replace,
+        ],
+        vec![
+            Move::Lives(Mistaken::Crash(4, false)),
+            by_itself(1),
+            Move::Cut(0, false),
+            by_itself(2),
+            Move::Submit {
+                tasks: 2,
+                cpu: 365,
+                gang: false,
+                steps: 1,
+                door: Door::Background,
+                work: 500,
+            },
+            small(),
+            by_itself(3),
+            wave(2),
+            by_task(90),
+            Move::Submit {
+                tasks: 2,
+                cpu: 700,
+                gang: true,
+                steps: 1,
+                door: Door::Advised,
+                work: 500,
+            },
+            one_task(1_571, Door::Background, 500),
+            Move::Run(2),
+            Move::Replace,
+            Move::Limit(3_000),
+        ],
+    ];
+    for sequence in sequences {
+        keeps_all_rules(&sequence).expect("all rules are kept");
+    }
+}
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -16,7 +16,7 @@
     Cordons, EndKind, EndRow, Event, ExecutorInfo, HoldAnswer, Job, JobId,
     JobState, KeyDigest, LifeOver, MachineInfo, MachineState, OrderFailure,
     Outcome, Policy, Queue, Request, RunRow, Scheduler, SchedulerConfig, Step,
-    TaskKey, UpkeepFailure, Without,
+    TaskKey, UpkeepFailure, WaveInfo, Without,
 };
 
 mod cordons;
@@ -233,6 +233,8 @@
     /// Which machines have had the upkeep of which wave. A call for it is
     /// answered with Ok and does nothing more.
     had_upkeep: BTreeSet<(u64, String)>,
+    /// What the operators want of waves, which successors are told too.
+    wanted_waves: BTreeMap<u64, WaveInfo>,
     /// The executors that the list of machines shows on some machines,
     /// whatever lives there; empty for none.
     pub shown: BTreeMap<String, String>,
@@ -441,6 +443,7 @@
             down: BTreeMap::new(),
             upkeeps: Vec::new(),
             had_upkeep: BTreeSet::new(),
+            wanted_waves: BTreeMap::new(),
             shown: BTreeMap::new(),
             keep_names: false,
             off: BTreeSet::new(),
@@ -617,6 +620,9 @@
     }
 
     pub fn event(&mut self, event: Event) {
+        if let Event::Wave(wave) = &event {
+            self.wanted_waves.insert(wave.wave, wave.clone());
+        }
         let actions = self.scheduler.handle(event, self.now);
         self.perform(self.token, actions);
         let actions = self.scheduler.advance(self.now);
@@ -841,6 +847,10 @@
         self.scheduler.set_cordons(self.cordons.clone());
         self.former.insert(token, (former, self.now + UNCONFIRMED));
         self.deposed = false;
+        // A successor reads the operators' waves before it leads.
+        for wave in self.wanted_waves.values().cloned().collect::<Vec<_>>() {
+            self.event(Event::Wave(wave));
+        }
     }
 
     /// The same, told of these entries in turn, and of one that asks for
