A machine that was seen down for its upkeep has not crashed its executor

The life is over by another that answers, the task was alone with it, and that counts as a crash under the task. Its next start crashes an executor indeed, and the job is given up for two.

Change: the leader keeps when the list of machines has shown a machine down for its upkeep; a life that was heard last before that did not crash.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -301,7 +301,7 @@
     }
 
     /// When it answered a hold last, if it has in this tenure.
-    fn heard_at(&self) -> Option<Millis> {
+    pub fn heard_at(&self) -> Option<Millis> {
         self.clock.map(|(_, at)| at)
     }
 
--- a/puffinknot-core/src/jobs/scheduler/suspects.rs
+++ b/puffinknot-core/src/jobs/scheduler/suspects.rs
@@ -75,7 +75,9 @@
         let Some(executor) = self.executors.get(&index) else {
             return Vec::new();
         };
-        if !self.has(Mechanism::Trials) || !has_crashed(executor, why) {
+        let down = self.machines.was_taken_down(executor);
+        if !self.has(Mechanism::Trials) || down || !has_crashed(executor, why)
+        {
             return Vec::new();
         }
         // One that has answered since has not crashed.
--- a/puffinknot-core/src/jobs/scheduler/waves.rs
+++ b/puffinknot-core/src/jobs/scheduler/waves.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::Millis;
-use crate::jobs::executor::{Contact, Phase};
+use crate::jobs::executor::{Contact, Executor, Phase};
 use crate::jobs::message::{
     Action, ExecutorIndex, MachineInfo, MachineState, UpkeepFailure, WaveInfo,
 };
@@ -83,6 +83,8 @@
 pub(super) struct Machines {
     pub waves: BTreeMap<u64, Wave>,
     machines: BTreeMap<String, MachineInfo>,
+    /// When the list has shown machines down for their upkeep last.
+    in_upkeep_at: BTreeMap<String, Millis>,
     /// Nothing is ordered before this time.
     not_before: Millis,
     listing: bool,
@@ -111,6 +113,14 @@
         wanted
     }
 
+    /// Whether the list has shown the machine of an executor down for its
+    /// upkeep since that was heard last: a call of a predecessor may have been
+    /// carried out.
+    pub fn was_taken_down(&self, executor: &Executor) -> bool {
+        let seen = self.in_upkeep_at.get(&executor.machine);
+        seen.is_some_and(|at| executor.heard_at() < Some(*at))
+    }
+
     /// Whether the list shows a machine down for its upkeep.
     fn is_in_upkeep(&self, machine: &str) -> bool {
         let info = self.machines.get(machine);
@@ -159,6 +169,10 @@
         let Some(machines) = machines else { return };
         self.machines_told(&machines, now);
         self.machines.listed_at = Some(now);
+        let down = machines.iter();
+        let down = down.filter(|m| m.state == MachineState::Upkeep);
+        let down = down.map(|m| (m.machine.clone(), now));
+        self.machines.in_upkeep_at.extend(down);
         self.machines.machines = machines
             .into_iter()
             .map(|machine| (machine.machine.clone(), machine))
