Test: a gang is started too often beside other tasks that crash executors

Four executors, on which five tasks of four jobs crash whatever starts them: the gang's fifth and sixth starts come before anything clears it.

--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -643,3 +643,39 @@
         keeps_all_rules(&sequence).expect("all rules are kept");
     }
 }
+
+/// Four executors, and four jobs with tasks that crash each of them.
+#[test]
+fn a_gang_that_crashes_executors_is_given_up_beside_other_such_tasks() {
+    use Crash::{ByItself, ByTask};
+    let sub = |tasks, cpu, gang, steps, work| Move::Submit {
+        tasks,
+        cpu,
+        gang,
+        steps,
+        door: Door::Background,
+        work,
+    };
+    let sequence = vec![
+        Move::Crashes(ByItself(2, true)),
+        Move::Crashes(ByTask(0, 10)),
+        Move::Run(582),
+        sub(3, 300, false, 1, 2500),
+        Move::Lives(Mistaken::Shown(3, Shown::First)),
+        sub(4, 1778, false, 1, 500),
+        Move::Lives(Mistaken::LateUpkeep),
+        Move::Run(270),
+        Move::Crashes(ByTask(1, 90)),
+        sub(2, 445, true, 1, 2500),
+        Move::Run(148),
+        Move::Lives(Mistaken::Wave(3)),
+        sub(4, 1623, false, 2, 2500),
+        Move::Crashes(ByItself(5, false)),
+        Move::Crashes(ByTask(0, 10)),
+        sub(1, 300, false, 1, 2500),
+        Move::Run(169),
+        Move::Run(445),
+        Move::Run(436),
+    ];
+    keeps_all_rules(&sequence).expect("all rules are kept");
+}
