Speeds of executors and errors of guesses are learnt from runs

All executors counted for alike, and every end was reckoned by the guess that came with the job. A site of 350 executors has a quarter that takes half the time of the rest, and guesses are off by a factor of 1.6 and more.

Ruled out: the mean of ln(run / guess) by executor, which the error of guesses blurs; comparing tasks of a step as they end one by one, where the first are always the short ones.

jobs::speed compares the runs of a step once it is done, by executors; its remainder is the error of the queue's guesses. Runs that go on for three times what they should count before their end. What differs by a quarter and three standard errors is known: ends are reckoned by it, tight steps go to the quick, others leave them alone, and gangs are kept on executors that are alike. A byte an executor stands in the shards; shards of an earlier version are read.

Switch: speeds.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -12,6 +12,7 @@
 use crate::jobs::message::{AccountIndex, LifeOver};
 use crate::jobs::model::{StepKey, TaskKey};
 use crate::jobs::record;
+use crate::jobs::speed::Speed;
 
 /// An executor's clock may lose one part in this many.
 pub const DRIFT: Millis = 33;
@@ -87,8 +88,10 @@
     /// An account has listed it, so that it was there in this life. A start
     /// alone may have been carried out by a life that follows.
     pub listed: bool,
-    /// When it should end, by the guess that came with the job.
+    /// When it should end.
     pub ends: Millis,
+    /// How long it takes tells of its executor: it began there from the start.
+    pub tells: bool,
     /// It may crash its executor until that was heard so long after the
     /// order, in milliseconds.
     pub window: Millis,
@@ -219,6 +222,10 @@
     pub cordoned: bool,
     /// Whether runs there end well.
     pub health: Health,
+    /// How long runs there take.
+    pub speed: Speed,
+    /// What the store keeps of that, see [`Speed::kept`].
+    pub kept_speed: i8,
 }
 
 impl Executor {
@@ -265,6 +272,8 @@
             dc_suspected: false,
             cordoned: false,
             health: Health::default(),
+            speed: Speed::default(),
+            kept_speed: 0,
         }
     }
 
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -490,6 +490,14 @@
         /// How many.
         tasks: u32,
     },
+    /// An executor is known to be quicker or slower than others, or is so no
+    /// more; for the logs.
+    ExecutorSpeed {
+        /// Its name.
+        id: String,
+        /// How long runs take there, in percent of the usual.
+        percent: u32,
+    },
     /// Everything that a predecessor ordered is known; for the logs.
     Settled {
         /// Executors that did not answer in time.
--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -31,6 +31,7 @@
 pub mod policy;
 pub mod record;
 pub mod scheduler;
+pub mod speed;
 
 pub use self::accounts::{Account, Caller, KeyDigest, KeyRing};
 pub use self::cordon::{Cordon, CordonSource, Cordons};
--- a/puffinknot-core/src/jobs/model.rs
+++ b/puffinknot-core/src/jobs/model.rs
@@ -253,9 +253,13 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// The longest chain of estimates that begins with a step, in
-    /// milliseconds.
-    pub fn chain_from(&self, number: u32) -> Millis {
+    /// The longest chain that begins with a step, in milliseconds, if each
+    /// step takes as long as `time_of` says.
+    pub fn chain_from(
+        &self,
+        number: u32,
+        time_of: impl Fn(u32) -> Millis,
+    ) -> Millis {
         let first = number as usize;
         let mut ends: Vec<Option<Millis>> = vec![None; self.steps.len()];
         for (at, step) in self.steps.iter().enumerate().skip(first) {
@@ -267,7 +271,7 @@
                 None if at == first => 0,
                 None => continue,
             };
-            ends[at] = Some(start + step.estimate);
+            ends[at] = Some(start + time_of(at as u32));
         }
         ends.into_iter().flatten().max().unwrap_or(0)
     }
--- a/puffinknot-core/src/jobs/record.rs
+++ b/puffinknot-core/src/jobs/record.rs
@@ -127,6 +127,26 @@
 pub struct Shard {
     /// Each of them.
     pub executors: Vec<EnrolledExecutor>,
+    /// How long runs take on each, see [`Speed::kept`]; empty if none is known
+    /// to differ.
+    ///
+    /// [`Speed::kept`]: crate::jobs::speed::Speed::kept
+    pub speeds: Vec<i8>,
+}
+
+impl Shard {
+    /// Reads a shard, also one of an earlier version, which ends before the
+    /// speeds.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are anything else.
+    pub fn read(bytes: &[u8]) -> Result<Shard, String> {
+        decode(bytes).or_else(|err| {
+            let executors = decode(bytes).map_err(|_| err)?;
+            Ok(Shard { executors, speeds: Vec::new() })
+        })
+    }
 }
 
 /// The shard of an executor, by its name.
--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -311,7 +311,7 @@
         }
         let mut shards: BTreeMap<u8, (Shard, Vec<ExecutorIndex>)> =
             BTreeMap::new();
-        for (index, executor) in self.executors.iter() {
+        for (index, executor) in self.executors.iter_mut() {
             let id = &executor.info.id;
             // A life that was followed is nobody to ask any more.
             let newest = self.by_id.get(id) == Some(index);
@@ -322,12 +322,18 @@
                     info: executor.info.clone(),
                     machine: executor.machine.clone(),
                 });
+                executor.kept_speed = executor.speed.kept();
+                shard.speeds.push(executor.kept_speed);
                 indices.push(*index);
             }
         }
         let mut bytes = 0;
         while let Some(number) = self.commits.shards.pop_first() {
-            let (shard, indices) = shards.remove(&number).unwrap_or_default();
+            let (mut shard, indices) =
+                shards.remove(&number).unwrap_or_default();
+            if shard.speeds.iter().all(|speed| *speed == 0) {
+                shard.speeds.clear();
+            }
             let value = record::encode(&shard);
             bytes += value.len();
             let name = record::shard_name(number);
--- a/puffinknot-core/src/jobs/scheduler/estimate.rs
+++ b/puffinknot-core/src/jobs/scheduler/estimate.rs
@@ -5,9 +5,11 @@
 
 use crate::ids::Millis;
 use crate::jobs::executor::RunOn;
+use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::model::StepKey;
 use crate::jobs::scheduler::Scheduler;
+use crate::jobs::speed::StepTimes;
 
 /// A run that has overstayed its guess should end within this time.
 pub(super) const OVERSTAY: Millis = 500;
@@ -23,20 +25,43 @@
 
 impl Scheduler {
     /// How long a task of a step should run on an executor, in milliseconds.
-    pub(super) fn run_time(&self, key: StepKey, _at: ExecutorIndex) -> Millis {
-        self.usual_run_time(key)
+    pub(super) fn run_time(&self, key: StepKey, at: ExecutorIndex) -> Millis {
+        let usual = self.usual_run_time(key);
+        let mut slowness = self.slowness(at);
+        // A gang ends with its slowest member.
+        if self.step(key).is_some_and(|step| step.gang) {
+            slowness = self.slowest(key).map_or(slowness, |s| s.max(slowness));
+        }
+        if slowness == 0.0 {
+            return usual;
+        }
+        (usual as f64 * slowness.exp()) as Millis
     }
 
     /// How long a task of a step should run on the usual executor of its
     /// service, in milliseconds.
     pub(super) fn usual_run_time(&self, key: StepKey) -> Millis {
-        self.step(key).map_or(0, |step| step.estimate)
+        let Some(live) = self.jobs.get(&key.job) else { return 0 };
+        let Some(step) = live.job.steps.get(key.step as usize) else {
+            return 0;
+        };
+        if !self.has(Mechanism::Speeds) {
+            return step.estimate;
+        }
+        let error = self.guesses.of(&live.job.queue, step);
+        match live.steps.get(&(key.time, key.step)) {
+            Some(state) => error.run_time(step.estimate, &state.times),
+            None => error.run_time(step.estimate, &StepTimes::default()),
+        }
     }
 
     /// How long the chain of a job should take from a step on, in
     /// milliseconds.
     pub(super) fn chain_left(&self, key: StepKey) -> Millis {
         let live = self.jobs.get(&key.job);
-        live.map_or(0, |live| live.job.chain_from(key.step))
+        live.map_or(0, |live| {
+            let time_of = |step| self.usual_run_time(StepKey { step, ..key });
+            live.job.chain_from(key.step, time_of)
+        })
     }
 }
--- a/puffinknot-core/src/jobs/scheduler/fit.rs
+++ b/puffinknot-core/src/jobs/scheduler/fit.rs
@@ -45,8 +45,9 @@
         urgent: bool,
         now: Millis,
     ) -> bool {
-        let ends = now + self.run_time(opening.key, at);
-        urgent || kept.get(&at).is_none_or(|needed| ends <= *needed)
+        let ends_by =
+            |needed: &Millis| now + self.run_time(opening.key, at) <= *needed;
+        urgent || kept.get(&at).is_none_or(ends_by)
     }
 
     /// What would be left on an executor: less is better, so that large
--- a/puffinknot-core/src/jobs/scheduler/followers.rs
+++ b/puffinknot-core/src/jobs/scheduler/followers.rs
@@ -26,6 +26,7 @@
 use crate::jobs::model::TaskKey;
 use crate::jobs::scheduler::holds::RETRY;
 use crate::jobs::scheduler::Scheduler;
+use crate::jobs::speed::Speed;
 
 /// Which life has given an account.
 pub(super) enum Answerer {
@@ -118,6 +119,7 @@
         executor.info.born = born;
         executor.described = Described::Not;
         executor.enrolled = false;
+        executor.speed = Speed::default();
         self.commits.enrol(&executor.info.id);
         if let Some(info) = executor.take_entry_of(born) {
             executor.described = Described::ByEntry;
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -69,7 +69,13 @@
         let again = |at: ExecutorIndex| {
             failed_on.contains(&at) || self.is_no_trial(at, suspect.as_ref())
         };
-        let plan = self.plan(&step, &open, &holds, again, free);
+        let groups = self.alike(&open, self.is_tight(key, now));
+        let on_alike = groups.iter().find_map(|group| {
+            let plan = self.plan(&step, group, &holds, again, free)?;
+            plan.iter().all(|(at, _)| holds[at]).then_some(plan)
+        });
+        let plan =
+            on_alike.or_else(|| self.plan(&step, &open, &holds, again, free));
         if let Some(plan) = plan {
             let fresh = plan.iter().all(|(at, _)| holds[at]);
             if fresh {
@@ -154,7 +160,12 @@
     fn start_gang(&mut self, key: StepKey, plan: &Plan, now: Millis) {
         let run = self.new_run();
         let mut index = 0;
-        for (at, count) in plan {
+        // Ends are reckoned by the slowest: it comes first.
+        let mut plan = plan.clone();
+        plan.sort_by(|one, other| {
+            self.slowness(other.0).total_cmp(&self.slowness(one.0))
+        });
+        for (at, count) in &plan {
             let ticket = self.ticket(key, *at);
             for _ in 0..*count {
                 self.start(*at, key.task(index), run, ticket.clone(), now);
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -219,6 +219,12 @@
         if !outdated {
             executor.clock = Some((answer.clock, now));
         }
+        if executor.failures > 0 {
+            // Ends there are heard of late.
+            for run in executor.runs.values_mut() {
+                run.tells = false;
+            }
+        }
         executor.failures = 0;
         if matches!(executor.over, Some((LifeOver::LeftMachine, _))) {
             executor.over = None;
@@ -265,6 +271,7 @@
                 self.find_missing(index, &answer.running, sent_at);
             }
             self.pace(index, &answer.running, now);
+            self.note_overdue(index, now);
         }
         self.follow_trial(index, now);
         if first {
@@ -369,6 +376,7 @@
             begun: true,
             listed: true,
             ends: now + run_time / 2,
+            tells: false,
             // It has been there for some time.
             window: 0,
         };
@@ -394,6 +402,7 @@
     fn run_ended(&mut self, index: ExecutorIndex, end: EndRow, now: Millis) {
         self.begun(end.task);
         self.judge(index, &end, now);
+        self.learn(index, &end, now);
         self.vacate(index, end.task, end.run, Some(&end));
     }
 
--- a/puffinknot-core/src/jobs/scheduler/in_flight.rs
+++ b/puffinknot-core/src/jobs/scheduler/in_flight.rs
@@ -130,6 +130,7 @@
             phase: Phase::Starting,
             unsure: Some(now),
             confirmed: 0,
+            tells: false,
             ..on
         };
         self.put_run(next, task, on);
--- a/puffinknot-core/src/jobs/scheduler/live.rs
+++ b/puffinknot-core/src/jobs/scheduler/live.rs
@@ -12,6 +12,7 @@
 use crate::jobs::model::{Job, JobState, Step};
 use crate::jobs::policy::Queue;
 use crate::jobs::record::{Progress, StepProgress};
+use crate::jobs::speed::StepTimes;
 
 /// An executor that advice allows a step to run on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,6 +64,8 @@
     pub breaking: bool,
     /// What is known from advice.
     pub advice: Advice,
+    /// How long its runs have taken.
+    pub times: StepTimes,
     /// Tasks that have given way to a gang.
     pub gave_way: BTreeSet<u32>,
     /// Until when room is kept while others give way to it.
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -9,7 +9,7 @@
 `machines` what the list of machines tells of lives, `order` says what
 comes first, `estimate` how long runs take, `fit` where a task fits, `place`
 chooses what starts where, `gangs` does so for gangs, `displace` has others give way to them, `shares` knows what comes
-beyond an account's due, `domains` finds data centres that are out of reach,
+beyond an account's due, `speeds` learns how long runs take, `domains` finds data centres that are out of reach,
 `cordons` knows those that take no new work,
 `alarm` connections that have fallen silent, `judge` executors that fail what
 they run, `suspects` tasks that crash the executors that start them, `due`
@@ -65,6 +65,7 @@
 mod restore;
 mod runs;
 mod shares;
+mod speeds;
 mod suspects;
 mod waves;
 
@@ -79,6 +80,7 @@
 pub use self::ledger::Usage;
 use self::live::Live;
 use self::shares::Shares;
+use self::speeds::Guesses;
 use self::waves::Machines;
 
 /// What a scheduler is told once.
@@ -144,6 +146,7 @@
     keys: KeyRing,
     ledger: Ledger,
     shares_of_accounts: Shares,
+    guesses: Guesses,
     jobs: BTreeMap<JobId, Live>,
     ended: Ended,
     executors: Executors,
@@ -210,6 +213,7 @@
             keys: KeyRing::default(),
             ledger: Ledger::default(),
             shares_of_accounts: Shares::default(),
+            guesses: Guesses::default(),
             jobs: BTreeMap::new(),
             ended: Ended::default(),
             executors: Executors::default(),
@@ -339,6 +343,7 @@
         self.settle(now);
         self.refuse_waiting(now);
         self.advance_waves(now);
+        self.refresh_speeds(now);
         self.stale = true;
     }
 
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -227,6 +227,7 @@
             self.place_suspects(key, &opening, suspects, may_use, now);
         let Opening { step, failed_on, candidates, account, .. } = opening;
         let Some(state) = self.step_run(key) else { return true };
+        let tight = self.is_tight(key, now);
         let mut on: BTreeMap<ExecutorIndex, u32> = BTreeMap::new();
         for (index, _) in state.places.values() {
             *on.entry(*index).or_default() += 1;
@@ -246,7 +247,7 @@
                     && executor.health.admits(now)
                     && (most == 0 || on.get(at).copied().unwrap_or(0) < most)
             });
-            let mut best: Option<(u64, ExecutorIndex)> = None;
+            let mut best: Option<(i64, ExecutorIndex)> = None;
             for (at, holds) in fits {
                 if !holds {
                     stale = true;
@@ -255,7 +256,8 @@
                 // Where it has failed it may fail again.
                 let again =
                     if failed_on.contains(at) { FAILED_THERE } else { 0 };
-                let score = self.leftover(*at, &step) + again;
+                let score = (self.leftover(*at, &step) + again) as i64
+                    + self.speed_cost(*at, tight);
                 if best.is_none_or(|(other, _)| score < other) {
                     best = Some((score, *at));
                 }
--- a/puffinknot-core/src/jobs/scheduler/restore.rs
+++ b/puffinknot-core/src/jobs/scheduler/restore.rs
@@ -13,6 +13,7 @@
 
 use crate::ids::Millis;
 use crate::jobs::executor::Described;
+use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{Action, Kept};
 use crate::jobs::model::{Job, JobId, StepKey};
 use crate::jobs::policy::{Policy, Queue};
@@ -23,6 +24,7 @@
 };
 use crate::jobs::scheduler::waves::Machines;
 use crate::jobs::scheduler::{Scheduler, SchedulerConfig};
+use crate::jobs::speed::Speed;
 
 impl Scheduler {
     /// A scheduler that takes over what stands in the store.
@@ -53,7 +55,7 @@
         records.sort_by_key(|(number, _)| *number);
         scheduler.restore_records(records, now);
         for kept in named(SHARDS) {
-            let shard: Shard = record::decode(&kept.value)?;
+            let shard = Shard::read(&kept.value)?;
             scheduler.restore_shard(shard, now);
         }
         for kept in named(EXECUTORS) {
@@ -92,10 +94,17 @@
     }
 
     fn restore_shard(&mut self, shard: Shard, now: Millis) {
-        for EnrolledExecutor { info, machine } in shard.executors {
+        let learns = self.has(Mechanism::Speeds);
+        let speeds = shard.speeds.into_iter().chain(std::iter::repeat(0));
+        for (enrolled, speed) in shard.executors.into_iter().zip(speeds) {
+            let EnrolledExecutor { info, machine } = enrolled;
             let index = self.enrol(info, now);
             if let Some(executor) = self.executors.get_mut(&index) {
                 executor.machine = machine;
+                executor.kept_speed = speed;
+                if learns {
+                    executor.speed = Speed::from_kept(speed, now);
+                }
             }
         }
     }
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -9,6 +9,7 @@
 };
 use crate::jobs::model::{JobId, JobState, StepKey, TaskKey};
 use crate::jobs::scheduler::holds::expiry;
+use crate::jobs::scheduler::speeds::tells;
 use crate::jobs::scheduler::Scheduler;
 
 /// A stop that is not confirmed is sent again after this time.
@@ -41,6 +42,7 @@
         let window = state.window(saved);
         let checkpoint =
             state.checkpoints.get(&saved).cloned().unwrap_or_default();
+        let tells = tells(step, executor, &checkpoint);
         executor.expiry = executor.expiry.max(expiry(now, lease));
         // Its end is wanted at once, also if it was idle and left alone.
         executor.next_hold = executor.next_hold.min(now);
@@ -67,6 +69,7 @@
             begun: false,
             listed: false,
             ends,
+            tells,
             window,
         };
         self.put_run(index, task, on);
--- /dev/null
+++ b/puffinknot-core/src/jobs/scheduler/speeds.rs
@@ -0,0 +1,323 @@
+/*!
+What runs tell of executors and of guesses, see [`crate::jobs::speed`], and
+what follows for placing.
+
+Runs that began from the start and are done are noted with their step; once
+all of it is done, they are compared. The members of a gang end together, by
+the slowest, and tell of guesses only. A run that goes on far beyond what it
+should tells of its executor before it ends.
+*/
+
+use std::collections::BTreeMap;
+
+use crate::ids::Millis;
+use crate::jobs::executor::{Executor, Phase};
+use crate::jobs::mechanism::Mechanism;
+use crate::jobs::message::{Action, EndKind, EndRow, ExecutorIndex};
+use crate::jobs::model::{Step, StepKey, TaskKey};
+use crate::jobs::record::SHARD_COUNT;
+use crate::jobs::scheduler::order::Class;
+use crate::jobs::scheduler::Scheduler;
+use crate::jobs::speed::{compare, GuessError, Speed};
+
+/// A run that goes on for this many times what it should is noted: two of
+/// three guesses are within 1.6, nearly all within the square of that.
+const OVERDUE: Millis = 3;
+/// A step needs a quick executor if it would miss its objective by taking
+/// this many times as long as it should: guesses are off by as much.
+const TIGHT: Millis = 2;
+/// For steps that need a quick executor, a logarithm of run time counts as so
+/// many thousandths of an executor left over: one that is quicker by a third
+/// goes before the best fit.
+const BY_SPEED: f64 = 4_000.0;
+/// The same for other steps on executors that are slow: they hold room for
+/// longer.
+const OFF_SLOW: f64 = 2_000.0;
+/// The same for other steps on executors that are quick, which are left to
+/// those that need them: about as much as a good fit is worth.
+const OFF_QUICK: f64 = 600.0;
+/// What is known fades, and is kept, so often, in milliseconds. All shards are
+/// looked at within sixteen times this.
+const REFRESH: Millis = 1_000;
+/// What the store keeps is written again once it is off by so many parts, see
+/// [`Speed::kept`]: a quarter of a run time.
+const MATERIAL: i32 = 8;
+
+/// The error of guesses by queue, of single tasks and of gangs.
+#[derive(Debug, Default)]
+pub(super) struct Guesses {
+    by_queue: BTreeMap<String, [GuessError; 2]>,
+    unknown: GuessError,
+    refreshed: Millis,
+    /// The shard whose executors were looked at last.
+    shard: u8,
+}
+
+impl Guesses {
+    /// The error of the guesses of a queue.
+    pub fn of(&self, queue: &str, step: &Step) -> &GuessError {
+        let known = self.by_queue.get(queue);
+        known.map_or(&self.unknown, |both| &both[usize::from(step.gang)])
+    }
+
+    fn of_mut(&mut self, queue: &str, step: &Step) -> &mut GuessError {
+        let both = self.by_queue.entry(queue.to_string()).or_default();
+        &mut both[usize::from(step.gang)]
+    }
+}
+
+/// Whether a run of a step there would tell of its executor.
+pub(super) fn tells(step: &Step, at: &Executor, checkpoint: &str) -> bool {
+    let far = step.near.as_ref().is_some_and(|rack| !at.has_label(rack));
+    let split = step.gang && step.same_rack;
+    checkpoint.is_empty() && !far && !split && !step.lasting && !step.fills
+}
+
+impl Scheduler {
+    /// How much longer runs take on an executor than on the usual one, as a
+    /// natural logarithm.
+    pub(super) fn slowness(&self, at: ExecutorIndex) -> f64 {
+        let executor = self.executors.get(&at);
+        executor.map_or(0.0, |executor| executor.speed.slowness())
+    }
+
+    /// The slowness of the slowest executor on which a step runs.
+    pub(super) fn slowest(&self, key: StepKey) -> Option<f64> {
+        let places = self.step_run(key)?.places.values();
+        places.map(|(at, _)| self.slowness(*at)).max_by(f64::total_cmp)
+    }
+
+    /// Takes in what the end of a run tells.
+    pub(super) fn learn(
+        &mut self,
+        index: ExecutorIndex,
+        end: &EndRow,
+        now: Millis,
+    ) {
+        // Ends that wait for the store are heard of late.
+        let late = self.commits.stuck(now);
+        if end.how != EndKind::Done || late || !self.has(Mechanism::Speeds) {
+            return;
+        }
+        let key = end.task.step;
+        let Some(executor) = self.executors.get(&index) else { return };
+        let Some(on) = executor.runs.get(&end.task) else { return };
+        if on.run != end.run {
+            return;
+        }
+        let tells = on.tells;
+        let time = now.saturating_sub(on.since);
+        let gang = self.step(key).is_some_and(|step| step.gang);
+        let slowness = match gang {
+            true => self.slowest(key).unwrap_or(0.0),
+            false => executor.speed.slowness(),
+        };
+        let Some(live) = self.jobs.get_mut(&key.job) else { return };
+        let Some(step) = live.job.steps.get(key.step as usize) else { return };
+        let count = step.count as usize;
+        let Some(state) = live.steps.get_mut(&(key.time, key.step)) else {
+            return;
+        };
+        if state.done.contains(&end.task.index) {
+            return;
+        }
+        if tells {
+            state.times.add(index, time, slowness);
+        }
+        if gang || state.done.len() + 1 >= count {
+            self.learn_from_step(key, now);
+        }
+    }
+
+    /// All runs of a step are done.
+    fn learn_from_step(&mut self, key: StepKey, now: Millis) {
+        let Some(live) = self.jobs.get(&key.job) else { return };
+        let step = &live.job.steps[key.step as usize];
+        let Some(state) = live.steps.get(&(key.time, key.step)) else {
+            return;
+        };
+        if step.estimate == 0 {
+            return;
+        }
+        let error = self.guesses.of_mut(&live.job.queue, step);
+        let expected = (step.estimate as f64).ln() + error.bias();
+        let speed_of = |at: ExecutorIndex| {
+            self.executors.get(&at).map(|e| e.speed).unwrap_or_default()
+        };
+        let mut findings = Vec::new();
+        if !step.gang {
+            findings = compare(&state.times, speed_of, error, expected);
+            let thought = findings.iter().map(|f| speed_of(f.at).mean());
+            let thought: Vec<f64> = thought.collect();
+            error.note_uneven(&findings, &thought);
+        }
+        error.note(step.estimate, &state.times);
+        for finding in findings {
+            self.change_speed(finding.at, |speed| {
+                speed.note(finding.longer, finding.variance, now);
+            });
+        }
+    }
+
+    /// Changes what is known of an executor, and says so if it differs from
+    /// now on, or does no more.
+    fn change_speed(
+        &mut self,
+        at: ExecutorIndex,
+        change: impl FnOnce(&mut Speed),
+    ) {
+        let Some(executor) = self.executors.get_mut(&at) else { return };
+        let before = executor.speed.slowness();
+        change(&mut executor.speed);
+        let after = executor.speed.slowness();
+        let kind = |slowness: f64| (slowness * 1e6) as i64;
+        if kind(before).signum() == kind(after).signum() {
+            return;
+        }
+        let id = executor.info.id.clone();
+        let percent = (after.exp() * 100.0) as u32;
+        self.count(match kind(after).signum() {
+            -1 => "executors_found_quick",
+            1 => "executors_found_slow",
+            _ => "executors_usual_again",
+        });
+        self.actions.push(Action::ExecutorSpeed { id, percent });
+        self.stale = true;
+    }
+
+    /// Looks for runs on an executor that go on far beyond what they should.
+    pub(super) fn note_overdue(&mut self, index: ExecutorIndex, now: Millis) {
+        if !self.has(Mechanism::Speeds) {
+            return;
+        }
+        let Some(executor) = self.executors.get(&index) else { return };
+        let overdue = executor.runs.iter().filter(|(_, on)| {
+            let should = on.ends.saturating_sub(on.since);
+            let ran = now.saturating_sub(on.since);
+            on.tells
+                && on.phase == Phase::Running
+                && should > 0
+                && ran > OVERDUE * should
+        });
+        let overdue: Vec<TaskKey> = overdue.map(|(task, _)| *task).collect();
+        let mut noted: Option<StepKey> = None;
+        for task in overdue {
+            self.run_overdue(index, task, noted == Some(task.step), now);
+            noted = Some(task.step);
+        }
+    }
+
+    /// A run is overdue; `again`, if another of its step there is as well.
+    fn run_overdue(
+        &mut self,
+        index: ExecutorIndex,
+        task: TaskKey,
+        again: bool,
+        now: Millis,
+    ) {
+        let key = task.step;
+        let usual = self.usual_run_time(key);
+        let Some(executor) = self.executors.get_mut(&index) else { return };
+        let Some(on) = executor.runs.get_mut(&task) else { return };
+        // Its end would be the same evidence once more.
+        on.tells = false;
+        let ran = now.saturating_sub(on.since);
+        let Some(live) = self.jobs.get(&key.job) else { return };
+        let step = &live.job.steps[key.step as usize];
+        let Some(state) = live.steps.get(&(key.time, key.step)) else {
+            return;
+        };
+        let error = self.guesses.of(&live.job.queue, step);
+        let ended = state.times.len();
+        // A gang waits for its slowest. While no other run of its step has
+        // ended, the work may be hard, for all that are there.
+        if usual == 0 || step.gang || (again && ended == 0) {
+            return;
+        }
+        let by = match ended {
+            0 => error.spread(),
+            ended => error.uneven() / ended as f64,
+        };
+        let variance = by + error.uneven();
+        let longer = (ran as f64 / usual as f64).ln();
+        self.count("runs_overdue");
+        self.change_speed(index, |speed| speed.overdue(longer, variance, now));
+    }
+
+    /// Lets what is known of executors fade, and has the store keep what has
+    /// changed materially, a shard at a time.
+    pub(super) fn refresh_speeds(&mut self, now: Millis) {
+        let due = now >= self.guesses.refreshed + REFRESH;
+        if !due || !self.has(Mechanism::Speeds) {
+            return;
+        }
+        self.guesses.refreshed = now;
+        let queues = &self.queues;
+        self.guesses.by_queue.retain(|name, _| queues.contains_key(name));
+        self.guesses.shard = (self.guesses.shard + 1) % SHARD_COUNT;
+        let shard = self.guesses.shard;
+        let mut fades = Vec::new();
+        let mut changed = None;
+        for (at, executor) in self.executors.iter() {
+            if executor.speed.slowness() != 0.0 {
+                fades.push(*at);
+            }
+            let kept = i32::from(executor.speed.kept());
+            let off = kept - i32::from(executor.kept_speed);
+            if executor.shard == shard && off.abs() >= MATERIAL {
+                changed = Some(executor.info.id.clone());
+            }
+        }
+        for at in fades {
+            self.change_speed(at, |speed| speed.refresh(now));
+        }
+        if let Some(id) = changed {
+            self.commits.enrol(&id);
+            self.count("speeds_kept");
+        }
+    }
+
+    /// Whether a step may miss its objective unless it runs quickly.
+    pub(super) fn is_tight(&self, key: StepKey, now: Millis) -> bool {
+        let Some(live) = self.jobs.get(&key.job) else { return false };
+        let rank = self.rank(key, now);
+        let urgent = rank.is_some_and(|rank| rank.class == Class::Urgent);
+        let missed = live.deadline < now && !urgent;
+        let misses = live.deadline < now + TIGHT * self.chain_left(key);
+        misses && !missed && !live.beyond_due
+    }
+
+    /// What the speed of an executor adds to what is left over there, for a
+    /// step that is tight or not.
+    pub(super) fn speed_cost(&self, at: ExecutorIndex, tight: bool) -> i64 {
+        let slowness = self.slowness(at);
+        let cost = match (tight, slowness < 0.0) {
+            (true, _) => slowness * BY_SPEED,
+            (false, true) => -slowness * OFF_QUICK,
+            (false, false) => slowness * OFF_SLOW,
+        };
+        cost as i64
+    }
+
+    /// The groups of executors of about the same speed that a gang should be
+    /// tried on, in this order, before it is on all: its slowest member ends
+    /// it, so that quick ones would be wasted beside others.
+    pub(super) fn alike(
+        &self,
+        executors: &[ExecutorIndex],
+        tight: bool,
+    ) -> Vec<Vec<ExecutorIndex>> {
+        if executors.iter().all(|at| self.slowness(*at) == 0.0) {
+            return Vec::new();
+        }
+        let group = |belongs: fn(f64) -> bool| {
+            let all = executors.iter().copied();
+            all.filter(|at| belongs(self.slowness(*at))).collect()
+        };
+        let first = match tight {
+            true => group(|slowness| slowness < 0.0),
+            false => group(|slowness| slowness == 0.0),
+        };
+        vec![first, group(|slowness| slowness <= 0.0)]
+    }
+}
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -111,6 +111,9 @@
         Action::Displaced { step, tasks } => {
             info!(%step, tasks, token, "displaced");
         }
+        Action::ExecutorSpeed { id, percent } => {
+            info!(executor = id, percent, token, "executor_speed");
+        }
         Action::Settled { unseen } => info!(token, unseen, "settled"),
         Action::ExecutorHeard { id, born, running, ended } => {
             info!(
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -85,6 +85,7 @@
                 // These are for the logs only.
                 Action::Settled { .. }
                 | Action::Displaced { .. }
+                | Action::ExecutorSpeed { .. }
                 | Action::ExecutorHeard { .. }
                 | Action::ExecutorOver { .. }
                 | Action::RunGivenUp { .. }
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -14,4 +14,5 @@
 mod rules;
 mod services;
 mod size;
+mod speeds;
 mod world;
--- /dev/null
+++ b/tests/jobs/speeds.rs
@@ -0,0 +1,366 @@
+//! How fast executors are is learnt from runs, and what callers get by it.
+
+use std::collections::BTreeMap;
+
+use puffinknot_core::jobs::record::{self, Shard};
+use puffinknot_core::jobs::speed::{compare, GuessError, Speed, StepTimes};
+use puffinknot_core::jobs::{Job, JobState, Mechanism, Without};
+
+use super::world::{job, room, step, World, LEASE, WORK};
+
+/// An executor that takes as long as this, in percent, counts as quick.
+const QUICK: u64 = 50;
+
+fn without_speeds() -> Without {
+    Without::new([Mechanism::Speeds])
+}
+
+/// A job of single tasks that fill an executor each.
+fn wide(id: u64, queue: &str, tasks: u32) -> Job {
+    job(id, queue, vec![step(tasks, room(4_000, 100))])
+}
+
+/// A world whose last executors are quick.
+fn uneven(executors: usize, quick: usize, without: Without) -> World {
+    let mut world = World::without(executors, without);
+    for executor in &mut world.executors[executors - quick..] {
+        executor.takes = QUICK;
+    }
+    world.run(50);
+    world
+}
+
+/// Runs jobs that take all executors, so often.
+fn teach(world: &mut World, first: u64, rounds: u64) {
+    let all = world.executors.len() as u32;
+    for id in first..first + rounds {
+        world.submit(wide(id, "batch", all));
+        world.run(3 * WORK);
+    }
+}
+
+/// Leaves urgent work a fifth of its time, and a little.
+fn tighten(world: &mut World) {
+    world.set_policy(|policy| {
+        let queue = policy.queues.get_mut("urgent").expect("a queue");
+        (queue.stretch, queue.target) = (1.2, 100);
+    });
+}
+
+fn percent(world: &World, at: usize) -> u64 {
+    let id = &world.executors[at].info.id;
+    let lives = (0..1_000).filter_map(|index| world.scheduler.executor(index));
+    let mut lives = lives.filter(|executor| executor.info.id == *id);
+    let newest = lives.next_back();
+    let slowness = newest.expect("a known executor").speed.slowness();
+    (slowness.exp() * 100.0).round() as u64
+}
+
+fn counted(world: &World, name: &str) -> u64 {
+    world.scheduler.counters().get(name).copied().unwrap_or(0)
+}
+
+#[test]
+fn two_groups_of_executors_are_found_within_a_few_runs() {
+    let mut world = uneven(8, 2, Without::default());
+    teach(&mut world, 1, 8);
+    for at in 6..8 {
+        assert!(percent(&world, at) < 70, "{at}: {}", percent(&world, at));
+    }
+    for at in 0..6 {
+        let known = percent(&world, at);
+        assert!((90..150).contains(&known), "{at}: {known}");
+    }
+    world.check();
+}
+
+#[test]
+fn executors_that_are_alike_are_decided_on_as_if_nothing_were_learnt() {
+    let play = |without: Without| {
+        let mut world = uneven(8, 0, without);
+        let mut where_to = Vec::new();
+        for id in 1..40 {
+            let queue = ["urgent", "batch", "background"][id as usize % 3];
+            let mut work = step(3, room(1_000 + 70 * id as u32, 100));
+            work.gang = id % 5 == 0;
+            world.submit(job(id, queue, vec![work]));
+            world.run(100);
+            where_to.push(world.executors_with(id));
+        }
+        world.run(20 * WORK);
+        world.check();
+        (where_to, world.starts.clone())
+    };
+    assert_eq!(play(Without::default()), play(without_speeds()));
+}
+
+#[test]
+fn one_that_turns_slow_is_noticed_within_a_few_runs() {
+    let mut world = uneven(8, 0, Without::default());
+    teach(&mut world, 1, 10);
+    for slow in [4, 8] {
+        let at = slow as usize;
+        world.executors[at - 1].takes = 100 * slow;
+    }
+    // Three runs of it each, which go on for longer than their steps.
+    for id in 20..23 {
+        world.submit(wide(id, "batch", 8));
+        world.run(8 * WORK);
+    }
+    for at in [3, 7] {
+        assert!(percent(&world, at) > 200, "{at}: {}", percent(&world, at));
+    }
+    // Urgent work goes elsewhere while others have room.
+    for id in 30..40 {
+        world.submit(wide(id, "urgent", 1));
+        world.run(20);
+        let at = world.executors_with(id);
+        assert!(!at.contains(&3) && !at.contains(&7), "{at:?}");
+        world.run(3 * WORK);
+    }
+    world.check();
+}
+
+#[test]
+fn one_that_recovers_is_tried_again() {
+    let mut world = uneven(4, 0, Without::default());
+    teach(&mut world, 1, 6);
+    world.executors[0].takes = 800;
+    for id in 20..24 {
+        world.submit(wide(id, "batch", 4));
+        world.run(8 * WORK);
+    }
+    assert!(percent(&world, 0) > 200);
+    world.executors[0].takes = 100;
+    // Nothing needs it, and evidence fades.
+    world.run(60_000);
+    assert_eq!(percent(&world, 0), 100);
+    teach(&mut world, 30, 4);
+    assert_eq!(percent(&world, 0), 100);
+    world.check();
+}
+
+/// An executor that gets hard work over and over is no slow one: all tasks of
+/// a step are as hard, wherever they run.
+#[test]
+fn hard_work_is_not_slowness() {
+    let mut world = uneven(4, 0, Without::default());
+    teach(&mut world, 1, 6);
+    for id in 20..30 {
+        let hard = id % 2 == 0;
+        let work = wide(id, "batch", 4);
+        for index in 0..4 {
+            let task = format!("{id:016x}.0.0.{index}");
+            let takes = if hard { 400 } else { 100 };
+            world.takes.insert(task.parse().expect("a task"), takes);
+        }
+        world.submit(work);
+        world.run(5 * WORK);
+    }
+    for at in 0..4 {
+        assert_eq!(percent(&world, at), 100, "executor {at}");
+    }
+    world.check();
+}
+
+#[test]
+fn a_new_life_is_known_by_nothing() {
+    let mut world = uneven(6, 1, Without::default());
+    teach(&mut world, 1, 8);
+    assert!(percent(&world, 5) < 70);
+    world.keep_names = true;
+    world.restart(5, 1);
+    world.run(2 * LEASE);
+    assert_eq!(percent(&world, 5), 100);
+    world.check();
+}
+
+/// A successor places by what its predecessor has learnt, and its predecessor
+/// has written it a few times only.
+#[test]
+fn a_successor_knows_the_speeds() {
+    let mut world = uneven(8, 2, Without::default());
+    teach(&mut world, 1, 16);
+    assert!(counted(&world, "speeds_kept") <= 4);
+    world.replace_leader();
+    world.run(500);
+    assert!(percent(&world, 6) < 70 && percent(&world, 7) < 70);
+    for at in 0..6 {
+        assert!(percent(&world, at) > 90);
+    }
+    tighten(&mut world);
+    let quick = urgent_tasks_on_quick(&mut world, 100);
+    assert_eq!(quick, 2, "both of the quick are used");
+    world.check();
+}
+
+fn urgent_tasks_on_quick(world: &mut World, id: u64) -> usize {
+    world.submit(wide(id, "urgent", 2));
+    world.run(20);
+    let at = world.executors_with(id);
+    world.run(4 * WORK);
+    at.into_iter().filter(|at| world.executors[*at].takes == QUICK).count()
+}
+
+#[test]
+fn a_shard_of_an_earlier_version_can_be_read() {
+    let mut world = uneven(4, 1, Without::default());
+    teach(&mut world, 1, 8);
+    let names = world.store.keys().filter(|n| n.starts_with(record::SHARDS));
+    let names: Vec<String> = names.cloned().collect();
+    for name in names {
+        let shard = Shard::read(&world.store[&name]).expect("a shard");
+        // It held the executors only.
+        let former = record::encode(&shard.executors);
+        let read = Shard::read(&former).expect("a former shard");
+        assert_eq!(read.executors, shard.executors);
+        assert!(read.speeds.is_empty());
+        world.store.insert(name, former);
+    }
+    world.replace_leader();
+    assert_eq!(world.scheduler.executors(), 4);
+}
+
+/// What callers get: urgent work beside patient work on executors of which a
+/// quarter is quick and the rest is slow. Returns how many urgent jobs were in
+/// time, of how many.
+fn urgent_in_time(without: Without, takeover: bool) -> (usize, usize) {
+    let mut world = uneven(8, 2, without);
+    tighten(&mut world);
+    for executor in &mut world.executors[..6] {
+        executor.takes = 160;
+    }
+    teach(&mut world, 1, 10);
+    let mut due: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut in_time = 0;
+    for round in 0..60 {
+        if round == 30 && takeover {
+            world.replace_leader();
+        }
+        let (batch, urgent) = (100 + round, 1_000 + round);
+        let tasks = step(4, room(2_000, 100));
+        world.submit(job(batch, "batch", vec![tasks]));
+        world.run(50);
+        world.submit(job(urgent, "urgent", vec![step(1, room(2_000, 100))]));
+        due.insert(urgent, world.now + WORK * 6 / 5 + 100);
+        for _ in 0..45 {
+            world.run(10);
+            let over = |world: &mut World, job: &u64| {
+                world.state(*job) == Some(JobState::Succeeded)
+            };
+            let now = world.now;
+            let ended: Vec<u64> =
+                due.keys().copied().filter(|j| over(&mut world, j)).collect();
+            for job in ended {
+                let by = due.remove(&job).expect("it was due");
+                in_time += usize::from(now <= by);
+            }
+        }
+    }
+    world.run(20 * WORK);
+    assert!(world.unfinished().is_empty(), "patient work is done as well");
+    world.check();
+    (in_time, 60)
+}
+
+#[test]
+fn urgent_work_is_in_time_where_a_quarter_is_quick() {
+    let (with, all) = urgent_in_time(Without::default(), false);
+    let (less, _) = urgent_in_time(without_speeds(), false);
+    assert!(with >= all * 95 / 100, "{with} of {all} in time");
+    assert!(less <= all / 2, "{less} of {all} in time without");
+}
+
+#[test]
+fn a_takeover_costs_urgent_work_little() {
+    let (with, all) = urgent_in_time(Without::default(), true);
+    assert!(with >= all * 9 / 10, "{with} of {all} in time");
+}
+
+/// The members of a gang end with the slowest: patient ones leave the quick
+/// alone where others have room for all.
+#[test]
+fn members_of_a_gang_are_alike() {
+    let mut world = uneven(8, 2, Without::default());
+    teach(&mut world, 1, 10);
+    let mut members = step(4, room(3_000, 100));
+    members.gang = true;
+    world.submit(job(50, "background", vec![members.clone()]));
+    world.run(100);
+    let at = world.executors_with(50);
+    assert_eq!(at.len(), 4);
+    assert!(at.iter().all(|at| *at < 6), "{at:?}");
+    world.run(4 * WORK);
+    // There is no room for all on executors that are alike.
+    members.count = 8;
+    world.submit(job(51, "background", vec![members]));
+    world.run(4 * WORK);
+    assert_eq!(world.state(51), Some(JobState::Succeeded));
+    world.check();
+}
+
+/// Guesses that are all too small by the same factor are corrected, and the
+/// tasks that are left of a step are reckoned by those that have ended.
+#[test]
+fn the_error_of_guesses_is_learnt() {
+    let mut error = GuessError::default();
+    let alike = |time: u64| {
+        let mut times = StepTimes::default();
+        for at in 0..5 {
+            times.add(at, time, 0.0);
+        }
+        times
+    };
+    let none = StepTimes::default();
+    for number in 0..40 {
+        let noise = [70, 85, 100, 115, 130][number % 5];
+        error.note(1_000, &alike(20 * noise));
+    }
+    let corrected = error.run_time(1_000, &none);
+    assert!((1_800..2_100).contains(&corrected), "{corrected}");
+    // Nearer to what was seen than to the guess.
+    let seen = error.run_time(1_000, &alike(4_000));
+    assert!((2_829..4_000).contains(&seen), "{seen}");
+    assert_eq!(GuessError::default().run_time(1_000, &none), 1_000);
+}
+
+/// Runs of one step differ by chance; no executor differs by that.
+#[test]
+fn chance_makes_no_executor_differ() {
+    let mut speeds = [Speed::default(); 20];
+    let mut random = 7_u64;
+    let mut draw = || {
+        random = random.wrapping_mul(6_364_136_223_846_793_005);
+        random = random.wrapping_add(1_442_695_040_888_963_407);
+        (random >> 33) as f64 / f64::from(1_u32 << 31)
+    };
+    let error = GuessError::default();
+    let mut differ = 0;
+    for round in 0..200 {
+        // The guess is off by a factor of its own each time.
+        let work = 1_000.0 * (draw() * 2.0).exp();
+        let mut times = StepTimes::default();
+        for (at, speed) in speeds.iter().enumerate() {
+            let chance: f64 = (0..12).map(|_| draw()).sum::<f64>() - 6.0;
+            let time = (work * (0.3 * chance).exp()) as u64;
+            times.add(at as u32, time, speed.slowness());
+        }
+        let known = speeds;
+        let speed_of = |at: u32| known[at as usize];
+        for finding in compare(&times, speed_of, &error, 0.0) {
+            let speed = &mut speeds[finding.at as usize];
+            speed.note(finding.longer, finding.variance, round * 500);
+            differ += usize::from(speed.slowness() != 0.0);
+        }
+    }
+    // One in a hundred of 4,000.
+    assert!(differ <= 40, "{differ}");
+}
+
+#[test]
+fn what_is_kept_of_a_speed_is_a_byte() {
+    for kept in [-100_i8, -20, 20, 100] {
+        assert_eq!(Speed::from_kept(kept, 0).kept(), kept);
+    }
+    assert_eq!(Speed::from_kept(0, 0), Speed::default());
+}
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -111,6 +111,8 @@
     pub fails: bool,
     /// How much its clock loses, in thousandths.
     pub slow: u64,
+    /// How long tasks take there, in percent of what they should.
+    pub takes: Millis,
     /// How often it has started again under its name.
     lives: u64,
     /// When its life began, and what its clock showed then.
@@ -203,6 +205,8 @@
     pub broken: Vec<String>,
     /// The executors that leaders took for over, and by what.
     pub lives_over: Vec<(String, LifeOver)>,
+    /// Tasks that take longer than the guess says, in percent of it.
+    pub takes: BTreeMap<TaskKey, Millis>,
     /// Tasks that fail, this many times each.
     pub failing: BTreeMap<TaskKey, u32>,
     /// Tasks that crash each executor that starts them.
@@ -426,6 +430,7 @@
             any_ordered: false,
             broken: Vec::new(),
             lives_over: Vec::new(),
+            takes: BTreeMap::new(),
             failing: BTreeMap::new(),
             crashing: BTreeMap::new(),
             crashed: BTreeMap::new(),
@@ -494,6 +499,7 @@
             unhealthy: false,
             fails: false,
             slow: 0,
+            takes: 100,
             lives: 0,
             clock_from: (0, 0),
             capacities: Vec::new(),
@@ -686,7 +692,8 @@
                 | Action::TaskCleared { .. }
                 | Action::TaskGivenUp { .. }
                 | Action::RunGivenUp { .. }
-                | Action::Displaced { .. } => {}
+                | Action::Displaced { .. }
+                | Action::ExecutorSpeed { .. } => {}
                 Action::TaskSuspected { executor, .. } => {
                     self.suspected_on.insert(executor.clone());
                 }
--- a/tests/jobs/world/orders.rs
+++ b/tests/jobs/world/orders.rs
@@ -211,10 +211,12 @@
         let now = self.now;
         let step = &self.jobs[&task.step.job].steps[task.step.step as usize];
         let (need, gang) = (step.room(), step.gang);
-        let work = step.estimate;
+        let takes = self.takes.get(&task).copied().unwrap_or(100);
+        let work = step.estimate * takes / 100;
         let lasting = step.lasting;
         let (after, step_count) = (step.after.clone(), step.count);
         let there = &mut self.executors[at];
+        let work = work * there.takes / 100;
         if there.running.get(&task).is_some_and(|r| r.run == run) {
             return Ok(());
         }
--- a/tests/jobs/world/work.rs
+++ b/tests/jobs/world/work.rs
@@ -25,6 +25,11 @@
                 run.ends_at != Millis::MAX && run.how != EndKind::Stopped
             });
             let whole = there.len() == count;
+            // The slowest member ends it.
+            let work = there
+                .iter()
+                .map(|(at, task)| self.executors[*at].running[task].work);
+            let work = work.max().unwrap_or(0);
             if whole && !working {
                 let fails = there.iter().any(|(at, task)| {
                     let run = &self.executors[*at].running[task];
@@ -34,7 +39,7 @@
                     let run = &mut self.executors[*at].running;
                     let Some(run) = run.get_mut(task) else { continue };
                     if run.ends_at == Millis::MAX {
-                        run.ends_at = now + run.work;
+                        run.ends_at = now + work;
                         if fails && run.how == EndKind::Done {
                             run.how = EndKind::Broken;
                         }
