Urgent tasks find room in a full cell

Cause: in a burst, urgent tasks wait for runs that may wait and have filled the cell just before; only gangs displaced others. Conclusion: in the test world a burst starts at once where none did; later waves start at once beside a backlog.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -73,6 +73,8 @@
     pub need: Resources,
     /// What it counts for against the limit of its client account.
     pub charge: Charge,
+    /// Its queue is urgent, and it is within its account's due.
+    pub urgent: bool,
     /// Where it is in its life.
     pub phase: Phase,
     /// When it was ordered, or first seen.
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -483,9 +483,9 @@
         /// Whether that is within its objective.
         in_time: bool,
     },
-    /// Tasks give way to a gang; for the logs.
+    /// Tasks give way to a gang or to urgent tasks; for the logs.
     Displaced {
-        /// The gang.
+        /// The gang, or the urgent step.
         step: StepKey,
         /// How many.
         tasks: u32,
@@ -498,6 +498,12 @@
         /// How long runs take there, in percent of the usual.
         percent: u32,
     },
+    /// Tasks that may wait are not started, so that room stays free for
+    /// urgent ones; for the logs.
+    HeldBack {
+        /// The first step that waits for this.
+        step: StepKey,
+    },
     /// Everything that a predecessor ordered is known; for the logs.
     Settled {
         /// Executors that did not answer in time.
--- a/puffinknot-core/src/jobs/scheduler/displace.rs
+++ b/puffinknot-core/src/jobs/scheduler/displace.rs
@@ -1,13 +1,15 @@
 /*!
-Tasks that save their progress give way to a gang that would miss its
-objective.
+Tasks that save their progress give way to gangs and to urgent tasks that would
+miss their objectives.
 
 In a full cell a wide gang finds room only when many tasks happen to end at one
 time, and small ones take what gets free before. A task of a less urgent queue
 that saves its progress loses little if it is stopped: it goes on from there
 elsewhere. So a gang that has used a part of its slack in vain buys its room:
 the executors on which it costs least, with the fewest processors to be freed
-for each of its members. The room is kept for it while those tasks stop.
+for each of its members. The room is kept for it while those tasks stop. Urgent
+tasks do the same one by one: they are short, and late before what may wait has
+made room by itself.
 
 A task gives way once at most, and only if it can still be in time afterwards.
 */
@@ -15,18 +17,19 @@
 use crate::config::Resources;
 use crate::ids::Millis;
 use crate::jobs::executor::{Executor, Phase, RunOn};
-use crate::jobs::message::{Action, ExecutorIndex};
+use crate::jobs::mechanism::Mechanism;
+use crate::jobs::message::{AccountIndex, Action, ExecutorIndex};
 use crate::jobs::model::{Step, StepKey, TaskKey};
 use crate::jobs::scheduler::fit::times;
-use crate::jobs::scheduler::gangs::Plan;
+use crate::jobs::scheduler::gangs::{Plan, Waiting};
 use crate::jobs::scheduler::Scheduler;
 
-/// A gang buys its room once this part of its slack is used.
+/// Room is bought once this part of the slack is used.
 const SLACK_USED: f64 = 0.1;
 /// Room that was bought is kept for so long, in milliseconds: twice what a
 /// stop may take.
 const KEPT_FOR: Millis = 2_000;
-/// A gang for which there is not enough to displace tries again after this
+/// A step for which there is not enough to displace tries again after this
 /// time, in milliseconds.
 const TRY_AGAIN: Millis = 200;
 /// A task that gives way has at least so much slack left, in milliseconds: a
@@ -35,14 +38,14 @@
 /// A task that should end within this time is left to it, in milliseconds.
 const ENDS_SOON: Millis = 500;
 
-/// An executor that may be cleared for members of a gang.
+/// An executor that may be cleared for tasks of a step.
 struct Offer {
     at: ExecutorIndex,
     /// What is free there, once those chosen so far are gone.
     room: Resources,
     /// How many members fit into that.
     fits: u32,
-    /// Who may give way besides, the one with the most slack last.
+    /// Who may give way besides, the one that loses least last.
     others: Vec<Victim>,
     chosen: Vec<Victim>,
 }
@@ -53,6 +56,8 @@
     task: TaskKey,
     run: u64,
     need: Resources,
+    /// Its account has more of the room than its share.
+    over_share: bool,
     slack: Millis,
 }
 
@@ -102,29 +107,29 @@
     }
 }
 
-/// Chooses who gives way so that the whole step fits: always the cheapest
-/// next members. Returns whether it does.
-fn choose(offers: &mut [Offer], step: &Step) -> bool {
+/// Chooses who gives way so that `count` tasks fit: always the cheapest next
+/// ones. Returns how many do.
+fn choose(offers: &mut [Offer], step: &Step, count: u32) -> u32 {
     let mut free: u32 = offers.iter().map(|offer| offer.fits).sum();
-    while free < step.count {
+    while free < count {
         let priced = offers.iter_mut().filter_map(|offer| {
             let price = offer.next(step)?;
             Some((offer, price))
         });
         let cheapest = priced.min_by_key(|(_, price)| price.each);
-        let Some((offer, price)) = cheapest else { return false };
+        let Some((offer, price)) = cheapest else { break };
         offer.take(&price, step);
         free += price.gained;
     }
-    true
+    free.min(count)
 }
 
-/// How many members go where: first where nobody has to give way.
-fn plan(offers: &[Offer], step: &Step) -> Plan {
+/// Where `count` tasks go: first where others give way.
+fn plan(offers: &[Offer], count: u32) -> Plan {
     let mut order: Vec<&Offer> = offers.iter().collect();
     order.sort_by_key(|offer| (offer.chosen.is_empty(), offer.at));
     // What was bought is used whole; the rest goes into free room.
-    let mut left = step.count;
+    let mut left = count;
     let mut plan = Plan::new();
     for offer in order {
         let taken = offer.fits.min(left);
@@ -137,7 +142,7 @@
 }
 
 impl Scheduler {
-    /// Whether room that was bought for a gang is kept while others stop.
+    /// Whether room that was bought for a step is kept while others stop.
     pub(super) fn is_displacing(&self, key: StepKey, now: Millis) -> bool {
         self.step_run(key).is_some_and(|state| now < state.displacing_until)
     }
@@ -146,25 +151,65 @@
     /// it would be late otherwise. Returns whether room is kept for it.
     pub(super) fn displace(
         &mut self,
-        key: StepKey,
-        step: &Step,
+        waiting: &Waiting<'_>,
         executors: &[ExecutorIndex],
         now: Millis,
     ) -> bool {
-        if !self.may_displace(key, now) {
+        self.may_displace(waiting.key, now)
+            && self.buy_room(waiting, executors, now)
+    }
+
+    /// Has others give way to tasks of an urgent step that have no room on
+    /// these executors, if they would be late otherwise. Returns whether room
+    /// is kept for any.
+    pub(super) fn make_way(
+        &mut self,
+        waiting: &Waiting<'_>,
+        executors: &[ExecutorIndex],
+        now: Millis,
+    ) -> bool {
+        let key = waiting.key;
+        if !self.has(Mechanism::GivingWay) {
             return false;
         }
+        if self.is_displacing(key, now) && self.keeps_usable(key) {
+            return true;
+        }
+        self.unreserve(key);
+        self.may_displace(key, now)
+            && self.may_look()
+            && self.buy_room(waiting, executors, now)
+    }
+
+    /// Whether all executors with room that is kept for a step may still be
+    /// used.
+    fn keeps_usable(&self, key: StepKey) -> bool {
+        let kept = self.reserved.get(&key).into_iter().flatten();
+        let mut kept = kept.map(|at| self.executors.get(at));
+        kept.all(|executor| executor.is_some_and(Executor::usable))
+    }
+
+    /// Has others give way to a step, to all of it if it is a gang. Returns
+    /// whether room is kept for it.
+    fn buy_room(
+        &mut self,
+        waiting: &Waiting<'_>,
+        executors: &[ExecutorIndex],
+        now: Millis,
+    ) -> bool {
+        let Waiting { key, step, count } = *waiting;
         let Some(live) = self.jobs.get(&key.job) else { return false };
         let priority = live.queue.priority;
         let mut offers: Vec<Offer> = executors
             .iter()
-            .filter_map(|&at| self.offer(at, step, priority, now))
+            .filter_map(|&at| self.offer(at, key, step, priority, now))
             .collect();
-        if !choose(&mut offers, step) {
+        let found = choose(&mut offers, step, count);
+        if found == 0 || step.gang && found < count {
             self.try_displacing(key, 0, now + TRY_AGAIN);
             return false;
         }
-        let plan = plan(&offers, step);
+        let plan = plan(&offers, found);
         let used =
             |at: ExecutorIndex| plan.iter().any(|(used, _)| *used == at);
         offers.retain(|offer| used(offer.at));
@@ -175,7 +220,11 @@
             offer.chosen.into_iter().map(move |victim| (at, victim))
         });
         let victims: Vec<(ExecutorIndex, Victim)> = victims.collect();
-        self.count("displacements");
+        self.count(if priority == 0 {
+            "urgent_displacements"
+        } else {
+            "displacements"
+        });
         self.actions.push(Action::Displaced {
             step: key,
             tasks: victims.len() as u32,
@@ -188,7 +237,7 @@
         true
     }
 
-    /// Whether a gang may have others give way: it can still be in time, and
+    /// Whether a step may have others give way: it can still be in time, and
     /// has waited for long enough.
     fn may_displace(&self, key: StepKey, now: Millis) -> bool {
         let Some(live) = self.jobs.get(&key.job) else { return false };
@@ -218,6 +267,7 @@
     fn offer(
         &self,
         at: ExecutorIndex,
+        key: StepKey,
         step: &Step,
         priority: u32,
         now: Millis,
@@ -227,13 +277,32 @@
         let mut others: Vec<Victim> = runs
             .filter_map(|(task, on)| self.victim(*task, on, priority, now))
             .collect();
-        others.sort_by_key(|victim| victim.slack);
-        let room = executor.free;
+        others.sort_by_key(|victim| (victim.over_share, victim.slack));
+        let room = self.room_to_come(executor);
+        let taken = self.step_run(key).is_some_and(|state| {
+            let mut places = state.places.values();
+            step.max_per_executor > 0 && places.any(|(there, _)| *there == at)
+        });
+        if taken {
+            return None;
+        }
         let fits = fits(&room, step);
         let chosen = Vec::new();
         Some(Offer { at, room, fits, others, chosen })
     }
 
+    /// What is free on an executor once those that stop have gone.
+    fn room_to_come(&self, executor: &Executor) -> Resources {
+        if !self.has(Mechanism::GivingWay) {
+            return executor.free;
+        }
+        let runs = executor.runs.values();
+        let stay = runs.filter(|on| !matches!(on.phase, Phase::Stopping(_)));
+        let used = stay.map(|on| &on.need).chain(executor.reserved.values());
+        let used = used.fold(Resources::default(), |sum, n| sum.plus(n));
+        executor.info.capacity.minus(&used)
+    }
+
     /// A run as one that may give way to a queue of this priority, if it may.
     fn victim(
         &self,
@@ -258,10 +327,16 @@
             && !state.gave_way.contains(&task.index);
         let rest = self.chain_left(task.step);
         let slack = live.deadline.saturating_sub(now + rest);
-        let victim = Victim { task, run, need, slack };
+        let over_share = self.over_share(live.account);
+        let victim = Victim { task, run, need, over_share, slack };
         (may && slack >= SLACK_LEFT).then_some(victim)
     }
 
+    /// Whether an account has more of the room than its share.
+    fn over_share(&self, _account: Option<AccountIndex>) -> bool {
+        false
+    }
+
     fn give_way(&mut self, at: ExecutorIndex, victim: &Victim) {
         let key = victim.task.step;
         if let Some(live) = self.jobs.get_mut(&key.job) {
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -93,15 +93,17 @@
             return false;
         }
         self.unreserve(key);
+        let waiting = Waiting { key, step: &step, count: step.count };
         let displaces = keep && self.has(Mechanism::Displacing);
-        if displaces && self.displace(key, &step, &open, now) {
+        if displaces && self.displace(&waiting, &open, now)
+            || urgent && self.make_way(&waiting, &open, now)
+        {
             return false;
         }
         let all: Vec<ExecutorIndex> = holds.keys().copied().collect();
         self.widen(key, now);
         let scarce = self.advice_scarce();
         if keep {
-            let waiting = Waiting { key, step: &step, count: step.count };
             self.keep_for(&waiting, &all, !scarce, kept, now);
         }
         if !scarce || !self.could_hold(&step, &all) {
@@ -199,6 +201,26 @@
         }
     }
 
+    /// Gives back what is kept on an executor for one task of a step.
+    pub(super) fn unreserve_one(
+        &mut self,
+        key: StepKey,
+        at: ExecutorIndex,
+        step: &Step,
+    ) {
+        if !self.reserved.contains_key(&key) {
+            return;
+        }
+        let Some(executor) = self.executors.get_mut(&at) else { return };
+        let Some(kept) = executor.reserved.get(&key).copied() else { return };
+        let left = kept.minus(&step.room());
+        if left.fits(&step.room()) {
+            executor.reserve(key, left);
+        } else {
+            executor.unreserve(&key);
+        }
+    }
+
     pub(super) fn drop_reservations(&mut self, job: JobId) {
         let of_job = self.reserved.keys().filter(|key| key.job == job);
         let steps: Vec<StepKey> = of_job.copied().collect();
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -340,11 +340,13 @@
         let mut charge =
             Charge { account: self.account_of(key.job), ..Charge::default() };
         let run_time = self.run_time(key, index);
+        let mut urgent = false;
         if let Some(live) = self.jobs.get_mut(&key.job) {
             if let Some(step) = live.job.steps.get(key.step as usize) {
                 need = Some(step.room());
                 charge.amount = step.need;
             }
+            urgent = live.is_urgent();
             let ended = live.ended;
             let gang = live.job.steps.get(key.step as usize);
             let gang = gang.is_some_and(|step| step.gang);
@@ -368,6 +370,7 @@
             run: row.run,
             need: need.unwrap_or(capacity),
             charge,
+            urgent,
             phase: Phase::Running,
             since: now,
             stop_again: 0,
--- a/puffinknot-core/src/jobs/scheduler/live.rs
+++ b/puffinknot-core/src/jobs/scheduler/live.rs
@@ -66,7 +66,7 @@
     pub advice: Advice,
     /// How long its runs have taken.
     pub times: StepTimes,
-    /// Tasks that have given way to a gang.
+    /// Tasks that have given way to others.
     pub gave_way: BTreeSet<u32>,
     /// Until when room is kept while others give way to it.
     pub displacing_until: Millis,
@@ -185,6 +185,11 @@
 }
 
 impl Live {
+    /// Whether its tasks go before all that may wait.
+    pub fn is_urgent(&self) -> bool {
+        self.queue.priority == 0 && !self.beyond_due
+    }
+
     /// About how many bytes it takes to write it.
     pub fn bytes(&self) -> usize {
         const EACH: usize = 300;
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -8,8 +8,10 @@
 follows it under its name, `in_flight` which orders that one may carry out,
 `machines` what the list of machines tells of lives, `order` says what
 comes first, `estimate` how long runs take, `fit` where a task fits, `place`
-chooses what starts where, `gangs` does so for gangs, `displace` has others give way to them, `shares` knows what comes
-beyond an account's due, `speeds` learns how long runs take, `domains` finds data centres that are out of reach,
+chooses what starts where, `gangs` does so for gangs, `urgent` keeps room free
+for urgent tasks, `displace` has others give way to them and to gangs, `shares`
+knows what comes beyond an account's due, `speeds` learns how long runs take,
+`domains` finds data centres that are out of reach,
 `cordons` knows those that take no new work,
 `alarm` connections that have fallen silent, `judge` executors that fail what
 they run, `suspects` tasks that crash the executors that start them, `due`
@@ -67,6 +69,7 @@
 mod shares;
 mod speeds;
 mod suspects;
+mod urgent;
 mod waves;
 
 use self::advise::Call;
@@ -81,6 +84,7 @@
 use self::live::Live;
 use self::shares::Shares;
 use self::speeds::Guesses;
+use self::urgent::UrgentRoom;
 use self::waves::Machines;
 
 /// What a scheduler is told once.
@@ -147,6 +151,7 @@
     ledger: Ledger,
     shares_of_accounts: Shares,
     guesses: Guesses,
+    urgent: UrgentRoom,
     jobs: BTreeMap<JobId, Live>,
     ended: Ended,
     executors: Executors,
@@ -214,6 +219,7 @@
             ledger: Ledger::default(),
             shares_of_accounts: Shares::default(),
             guesses: Guesses::default(),
+            urgent: UrgentRoom::default(),
             jobs: BTreeMap::new(),
             ended: Ended::default(),
             executors: Executors::default(),
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -75,6 +75,10 @@
             order.retain(|(rank, _)| rank.urgent());
         }
         order.sort_unstable();
+        self.begin_looks();
+        if all {
+            self.count_slots(&order, now);
+        }
         self.count_unseen();
         let mut turns = Turns::default();
         let mut kept = Kept::new();
@@ -119,6 +123,7 @@
             |s: &StepRun| s.released && !s.breaking && !s.waiting.is_empty();
         if !state.is_some_and(startable) {
             self.ready.remove(&key);
+            self.unreserve(key);
             return false;
         }
         let unsettled = live.inherited && self.unsettled.is_some();
@@ -228,6 +233,8 @@
         let Opening { step, failed_on, candidates, account, .. } = opening;
         let Some(state) = self.step_run(key) else { return true };
         let tight = self.is_tight(key, now);
+        let heeds = !urgent && self.heeds_slots(key, now);
+        let mut held_back = false;
         let mut on: BTreeMap<ExecutorIndex, u32> = BTreeMap::new();
         for (index, _) in state.places.values() {
             *on.entry(*index).or_default() += 1;
@@ -243,12 +250,16 @@
                 let most = step.max_per_executor;
                 open.contains(at)
                     && !executor.is_closed(now)
-                    && executor.free.fits(&step.room())
+                    && executor.free_for(&key).fits(&step.room())
                     && executor.health.admits(now)
                     && (most == 0 || on.get(at).copied().unwrap_or(0) < most)
             });
             let mut best: Option<(i64, ExecutorIndex)> = None;
             for (at, holds) in fits {
+                if heeds && !self.leaves_slots(*at, &step.room()) {
+                    held_back = true;
+                    continue;
+                }
                 if !holds {
                     stale = true;
                     continue;
@@ -266,12 +277,17 @@
             let run = self.new_run();
             let ticket = self.ticket(key, at);
             *on.entry(at).or_default() += 1;
+            self.unreserve_one(key, at, &step);
             self.start(at, key.task(index), run, ticket, now);
         }
+        if held_back {
+            self.held_back(key);
+        }
         let left = self.step_run(key).map(|state| state.waiting.len());
         let count = left.unwrap_or(0) as u32;
         let count = count.min(times(&self.ledger.left(account), &step.need));
         if count == 0 {
+            self.unreserve(key);
             return true;
         }
         self.widen(key, now);
@@ -283,6 +299,15 @@
             return true;
         }
         let waiting = Waiting { key, step: &step, count };
+        if urgent {
+            let fresh = candidates
+                .iter()
+                .filter(|(at, holds)| *holds && !self.is_closed(*at, now));
+            let fresh: Vec<ExecutorIndex> = fresh.map(|(at, _)| *at).collect();
+            if self.make_way(&waiting, &fresh, now) {
+                return true;
+            }
+        }
         let known: Vec<ExecutorIndex> =
             candidates.iter().map(|(at, _)| *at).collect();
         !self.wait_for_room(&waiting, &known, keep, kept, now)
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -27,10 +27,12 @@
     ) {
         let lease = self.config.lease;
         let ends = now + self.run_time(task.step, index);
+        self.take_slots(task.step, index);
         let Some(live) = self.jobs.get_mut(&task.step.job) else { return };
         let step = &live.job.steps[task.step.step as usize];
         let need = step.room();
         let charge = Charge { account: live.account, amount: step.need };
+        let urgent = live.is_urgent();
         let place = (task.step.time, task.step.step);
         let Some(state) = live.steps.get_mut(&place) else { return };
         let Some(executor) = self.executors.get_mut(&index) else { return };
@@ -61,6 +63,7 @@
             run,
             need,
             charge,
+            urgent,
             phase: Phase::Starting,
             since: now,
             stop_again: 0,
--- /dev/null
+++ b/puffinknot-core/src/jobs/scheduler/urgent.rs
@@ -0,0 +1,167 @@
+/*!
+Room for urgent tasks in a cell that is nearly full.
+
+So much is kept free as [`crate::jobs::headroom`] says. It is counted in slots,
+each the room for an urgent task on one executor: scraps of room add up to
+nothing. While there are no more slots than should be free, tasks that may wait
+start only where they take none away. The rest of the cell is theirs, and a
+step that has waited for twice its objective may use the slots, so that nothing
+starves by them. Gangs use them at any time, since they find room seldom
+enough.
+
+What still finds no room has others give way to it, see [`super::displace`].
+*/
+
+use crate::config::Resources;
+use crate::ids::Millis;
+use crate::jobs::executor::Executor;
+use crate::jobs::headroom::{Demand, Headroom};
+use crate::jobs::mechanism::Mechanism;
+use crate::jobs::message::{Action, ExecutorIndex};
+use crate::jobs::model::StepKey;
+use crate::jobs::scheduler::fit::times;
+use crate::jobs::scheduler::order::Rank;
+use crate::jobs::scheduler::Scheduler;
+
+/// The time between two counts of the free slots, in milliseconds: it bounds
+/// what the counts cost in large cells, and how long room that has come free
+/// since is held back.
+const COUNT_GAP: Millis = 50;
+/// Others are looked at that may give way to so many steps in one placing.
+/// What is left over has its turn in the next.
+const MOST_LOOKS: u32 = 8;
+
+/// What is kept free for urgent tasks.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UrgentRoom {
+    headroom: Headroom,
+    /// The room for one urgent task.
+    slot: Resources,
+    /// The slots that may be taken still; none is no bound.
+    spare: Option<u64>,
+    counted_at: Millis,
+    /// Whether a start has been held back since the last count.
+    held_back: bool,
+    /// The looks for others that give way, in this placing.
+    looks: u32,
+}
+
+impl Scheduler {
+    /// Counts anew how many slots for urgent tasks may be taken. `order` has
+    /// all steps that wait.
+    pub(super) fn count_slots(
+        &mut self,
+        order: &[(Rank, StepKey)],
+        now: Millis,
+    ) {
+        if now < self.urgent.counted_at + COUNT_GAP {
+            return;
+        }
+        self.urgent.counted_at = now;
+        self.urgent.spare = None;
+        self.urgent.held_back = false;
+        if !self.has(Mechanism::UrgentRoom) || !self.has_both_kinds() {
+            return;
+        }
+        let demand = self.urgent_demand(order);
+        self.urgent.headroom.observe(&demand, now);
+        let Some(slot) = self.urgent.headroom.slot() else { return };
+        let usable = self.executors.values().filter(|e| e.usable());
+        let (mut free, mut whole) = (0, 0);
+        for executor in usable {
+            free += u64::from(times(&executor.free, &slot));
+            whole += u64::from(times(&executor.info.capacity, &slot));
+        }
+        let wanted = self.urgent.headroom.wanted(&demand, whole);
+        self.urgent.slot = slot;
+        self.urgent.spare = Some(free.saturating_sub(wanted));
+    }
+
+    /// Whether some queues are urgent and others are not.
+    fn has_both_kinds(&self) -> bool {
+        let mut urgent = self.queues.values().map(|q| q.priority == 0);
+        urgent.clone().any(|urgent| urgent) && !urgent.all(|urgent| urgent)
+    }
+
+    fn urgent_demand(&self, order: &[(Rank, StepKey)]) -> Demand {
+        let mut demand = Demand::default();
+        let runs = self.executors.values().flat_map(|e| e.runs.values());
+        for run in runs.filter(|run| run.urgent) {
+            demand.runs(&run.need);
+        }
+        let waiting = order.iter().filter(|(r, _)| r.urgent() && !r.late);
+        for (_, key) in waiting {
+            let (Some(step), Some(state)) =
+                (self.step(*key), self.step_run(*key))
+            else {
+                continue;
+            };
+            demand.wait(state.waiting.len() as u32, &step.room());
+        }
+        demand
+    }
+
+    /// Whether a step has to leave free what is kept for urgent tasks.
+    pub(super) fn heeds_slots(&self, key: StepKey, now: Millis) -> bool {
+        if self.urgent.spare.is_none() {
+            return false;
+        }
+        let Some(live) = self.jobs.get(&key.job) else { return false };
+        let objective = live.deadline.saturating_sub(live.since);
+        now < live.deadline + objective
+    }
+
+    /// Whether a task with this need may start on an executor without taking
+    /// a slot that is kept.
+    pub(super) fn leaves_slots(
+        &self,
+        at: ExecutorIndex,
+        need: &Resources,
+    ) -> bool {
+        let Some(spare) = self.urgent.spare else { return true };
+        let executor = self.executors.get(&at);
+        executor.is_some_and(|e| spare >= self.slots_taken(e, need))
+    }
+
+    fn slots_taken(&self, executor: &Executor, need: &Resources) -> u64 {
+        let slots = |room| u64::from(times(room, &self.urgent.slot));
+        let left = executor.free.minus(need);
+        slots(&executor.free).saturating_sub(slots(&left))
+    }
+
+    /// A task of a step is about to start on an executor. What urgent ones
+    /// take is what the slots are kept for.
+    pub(super) fn take_slots(&mut self, key: StepKey, at: ExecutorIndex) {
+        let Some(spare) = self.urgent.spare else { return };
+        let live = self.jobs.get(&key.job);
+        if live.is_none_or(|live| live.is_urgent()) {
+            return;
+        }
+        let (Some(executor), Some(step)) =
+            (self.executors.get(&at), self.step(key))
+        else {
+            return;
+        };
+        let taken = self.slots_taken(executor, &step.room());
+        self.urgent.spare = Some(spare.saturating_sub(taken));
+    }
+
+    /// A task was not started for the sake of the slots.
+    pub(super) fn held_back(&mut self, key: StepKey) {
+        self.count("starts_held_back");
+        if !std::mem::replace(&mut self.urgent.held_back, true) {
+            self.actions.push(Action::HeldBack { step: key });
+        }
+    }
+
+    pub(super) fn begin_looks(&mut self) {
+        self.urgent.looks = 0;
+    }
+
+    /// Whether others may be looked at that could give way to an urgent step.
+    pub(super) fn may_look(&mut self) -> bool {
+        let may = self.urgent.looks < MOST_LOOKS;
+        self.urgent.looks += u32::from(may);
+        may
+    }
+}
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -114,6 +114,7 @@
         Action::ExecutorSpeed { id, percent } => {
             info!(executor = id, percent, token, "executor_speed");
         }
+        Action::HeldBack { step } => info!(%step, token, "held_back"),
         Action::Settled { unseen } => info!(token, unseen, "settled"),
         Action::ExecutorHeard { id, born, running, ended } => {
             info!(
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -15,4 +15,5 @@
 mod services;
 mod size;
 mod speeds;
+mod urgent;
 mod world;
--- /dev/null
+++ b/tests/jobs/urgent.rs
@@ -0,0 +1,333 @@
+//! Urgent tasks in a cell that is full, and what may wait beside them.
+
+use std::collections::BTreeMap;
+
+use puffinknot_core::config::Resources;
+use puffinknot_core::ids::Millis;
+use puffinknot_core::jobs::headroom::{Demand, Headroom, MOST_KEPT};
+use puffinknot_core::jobs::{Job, JobState, Mechanism, Without};
+
+use super::world::{job, room, step, World, WORK};
+
+const EXECUTORS: usize = 8;
+/// Urgent jobs have numbers from here on.
+const URGENT: u64 = 1_000;
+/// The objective of an urgent job: twice its work, and a second.
+const OBJECTIVE: Millis = 2 * WORK + 1_000;
+/// A start later than this after the job was handed in is late.
+const AT_ONCE: Millis = 400;
+
+fn patient(id: u64, count: u32, works: u64, saves: bool) -> Job {
+    let mut tasks = step(count, room(1_000, 500));
+    tasks.estimate = works * WORK;
+    tasks.checkpoints = saves;
+    job(id, "background", vec![tasks])
+}
+
+fn urgent(id: u64, count: u32) -> Job {
+    job(URGENT + id, "urgent", vec![step(count, room(1_500, 500))])
+}
+
+fn off(mechanisms: &[Mechanism]) -> Without {
+    Without::new(mechanisms.iter().copied())
+}
+
+fn counted(world: &World, name: &str) -> u64 {
+    world.scheduler.counters().get(name).copied().unwrap_or(0)
+}
+
+/// When each urgent job was handed in, and how long it waited for its start.
+#[derive(Default)]
+struct Waits {
+    handed_in: BTreeMap<u64, Millis>,
+    waited: BTreeMap<u64, Millis>,
+    in_time: usize,
+}
+
+impl Waits {
+    fn submit(&mut self, world: &mut World, job: Job) {
+        self.handed_in.insert(job.id.0, world.now);
+        world.submit(job);
+    }
+
+    /// Lets time pass and notes what starts and ends meanwhile.
+    fn run(&mut self, world: &mut World, time: Millis) {
+        const GRAIN: Millis = 10;
+        for _ in 0..time / GRAIN {
+            world.run(GRAIN);
+            let begun = world.starts.keys().map(|task| task.step.job.0);
+            for id in begun {
+                if let Some(since) = self.handed_in.get(&id) {
+                    self.waited.entry(id).or_insert(world.now - since);
+                }
+            }
+            let due: Vec<u64> = self
+                .handed_in
+                .iter()
+                .filter(|(_, at)| {
+                    let age = world.now - **at;
+                    (OBJECTIVE..OBJECTIVE + GRAIN).contains(&age)
+                })
+                .map(|(id, _)| *id)
+                .collect();
+            for id in due {
+                let done = world.state(id) == Some(JobState::Succeeded);
+                self.in_time += usize::from(done);
+            }
+        }
+    }
+
+    fn at_once(&self) -> usize {
+        self.waited.values().filter(|waited| **waited <= AT_ONCE).count()
+    }
+}
+
+/// A cell whose executors are all taken for long by tasks that save their
+/// progress.
+fn full(without: Without) -> World {
+    let mut world = World::without(EXECUTORS, without);
+    world.run(50);
+    for id in 1..=EXECUTORS as u64 {
+        world.submit(patient(id, 4, 16, true));
+    }
+    world.run(300);
+    assert_eq!(world.starts.len(), 4 * EXECUTORS, "the cell is full");
+    world
+}
+
+/// A burst of urgent jobs on a full cell, over two seconds.
+fn burst(world: &mut World) -> Waits {
+    let mut waits = Waits::default();
+    for id in 1..=20 {
+        waits.submit(world, urgent(id, 2));
+        waits.run(world, 100);
+    }
+    waits.run(world, OBJECTIVE + WORK);
+    waits
+}
+
+#[test]
+fn others_give_way_to_a_burst_of_urgent_work() {
+    let mut world = full(Without::default());
+    let waits = burst(&mut world);
+    assert!(waits.at_once() >= 18, "at once: {}", waits.at_once());
+    assert_eq!(waits.in_time, 20);
+    assert!(counted(&world, "urgent_displacements") > 0);
+
+    let mut without = full(off(&[Mechanism::GivingWay]));
+    let waits = burst(&mut without);
+    assert_eq!(waits.at_once(), 0);
+    assert_eq!(counted(&without, "urgent_displacements"), 0);
+    // What gave way has only moved: all is done by when it should be.
+    for world in [&mut world, &mut without] {
+        world.run(2 * 16 * WORK);
+        assert!(world.unfinished().is_empty());
+        world.check();
+    }
+}
+
+#[test]
+fn no_task_gives_way_twice() {
+    let mut world = full(Without::default());
+    for _ in 0..2 {
+        let mut waits = Waits::default();
+        for id in 1..=60 {
+            waits.submit(&mut world, urgent(id, 2));
+            waits.run(&mut world, 60);
+        }
+    }
+    world.run(4 * 16 * WORK);
+    let patient = world.starts.iter().filter(|(t, _)| t.step.job.0 < URGENT);
+    let most = patient.map(|(_, starts)| *starts).max();
+    assert!(most <= Some(2), "started {most:?} times");
+    assert!(world.unfinished().is_empty());
+    world.check();
+}
+
+#[test]
+fn what_saves_no_progress_or_ends_soon_stays() {
+    for (works, saves) in [(16, false), (1, true)] {
+        let mut world = World::new(EXECUTORS);
+        world.run(50);
+        world.submit(patient(1, 4 * EXECUTORS as u32, works, saves));
+        world.run(100);
+        world.submit(urgent(1, 2));
+        world.run(2 * WORK);
+        assert!(world.starts.values().all(|starts| *starts == 1));
+        assert_eq!(counted(&world, "runs_displaced"), 0);
+        world.check();
+    }
+}
+
+/// Room that is bought is not lost to others while the victims stop, and the
+/// rest of the executor is not kept.
+#[test]
+fn an_urgent_gang_gets_all_of_its_room() {
+    let mut world = full(Without::default());
+    let mut gang = step(4, room(3_000, 500));
+    gang.gang = true;
+    world.submit(job(URGENT, "urgent", vec![gang]));
+    world.submit(patient(50, 30, 2, false));
+    world.run(OBJECTIVE);
+    assert_eq!(world.state(URGENT), Some(JobState::Succeeded));
+    assert_eq!(counted(&world, "runs_displaced"), 4 * 3);
+    world.run(4 * 16 * WORK);
+    assert!(world.unfinished().is_empty());
+    world.check();
+}
+
+#[test]
+fn a_successor_goes_on_while_others_give_way() {
+    for after in [160, 200, 300, 400] {
+        let mut world = full(Without::default());
+        for id in 1..=6 {
+            world.submit(urgent(id, 2));
+        }
+        world.run(after);
+        world.replace_leader();
+        world.run(60_000);
+        assert!(world.unfinished().is_empty(), "after {after}");
+        world.check();
+    }
+}
+
+#[test]
+fn executors_may_leave_while_others_give_way() {
+    let mut world = full(Without::default());
+    let mut waits = Waits::default();
+    for id in 1..=6 {
+        waits.submit(&mut world, urgent(id, 2));
+    }
+    waits.run(&mut world, 200);
+    for at in 0..EXECUTORS / 2 {
+        world.executors[at].info.draining = true;
+        world.tell_entry(at);
+    }
+    waits.run(&mut world, OBJECTIVE);
+    assert_eq!(waits.in_time, 6, "waited {:?}", waits.waited);
+    world.executors[EXECUTORS - 1].cut = true;
+    world.run(40_000);
+    world.executors[EXECUTORS - 1].cut = false;
+    world.run(40_000);
+    assert!(world.unfinished().is_empty());
+    world.check();
+}
+
+/// Four waves of small urgent jobs beside a backlog that saves no progress and
+/// has not waited for twice its objective at their end.
+fn waves(without: Without) -> (World, Waits) {
+    let mut world = World::without(EXECUTORS, without);
+    world.run(50);
+    let mut waits = Waits::default();
+    let mut next = 1;
+    for id in 1..=20 {
+        world.submit(patient(id, 10, 5, false));
+    }
+    for _ in 0..4 {
+        for _ in 0..4 {
+            let small = step(2, room(600, 300));
+            let small = job(URGENT + next, "urgent", vec![small]);
+            waits.submit(&mut world, small);
+            next += 1;
+            waits.run(&mut world, 100);
+        }
+        waits.run(&mut world, 3_000);
+    }
+    (world, waits)
+}
+
+#[test]
+fn room_is_kept_for_the_next_wave() {
+    let only = [Mechanism::GivingWay, Mechanism::UrgentRoom];
+    let (_, before) = waves(off(&only));
+    let (mut world, after) = waves(off(&only[..1]));
+    // The first wave finds the cell full.
+    let later = |waits: &Waits| {
+        let later = waits.waited.range(URGENT + 5..);
+        later.filter(|(_, waited)| **waited <= AT_ONCE).count()
+    };
+    assert_eq!(later(&after), 12, "waited {:?}", after.waited);
+    assert!(later(&before) <= 6, "waited {:?}", before.waited);
+    assert!(after.in_time >= before.in_time);
+    assert!(counted(&world, "starts_held_back") > 0);
+    // All that may wait is done by when all executors but the part that may be
+    // kept have worked it off, and a second for each start.
+    let work = 200 * 5 * WORK / (4 * EXECUTORS as u64);
+    let bound = work * MOST_KEPT / (MOST_KEPT - 1) + 10_000;
+    world.run(bound);
+    assert!(world.unfinished().is_empty());
+    world.check();
+}
+
+/// Whoever is held back starts in the kept room before it would be late.
+#[test]
+fn nothing_that_waits_starves_by_urgent_work() {
+    let mut world = World::without(2, off(&[Mechanism::GivingWay]));
+    world.run(50);
+    let mut waits = Waits::default();
+    world.submit(patient(1, 6, 100, false));
+    let mut large = step(1, room(2_000, 500));
+    large.estimate = 2 * WORK;
+    for id in 1..=40 {
+        waits.submit(&mut world, urgent(id, 1));
+        if id == 5 {
+            world.submit(job(2, "background", vec![large.clone()]));
+        }
+        waits.run(&mut world, 600);
+    }
+    assert_eq!(world.state(2), Some(JobState::Succeeded));
+    world.check();
+}
+
+/// Where nothing is urgent, where all is, and where there is room, everything
+/// goes as without.
+#[test]
+fn without_need_nothing_changes() {
+    let both = [Mechanism::GivingWay, Mechanism::UrgentRoom];
+    let loads: [fn(u64) -> Job; 3] = [
+        |id| patient(id, 6, 3, true),
+        |id| urgent(id, 2),
+        |id| if id % 2 == 0 { urgent(id, 1) } else { patient(id, 1, 1, true) },
+    ];
+    for (number, load) in loads.into_iter().enumerate() {
+        let mut counters = Vec::new();
+        for without in [Without::default(), off(&both)] {
+            let mut world = World::without(EXECUTORS, without);
+            world.run(50);
+            for id in 1..=40 {
+                world.submit(load(id));
+                world.run(100);
+            }
+            world.run(60_000);
+            assert!(world.unfinished().is_empty());
+            counters.push(world.scheduler.counters().clone());
+        }
+        assert_eq!(counters[0], counters[1], "load {number}");
+    }
+}
+
+fn demand(running: u32, waiting: u32, need: &Resources) -> Demand {
+    let mut demand = Demand::default();
+    for _ in 0..running {
+        demand.runs(need);
+    }
+    demand.wait(waiting, need);
+    demand
+}
+
+#[test]
+fn headroom_follows_the_recent_peaks() {
+    let need = room(1_000, 100);
+    let mut headroom = Headroom::default();
+    headroom.observe(&demand(60, 40, &need), 1_000);
+    let calm = demand(20, 0, &need);
+    headroom.observe(&calm, 1_000);
+    assert_eq!(headroom.wanted(&calm, 10_000), 80);
+    headroom.observe(&calm, 16_000);
+    assert_eq!(headroom.wanted(&calm, 10_000), 30, "half of the peak");
+    headroom.observe(&calm, 200_000);
+    assert_eq!(headroom.wanted(&calm, 10_000), 0, "it is forgotten");
+    headroom.observe(&demand(0, 5_000, &need), 200_000);
+    assert_eq!(headroom.wanted(&calm, 400), 400 / MOST_KEPT);
+    assert_eq!(headroom.slot(), Some(room(1_500, 150)));
+}
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -699,7 +699,8 @@
                 | Action::TaskGivenUp { .. }
                 | Action::RunGivenUp { .. }
                 | Action::Displaced { .. }
-                | Action::ExecutorSpeed { .. } => {}
+                | Action::ExecutorSpeed { .. }
+                | Action::HeldBack { .. } => {}
                 Action::TaskSuspected { executor, .. } => {
                     self.suspected_on.insert(executor.clone());
                 }
