Urgent steps know more executors when calls for advice are shortened

Cause: while many calls wait, urgent ones asked about 7 executors, of which 5 were good: room elsewhere was out of their reach, and so were tasks that could give way there. The calls take 9 ms, and 0.13 ms for each executor. Ruled out: the time of advice (0.04 s in the median throughout). Change: urgent calls ask about as many executors as take half the time of the call itself; what is held back is so for ten seconds at least.

--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -34,6 +34,10 @@
 const CROWDED: usize = 1;
 /// Then a call asks about this many times the executors that should do.
 const ASK_FACTOR: f64 = 1.6;
+/// Urgent calls ask about so many executors still that these take this part of
+/// the time that each call takes: it is soon over, and on the few executors
+/// with the most room others find it too.
+const URGENT_PART: f64 = 0.5;
 /// The fewest executors that should be found.
 const FEWEST: f64 = 3.0;
 /// A step that waits asks about further executors at least this often, in
@@ -367,11 +371,21 @@
             call.executors.iter().filter_map(|i| self.executors.get(i));
         let capacities = known.map(|executor| executor.info.capacity);
         let enough = self.enough(&live.job.queue, step, capacities);
+        let enough = enough.max(self.least_asked(call));
         if let Some(call) = self.calls.get_mut(&id) {
             call.enough = Some(enough);
         }
     }
 
+    /// The fewest executors that a call asks about.
+    fn least_asked(&self, call: &Call) -> usize {
+        let AdviceCost { call_ms, each_ms, .. } = call.cost;
+        if !call.urgent || !self.has(Mechanism::GivingWay) || each_ms <= 0.0 {
+            return 0;
+        }
+        (call_ms * URGENT_PART / each_ms) as usize
+    }
+
     /// How many executors with such capacities should do for a step.
     fn enough(
         &self,
--- a/puffinknot-core/src/jobs/scheduler/urgent.rs
+++ b/puffinknot-core/src/jobs/scheduler/urgent.rs
@@ -5,8 +5,8 @@
 each the room for an urgent task on one executor: scraps of room add up to
 nothing. While there are no more slots than should be free, tasks that may wait
 start only where they take none away. The rest of the cell is theirs, and a
-step that has waited for twice its objective may use the slots, so that nothing
-starves by them. Gangs use them at any time, since they find room seldom
+step that has waited for twice its objective, and for some seconds, may use the
+slots, so that nothing starves by them. Gangs use them at any time, since they find room seldom
 enough.
 
 What still finds no room has others give way to it, see [`super::displace`].
@@ -27,6 +27,10 @@
 /// what the counts cost in large cells, and how long room that has come free
 /// since is held back.
 const COUNT_GAP: Millis = 50;
+/// A step that may wait leaves the slots alone for at least so long, in
+/// milliseconds: a burst lasts some seconds, and short work that waits for its
+/// end must not take the room in its midst.
+const LEFT_ALONE: Millis = 10_000;
 /// Others are looked at that may give way to so many steps in one placing.
 /// What is left over has its turn in the next.
 const MOST_LOOKS: u32 = 8;
@@ -108,7 +112,7 @@
         }
         let Some(live) = self.jobs.get(&key.job) else { return false };
         let objective = live.deadline.saturating_sub(live.since);
-        now < live.deadline + objective
+        now < live.since + (2 * objective).max(LEFT_ALONE)
     }
 
     /// Whether a task with this need may start on an executor without taking
