--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -498,6 +498,19 @@
         /// How long runs take there, in percent of the usual.
         percent: u32,
     },
+    /// A run goes on for far longer than it should; for the logs.
+    RunOverdue {
+        /// The executor's name.
+        executor: String,
+        /// The task.
+        task: TaskKey,
+        /// Which run of it.
+        run: u64,
+        /// For how long it has gone on, in milliseconds.
+        ran: Millis,
+        /// How long it should have taken there, in milliseconds.
+        should: Millis,
+    },
     /// Everything that a predecessor ordered is known; for the logs.
     Settled {
         /// Executors that did not answer in time.
--- a/puffinknot-core/src/jobs/scheduler/speeds.rs
+++ b/puffinknot-core/src/jobs/scheduler/speeds.rs
@@ -202,6 +202,7 @@
         let overdue: Vec<TaskKey> = overdue.map(|(task, _)| *task).collect();
         let mut noted: Option<StepKey> = None;
         for task in overdue {
+            self.count("runs_overdue");
             self.run_overdue(index, task, noted == Some(task.step), now);
             noted = Some(task.step);
         }
@@ -222,6 +223,13 @@
         // Its end would be the same evidence once more.
         on.tells = false;
         let ran = now.saturating_sub(on.since);
+        self.actions.push(Action::RunOverdue {
+            executor: executor.info.id.clone(),
+            task,
+            run: on.run,
+            ran,
+            should: on.ends.saturating_sub(on.since),
+        });
         let Some(live) = self.jobs.get(&key.job) else { return };
         let step = &live.job.steps[key.step as usize];
         let Some(state) = live.steps.get(&(key.time, key.step)) else {
@@ -240,7 +248,6 @@
         };
         let variance = by + error.uneven();
         let longer = (ran as f64 / usual as f64).ln();
-        self.count("runs_overdue");
         self.change_speed(index, |speed| speed.overdue(longer, variance, now));
     }
 
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -114,6 +114,9 @@
         Action::ExecutorSpeed { id, percent } => {
             info!(executor = id, percent, token, "executor_speed");
         }
+        Action::RunOverdue { executor, task, run, ran, should } => {
+            info!(executor, %task, run, ran, should, token, "run_overdue");
+        }
         Action::Settled { unseen } => info!(token, unseen, "settled"),
         Action::ExecutorHeard { id, born, running, ended } => {
             info!(
--- a/src/client/explain.rs
+++ b/src/client/explain.rs
@@ -260,6 +260,17 @@
 /// The longest time in which nothing happened to the job, and what did to
 /// the cell.
 fn late(own: &[&Line], context: &[&Line]) -> String {
+    if let Some(line) = own.iter().find(|l| l.kind() == "run_overdue") {
+        let ms = |field| line.number(field).unwrap_or_default() as f64;
+        return format!(
+            "it succeeded later than guessed: {} on {} had run for {:.1} s \
+             of {:.1} s and went on",
+            line.text("task"),
+            line.text("executor"),
+            ms("ran") / 1e3,
+            ms("should") / 1e3,
+        );
+    }
     let pairs = own.windows(2);
     let longest = pairs.max_by(|one, two| {
         let gap = |pair: &[&Line]| pair[1].at - pair[0].at;
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -114,3 +114,34 @@
         "it was refused and never ran: its key is of no account",
     );
 }
+
+#[test]
+fn a_job_with_an_overdue_run_names_its_executor() {
+    let line = |at: f64, text: &str| format!("  {at} n1 {{{text}}}\n");
+    let task = "\"task\":\"00000000000000ab.0.0.0\",\"executor\":\"x\"";
+    let job = "\"job\":\"00000000000000ab\"";
+    let overdue = "\"message\":\"run_overdue\",\"ran\":1700,\"should\":500";
+    let log = [
+        line(1.0, &format!("\"message\":\"submit\",{job}")),
+        line(1.1, &format!("\"message\":\"start_ordered\",{task}")),
+        line(2.8, &format!("{overdue},{task}")),
+        line(5.1, &format!("\"message\":\"run_ended\",{task}")),
+        line(
+            5.2,
+            &format!(
+                "\"message\":\"job_ended\",{job},\
+                 \"state\":\"Succeeded\",\"in_time\":false"
+            ),
+        ),
+    ];
+    let path = std::env::temp_dir()
+        .join(format!("puffinknot-overdue-{}.log", std::process::id()));
+    std::fs::write(&path, log.concat()).expect("a file");
+    let report = explain(&["00000000000000ab", &path.to_string_lossy()]);
+    let _ = std::fs::remove_file(&path);
+    assert_eq!(
+        cause(&report),
+        "it succeeded later than guessed: 00000000000000ab.0.0.0 on x had \
+         run for 1.7 s of 0.5 s and went on",
+    );
+}
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -693,7 +693,8 @@
                 | Action::TaskGivenUp { .. }
                 | Action::RunGivenUp { .. }
                 | Action::Displaced { .. }
-                | Action::ExecutorSpeed { .. } => {}
+                | Action::ExecutorSpeed { .. }
+                | Action::RunOverdue { .. } => {}
                 Action::TaskSuspected { executor, .. } => {
                     self.suspected_on.insert(executor.clone());
                 }
