--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -115,6 +115,9 @@
             info!(executor = id, percent, token, "executor_speed");
         }
         Action::HeldBack { step } => info!(%step, token, "held_back"),
+        Action::RunOverdue { executor, task, run, ran, should } => {
+            info!(executor, %task, run, ran, should, token, "run_overdue");
+        }
         Action::Settled { unseen } => info!(token, unseen, "settled"),
         Action::ExecutorHeard { id, born, running, ended } => {
             info!(
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -87,6 +87,7 @@
                 | Action::Displaced { .. }
                 | Action::ExecutorSpeed { .. }
                 | Action::HeldBack { .. }
+                | Action::RunOverdue { .. }
                 | Action::ExecutorHeard { .. }
                 | Action::ExecutorOver { .. }
                 | Action::RunGivenUp { .. }
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -700,7 +700,8 @@
                 | Action::RunGivenUp { .. }
                 | Action::Displaced { .. }
                 | Action::ExecutorSpeed { .. }
-                | Action::HeldBack { .. } => {}
+                | Action::HeldBack { .. }
+                | Action::RunOverdue { .. } => {}
                 Action::TaskSuspected { executor, .. } => {
                     self.suspected_on.insert(executor.clone());
                 }
