New jobs are not held for a store that has declined them

Ruled out: showing ends, or accepting jobs, before they are written; a successor that can't reach an executor any more would run its tasks again. The clients that come back do so spread, by their own times; a longer Retry-After would cost those tries that fall after the return.

Change: a write that the store has declined each time goes back to the scheduler, which makes it again without the jobs that would be back before the store should be. How long an outage lasts is learnt from earlier ones. A node that is cut off serves again with the first call that is answered.

The oracle of the test world took a job that was refused, handed in again and accepted for one that must not run. The acceptance clears it now, and nothing else does; the rule is that every attempt was refused.

--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -347,6 +347,9 @@
     Advisors(Vec<String>),
     /// The outstanding commit is written.
     Committed,
+    /// The store has declined the outstanding commit each time, so that
+    /// nothing of it is done or will be. These are its changes.
+    CommitDeclined(Vec<Change>),
     /// Time has passed.
     Tick,
 }
--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::Millis;
+use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{Action, Change, ExecutorIndex, Outcome};
 use crate::jobs::model::{JobId, JobState, StepKey};
 use crate::jobs::record::{
@@ -28,8 +29,6 @@
 /// What may still run of ended jobs is worked out anew after this time, in
 /// milliseconds: about as long as a stop takes.
 const STOPPING_AGAIN: Millis = 1_000;
-/// When a client is to come back if the store is in trouble.
-const COME_BACK: Millis = 1_000;
 
 /// What waits to be written, and what is being written.
 #[derive(Debug)]
@@ -138,6 +137,29 @@
         let batch = self.under_way.as_ref();
         batch.is_some_and(|batch| now > batch.sent_at + SLOW)
     }
+
+    /// The new jobs that are in no commit yet. What is to stay among them has
+    /// to be handed back by [`CommitQueue::accept`].
+    pub fn take_accepted(&mut self) -> BTreeSet<JobId> {
+        std::mem::take(&mut self.accepted)
+    }
+
+    /// When the commit that is under way was sent, the number of its record
+    /// and the new jobs in it.
+    pub fn under_way(
+        &self,
+    ) -> Option<(Millis, RecordNumber, BTreeSet<JobId>)> {
+        let batch = self.under_way.as_ref()?;
+        Some((batch.sent_at, batch.number, batch.accepted.clone()))
+    }
+
+    /// Takes a new job out of the commit that is under way.
+    pub fn withdraw(&mut self, job: JobId) {
+        if let Some(batch) = &mut self.under_way {
+            batch.accepted.remove(&job);
+        }
+        self.records.forget(job);
+    }
 }
 
 impl Scheduler {
@@ -354,6 +376,7 @@
     pub(super) fn committed(&mut self, now: Millis) {
         let Some(batch) = self.commits.under_way.take() else { return };
         self.commits.last = now;
+        self.outages.end(now);
         let records = &mut self.commits.records;
         records.written(batch.number);
         records.removed(&batch.removed);
@@ -423,18 +446,22 @@
     /// Refuses the jobs that wait for a store that does not answer. They
     /// are in no commit, so that they never run.
     pub(super) fn refuse_waiting(&mut self, now: Millis) {
-        if !self.commits.stuck(now) {
+        let stuck = self.commits.stuck(now);
+        if !self.has(Mechanism::AfterOutage) {
+            if stuck {
+                for job in self.commits.take_accepted() {
+                    self.refuse_new(job);
+                }
+            }
             return;
         }
-        for job in std::mem::take(&mut self.commits.accepted) {
-            let Some(live) = self.jobs.remove(&job) else { continue };
-            self.drop_reservations(job);
-            self.drop_calls(job);
-            for id in live.submitters.into_iter().chain(live.cancellers) {
-                self.count("refused_store_trouble");
-                self.reply(id, Outcome::Refused(COME_BACK));
+        if let Some((sent_at, ..)) = self.commits.under_way().filter(|_| stuck)
+        {
+            if self.outages.begin(sent_at) {
+                self.count("outages");
             }
         }
+        self.refuse_hopeless(now);
     }
 
     /// Whether everything that executors have reported is written or needs
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -15,6 +15,7 @@
 they run, `suspects` tasks that crash the executors that start them, `due`
 knows which executors to look at, `advise` spreads the calls for advice over
 all nodes, which `advisors` knows, `commit` groups what has to be written,
+`outage` refuses what would wait in vain for the store,
 `records` knows what of it still matters, `pace` slows tasks that fill beside
 tasks that serve, `waves` takes machines down for their upkeep, and `restore`
 takes over from a predecessor.
@@ -58,6 +59,7 @@
 mod lives;
 mod machines;
 mod order;
+mod outage;
 mod pace;
 mod place;
 mod records;
@@ -79,6 +81,7 @@
 use self::ledger::Ledger;
 pub use self::ledger::Usage;
 use self::live::Live;
+use self::outage::Outages;
 use self::shares::Shares;
 use self::speeds::Guesses;
 use self::waves::Machines;
@@ -177,6 +180,7 @@
     /// The share of executors that may run the steps of a queue.
     shares: BTreeMap<String, f64>,
     commits: CommitQueue,
+    outages: Outages,
     machines: Machines,
     domains: Domains,
     cordons: Cordons,
@@ -202,6 +206,7 @@
         let mut scheduler = Scheduler {
             next_run: config.token * RUNS_PER_TOKEN,
             commits: CommitQueue::new(config.token),
+            outages: Outages::default(),
             machines: Machines::default(),
             domains: Domains::default(),
             cordons: Cordons::default(),
@@ -310,6 +315,9 @@
                 self.upkeep_answered(wave, &machine, answer, now);
             }
             Event::Committed => self.committed(now),
+            Event::CommitDeclined(changes) => {
+                self.commit_declined(changes, now);
+            }
             Event::Tick => self.tick(now),
         }
     }
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -6,8 +6,10 @@
 
 use crate::ids::Millis;
 use crate::jobs::accounts::Caller;
+use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{Outcome, Request, RequestId};
 use crate::jobs::model::{Job, JobId, JobState, StepKey};
+use crate::jobs::policy::Queue;
 use crate::jobs::scheduler::admit::Admitted;
 use crate::jobs::scheduler::live::Live;
 use crate::jobs::scheduler::Scheduler;
@@ -15,7 +17,14 @@
 /// The most jobs that may be live; more are refused.
 const MAX_LIVE: usize = 20_000;
 /// When a refused client is told to come back, in milliseconds.
-const COME_BACK: Millis = 1_000;
+pub(super) const COME_BACK: Millis = 1_000;
+
+/// How long after it came a job may start at the latest to be in time, in
+/// milliseconds.
+pub(super) fn slack(job: &Job, queue: &Queue) -> Millis {
+    let stretch = queue.stretch.max(1.0) - 1.0;
+    (job.chain() as f64 * stretch) as Millis + queue.target
+}
 
 impl Scheduler {
     pub(super) fn request(
@@ -85,7 +94,11 @@
             self.count("refused_full");
             return self.reply(id, Outcome::Refused(COME_BACK));
         }
-        if self.commits.stuck(now) {
+        let hopeless = match self.has(Mechanism::AfterOutage) {
+            true => !self.may_wait_for_store(&job, &queue, now),
+            false => self.commits.stuck(now),
+        };
+        if hopeless {
             self.count("refused_store_trouble");
             return self.reply(id, Outcome::Refused(COME_BACK));
         }
@@ -126,7 +139,7 @@
     pub(super) fn live_job(
         &mut self,
         job: Job,
-        queue: std::sync::Arc<crate::jobs::policy::Queue>,
+        queue: std::sync::Arc<Queue>,
         now: Millis,
     ) -> Live {
         let account = job.account.as_deref();
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -81,6 +81,7 @@
         | Event::Machines(_)
         | Event::EntriesRead
         | Event::Committed
+        | Event::CommitDeclined(_)
         | Event::Tick => {}
     }
 }
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -18,7 +18,7 @@
 
 use super::{Input, LeadHandle, Tenure, PAUSE};
 use crate::cell::decisions;
-use crate::cell::journal::Superseded;
+use crate::cell::journal::Unwritten;
 use crate::cell::link::{ToNode, ADVICE_WITHIN};
 use crate::cell::order::{Answer, Order, Reply};
 use crate::cell::patience::Patience;
@@ -180,7 +180,11 @@
                     confirmed.set(confirmed.get().max(sent_at));
                     handle.send(Input::Event(Event::Committed));
                 }
-                Err(Superseded) => handle.send(Input::Over),
+                Err(Unwritten::Superseded) => handle.send(Input::Over),
+                Err(Unwritten::Declined(changes)) => {
+                    let event = Event::CommitDeclined(changes);
+                    handle.send(Input::Event(event));
+                }
             }
         });
     }
--- a/src/cell/reach.rs
+++ b/src/cell/reach.rs
@@ -141,10 +141,18 @@
 
 /// Looks again and again whether this node is cut off. While it can't serve,
 /// the store is asked at each look, whether or not earlier calls have been
-/// answered, so that its return is noticed at once.
+/// answered, so that its return is noticed at once; so it is if any other call
+/// of this node is answered first.
 pub async fn watch<P: Platform>(shared: Rc<Shared<P>>) {
+    let listens = shared.has(Mechanism::AfterOutage);
     loop {
-        sleep(LOOK_EVERY).await;
+        tokio::select! {
+            () = sleep(LOOK_EVERY) => {}
+            () = shared.store.regained(), if listens => {
+                shared.reach.set_cut_off(false);
+                continue;
+            }
+        }
         let lately = shared.store.answered() + ANSWERED;
         let answers = clock::mono() <= lately && shared.store.failures() == 0;
         if answers || serves(&shared) {
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod fuzz;
 mod lives;
+mod outage;
 mod reborn;
 mod room;
 mod rules;
--- /dev/null
+++ b/tests/jobs/outage.rs
@@ -0,0 +1,243 @@
+//! What becomes of jobs while the store is away, and after its return.
+
+use puffinknot_core::ids::Millis;
+use puffinknot_core::jobs::{
+    Job, JobState, Mechanism, Outcome, Step, TaskKey, Without,
+};
+
+use super::world::{job, room, step, World, WORK};
+
+/// When a refused client comes back.
+const COME_BACK: Millis = 1_000;
+/// How long a client waits for an answer in all, and how often it asks.
+const PATIENCE: Millis = 3_000;
+const TRIES: u32 = 5;
+
+fn small() -> Step {
+    step(1, room(500, 100))
+}
+
+fn lookup(id: u64) -> Job {
+    job(id, "urgent", vec![small()])
+}
+
+fn starts_of(world: &World, id: u64) -> u32 {
+    let of_job = |task: &&TaskKey| task.step.job.0 == id;
+    let tasks = world.starts.keys().filter(of_job);
+    tasks.map(|task| world.starts[task]).sum()
+}
+
+#[test]
+fn what_the_store_has_declined_is_refused_at_once_and_never_runs() {
+    let mut world = World::new(2);
+    world.run(100);
+    world.store_declines = true;
+    let first = world.submit(lookup(1));
+    world.run(30);
+    let second = world.submit(lookup(2));
+    world.run(COME_BACK / 2 + 60);
+    for request in [first, second] {
+        assert_eq!(world.answer_to(request), Outcome::Refused(COME_BACK));
+    }
+    world.run(COME_BACK / 2);
+    let at_once = world.submit(lookup(3));
+    assert_eq!(world.answer_to(at_once), Outcome::Refused(COME_BACK));
+    world.run(2_000);
+    world.store_declines = false;
+    world.run(2_000);
+    assert!(world.starts.is_empty());
+    let again = world.submit(lookup(1));
+    world.run(WORK + 200);
+    assert_eq!(world.answer_to(again), Outcome::Accepted);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    assert_eq!(world.state(2), None);
+    world.check();
+}
+
+#[test]
+fn a_short_outage_is_waited_out() {
+    let mut world = World::new(2);
+    world.run(100);
+    world.store_declines = true;
+    let request = world.submit(lookup(1));
+    world.run(150);
+    world.store_declines = false;
+    world.run(100);
+    assert_eq!(world.answer_to(request), Outcome::Accepted);
+    world.run(WORK + 100);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
+
+/// It may be written yet, so that its client can't be told that it is not.
+#[test]
+fn what_may_be_written_yet_is_not_refused() {
+    let mut world = World::new(2);
+    world.run(100);
+    world.store_down = true;
+    let in_doubt = world.submit(lookup(1));
+    world.run(30);
+    let waits = world.submit(lookup(2));
+    world.run(1_500);
+    assert!(!world.replies.contains_key(&in_doubt));
+    assert_eq!(world.answer_to(waits), Outcome::Refused(COME_BACK));
+    world.store_up();
+    world.run(WORK + 200);
+    assert_eq!(world.answer_to(in_doubt), Outcome::Accepted);
+    assert_eq!(starts_of(&world, 1), 1);
+    assert_eq!(starts_of(&world, 2), 0);
+    world.check();
+}
+
+/// Once outages are known to end by then, a job waits for the end of one
+/// rather than come back after it.
+#[test]
+fn how_long_outages_last_is_learnt() {
+    for (learns, answer) in
+        [(true, Outcome::Accepted), (false, Outcome::Refused(COME_BACK))]
+    {
+        let mut world = World::new(2);
+        world.run(100);
+        let mut request = 0;
+        for outage in 0..2 {
+            if outage == 0 && !learns {
+                continue;
+            }
+            world.store_declines = true;
+            world.submit(lookup(10 + outage));
+            world.run(2_200);
+            request = world.submit(lookup(20 + outage));
+            world.run(300);
+            world.store_declines = false;
+            world.run(1_000);
+        }
+        assert_eq!(world.answer_to(request), answer);
+        world.check();
+    }
+}
+
+#[test]
+fn what_was_accepted_goes_on_but_no_end_is_told_before_it_is_written() {
+    let mut world = World::new(2);
+    world.run(100);
+    let mut second = small();
+    second.after = vec![0];
+    world.submit(job(1, "batch", vec![small(), second]));
+    world.run(100);
+    world.store_declines = true;
+    world.run(3 * WORK);
+    assert_eq!(starts_of(&world, 1), 2, "both steps have run");
+    assert_eq!(world.state(1), Some(JobState::Running));
+    world.store_declines = false;
+    world.run(100);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
+
+#[test]
+fn a_takeover_in_the_middle_knows_nothing_of_what_was_declined() {
+    let mut world = World::new(2);
+    world.run(100);
+    world.store_declines = true;
+    let request = world.submit(lookup(1));
+    world.run(COME_BACK);
+    assert_eq!(world.answer_to(request), Outcome::Refused(COME_BACK));
+    world.store_declines = false;
+    world.replace_leader();
+    world.run(500);
+    assert_eq!(world.state(1), None);
+    let again = world.submit(lookup(1));
+    world.run(WORK + 200);
+    assert_eq!(world.answer_to(again), Outcome::Accepted);
+    assert_eq!(starts_of(&world, 1), 1);
+    world.check();
+}
+
+/// A client that hands a job in, and comes back when told to.
+struct Client {
+    id: u64,
+    since: Millis,
+    asks_at: Millis,
+    tries: u32,
+    request: Option<u64>,
+    /// How long its last try has waited for an answer.
+    waited: Millis,
+    accepted: bool,
+}
+
+/// Clients come without pause, one every `gap`, and the store declines all for
+/// four seconds. Returns them.
+fn outage(without: Without, gap: Millis) -> Vec<Client> {
+    let mut world = World::without(20, without);
+    world.run(100);
+    let begin = world.now;
+    let mut clients: Vec<Client> = Vec::new();
+    while world.now < begin + 8_000 {
+        world.store_declines =
+            (begin + 1_000..begin + 5_000).contains(&world.now);
+        if (world.now - begin) % gap == 0 && world.now < begin + 6_000 {
+            clients.push(Client {
+                id: clients.len() as u64 + 1,
+                since: world.now,
+                asks_at: world.now,
+                tries: 0,
+                request: None,
+                waited: 0,
+                accepted: false,
+            });
+        }
+        for client in &mut clients {
+            client.go_on(&mut world);
+        }
+        world.run(10);
+    }
+    for client in clients.iter().filter(|client| client.accepted) {
+        assert_eq!(starts_of(&world, client.id), 1, "job {}", client.id);
+    }
+    world.check();
+    clients
+}
+
+impl Client {
+    fn go_on(&mut self, world: &mut World) {
+        let Some(request) = self.request else {
+            let gives_up = world.now > self.since + PATIENCE;
+            if !self.accepted && world.now >= self.asks_at && !gives_up {
+                self.tries += 1;
+                self.asks_at = world.now;
+                self.request = Some(world.submit(lookup(self.id)));
+            }
+            return;
+        };
+        let Some(answer) = world.replies.get(&request) else { return };
+        self.waited = self.waited.max(world.now - self.asks_at);
+        self.request = None;
+        match answer {
+            Outcome::Accepted => self.accepted = true,
+            Outcome::Refused(after) if self.tries < TRIES => {
+                self.asks_at = world.now + after;
+            }
+            _ => self.asks_at = Millis::MAX,
+        }
+    }
+}
+
+/// Nobody is held for longer than half of the time after which it would be
+/// back, and all that may still be served after the return are.
+#[test]
+fn under_load_nobody_is_held_in_vain_and_all_that_come_back_are_served() {
+    let clients = outage(Without::default(), 20);
+    let began = clients[0].since;
+    for client in &clients {
+        let (from, waited) = (client.since - began, client.waited);
+        assert!(waited <= COME_BACK / 2 + 60, "{from}: held {waited}");
+        // The last try is a second before the client gives up, at most.
+        if from + PATIENCE - COME_BACK > 5_000 {
+            assert!(client.accepted, "from {from} ms on");
+        }
+    }
+    // What is in the commit that was declined would be held to its end.
+    let clients = outage(Without::new([Mechanism::AfterOutage]), 20);
+    let longest = clients.iter().map(|client| client.waited).max();
+    assert!(longest > Some(PATIENCE), "held {longest:?}");
+}
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -45,6 +45,9 @@
 /// A hold without answer is given up this long after its wait.
 const HOLD_SLACK: Millis = 700;
 
+/// A commit that is declined is made again after this time.
+const DECLINED: Millis = 20;
+
 /// How long a machine is down for its upkeep.
 const UPKEEP: Millis = 2_000;
 /// How late a call for upkeep may be carried out.
@@ -180,6 +183,8 @@
     pub store: BTreeMap<String, Vec<u8>>,
     /// Commits are neither made nor answered.
     pub store_down: bool,
+    /// Commits are declined at once: nothing of them is done.
+    pub store_declines: bool,
     stuck: Vec<(u64, Vec<Change>)>,
     pub executors: Vec<Executor>,
     /// How often executors have started again under their own names.
@@ -412,6 +417,7 @@
             policy,
             store: BTreeMap::new(),
             store_down: false,
+            store_declines: false,
             stuck: Vec::new(),
             executors: Vec::new(),
             births: 0,
@@ -684,7 +690,10 @@
                     self.note_reply(*id, *outcome);
                 }
                 Action::Commit(changes) => {
-                    if self.store_down {
+                    if self.store_declines {
+                        let event = Event::CommitDeclined(changes.clone());
+                        self.later(DECLINED, Pending::Tell(token, event));
+                    } else if self.store_down {
                         self.stuck.push((token, changes.clone()));
                     } else {
                         self.write(changes.clone());
--- a/tests/jobs/world/oracle.rs
+++ b/tests/jobs/world/oracle.rs
@@ -34,6 +34,8 @@
         match outcome {
             Outcome::Accepted => {
                 self.acknowledged.insert(job);
+                // It was handed in again.
+                self.refused.remove(&job);
             }
             outcome if outcome.is_refusal() => {
                 self.refused.insert(job);
