What runs on executors that give notice is moved before they go

Ruled out: taking the notice's end for the end of the life; it is the least time left, and a task would run twice.

Change: what should not end in time is stopped: what saves its progress shortly before the executor goes, what does not as soon as it won't end, a gang whole. A stop is confirmed, so that it starts elsewhere at once.

--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -501,6 +501,16 @@
         /// How long runs take there, in percent of the usual.
         percent: u32,
     },
+    /// Runs are stopped on an executor that is about to leave, before they die
+    /// with it; for the logs.
+    Cleared {
+        /// The executor.
+        executor: String,
+        /// How much longer it surely stays, in milliseconds.
+        left: Millis,
+        /// How many.
+        runs: u32,
+    },
     /// Everything that a predecessor ordered is known; for the logs.
     Settled {
         /// Executors that did not answer in time.
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -16,6 +16,7 @@
 knows which executors to look at, `advise` spreads the calls for advice over
 all nodes, which `advisors` knows, `commit` groups what has to be written,
 `outage` refuses what would wait in vain for the store,
+`leaving` moves what runs on executors that are about to go,
 `records` knows what of it still matters, `pace` slows tasks that fill beside
 tasks that serve, `waves` takes machines down for their upkeep, and `restore`
 takes over from a predecessor.
@@ -54,6 +55,7 @@
 mod holds;
 mod in_flight;
 mod judge;
+mod leaving;
 mod ledger;
 mod live;
 mod lives;
@@ -78,6 +80,7 @@
 use self::domains::Domains;
 use self::due::DueHolds;
 use self::in_flight::InFlight;
+use self::leaving::Notices;
 use self::ledger::Ledger;
 pub use self::ledger::Usage;
 use self::live::Live;
@@ -181,6 +184,7 @@
     shares: BTreeMap<String, f64>,
     commits: CommitQueue,
     outages: Outages,
+    notices: Notices,
     machines: Machines,
     domains: Domains,
     cordons: Cordons,
@@ -207,6 +211,7 @@
             next_run: config.token * RUNS_PER_TOKEN,
             commits: CommitQueue::new(config.token),
             outages: Outages::default(),
+            notices: Notices::default(),
             machines: Machines::default(),
             domains: Domains::default(),
             cordons: Cordons::default(),
@@ -291,7 +296,11 @@
             Event::Request { id, caller, request } => {
                 self.request(id, &caller, request, now);
             }
-            Event::Listed(info) => self.listed(info, now),
+            Event::Listed(info) => {
+                let id = info.id.clone();
+                self.listed(info, now);
+                self.note_notice(&id, now);
+            }
             Event::Unlisted(id) => self.unlisted(&id, now),
             Event::EntryUnreadable(id) => self.entry_unreadable(&id),
             Event::EntriesRead => self.entries_read = true,
@@ -350,6 +359,7 @@
         self.release_due(now);
         self.settle(now);
         self.refuse_waiting(now);
+        self.clear_leaving(now);
         self.advance_waves(now);
         self.refresh_speeds(now);
         self.stale = true;
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -115,6 +115,9 @@
         Action::ExecutorSpeed { id, percent } => {
             info!(executor = id, percent, token, "executor_speed");
         }
+        Action::Cleared { executor, left, runs } => {
+            info!(executor, left, runs, token, "leaving_cleared");
+        }
         Action::Settled { unseen } => info!(token, unseen, "settled"),
         Action::ExecutorHeard { id, born, running, ended } => {
             info!(
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -86,6 +86,7 @@
                 Action::Settled { .. }
                 | Action::Displaced { .. }
                 | Action::ExecutorSpeed { .. }
+                | Action::Cleared { .. }
                 | Action::ExecutorHeard { .. }
                 | Action::ExecutorOver { .. }
                 | Action::RunGivenUp { .. }
--- /dev/null
+++ b/tests/jobs/leaving.rs
@@ -0,0 +1,187 @@
+//! What runs on executors that give notice is moved before they go.
+
+use puffinknot_core::ids::Millis;
+use puffinknot_core::jobs::{JobState, Mechanism, Step, Without};
+
+use super::world::{job, room, step, World, LEASE, WORK};
+
+/// How much longer an executor stays that gives notice.
+const STAYS: Millis = 2_000;
+
+fn without_leaving() -> Without {
+    Without::new([Mechanism::Leaving])
+}
+
+fn long(times: Millis, saves: bool) -> Step {
+    let mut one = step(1, room(3_000, 100));
+    one.estimate = times * WORK;
+    one.checkpoints = saves;
+    one
+}
+
+impl World {
+    /// An executor gives notice.
+    fn give_notice(&mut self, at: usize, stays: Millis) {
+        self.executors[at].info.draining = true;
+        self.executors[at].info.remaining = Some(stays);
+        self.tell_entry(at);
+    }
+}
+
+/// Has the executor of a job leave, and tells what runs the job's task had
+/// and its state a while after: long before any lease has lapsed.
+fn moved(without: Without, first: Step) -> (u32, Option<JobState>) {
+    let work = first.estimate;
+    let mut world = World::without(3, without);
+    world.run(50);
+    world.submit(job(1, "batch", vec![first]));
+    world.run(100);
+    let at = world.executors_with(1)[0];
+    world.give_notice(at, STAYS);
+    world.run(STAYS);
+    world.executors[at].leave();
+    world.run(work + 200);
+    let state = world.state(1);
+    let starts = world.starts.values().copied().sum();
+    world.run(LEASE + work + 5_000);
+    assert!(world.unfinished().is_empty());
+    world.check();
+    (starts, state)
+}
+
+#[test]
+fn what_will_not_end_is_started_elsewhere_before_the_executor_goes() {
+    for saves in [true, false] {
+        let (starts, state) = moved(Without::default(), long(8, saves));
+        assert_eq!((starts, state), (2, Some(JobState::Succeeded)));
+        // It has to be waited for until its lease has lapsed.
+        let (starts, state) = moved(without_leaving(), long(8, saves));
+        assert_eq!((starts, state), (1, Some(JobState::Running)));
+    }
+}
+
+#[test]
+fn what_should_end_in_time_stays() {
+    let (starts, state) = moved(Without::default(), long(3, false));
+    assert_eq!((starts, state), (1, Some(JobState::Succeeded)));
+}
+
+/// When the task of a job was stopped, after its executor gave notice.
+fn stopped_after(first: Step) -> Millis {
+    let mut world = World::new(2);
+    world.run(50);
+    world.submit(job(1, "batch", vec![first]));
+    world.run(100);
+    let at = world.executors_with(1)[0];
+    world.give_notice(at, 2 * STAYS);
+    let noticed = world.now;
+    while world.executors_with(1) == [at] {
+        world.run(10);
+        assert!(world.now < noticed + 2 * STAYS, "it is moved in time");
+    }
+    world.now - noticed
+}
+
+/// What saves its progress loses nothing by going on until shortly before.
+#[test]
+fn what_saves_its_progress_stays_longer_than_what_does_not() {
+    let (saves, loses) = (long(40, true), long(40, false));
+    assert!(stopped_after(saves) > STAYS);
+    assert!(stopped_after(loses) < STAYS / 4);
+}
+
+#[test]
+fn a_gang_is_moved_whole_and_nobody_waits_alone() {
+    for without in [Without::default(), without_leaving()] {
+        let moves = without.has(Mechanism::Leaving);
+        let mut world = World::without(6, without);
+        world.run(50);
+        let mut gang = step(3, room(3_000, 100));
+        gang.gang = true;
+        gang.estimate = 8 * WORK;
+        world.submit(job(1, "batch", vec![gang]));
+        world.run(300);
+        let at = world.executors_with(1)[0];
+        world.give_notice(at, STAYS);
+        world.run(STAYS);
+        world.executors[at].leave();
+        assert!(!moves || world.starts.values().all(|starts| *starts == 2));
+        world.run(8 * WORK);
+        let state = world.state(1);
+        assert_eq!(state == Some(JobState::Succeeded), moves, "{state:?}");
+        world.run(LEASE + 20 * WORK);
+        assert!(world.unfinished().is_empty());
+        world.check();
+    }
+}
+
+/// Executors leave one after the other while jobs come without pause: with
+/// notice taken, all of them end within less than twice their work.
+#[test]
+fn under_load_no_job_waits_for_an_executor_that_has_left() {
+    for without in [Without::default(), without_leaving()] {
+        let moves = without.has(Mechanism::Leaving);
+        let mut world = World::without(12, without);
+        world.run(50);
+        let mut late = 0;
+        for id in 1..=60 {
+            world.submit(job(id, "batch", vec![long(6, id % 2 == 0)]));
+            if id % 15 == 0 {
+                let at = (id / 15) as usize;
+                world.give_notice(at, STAYS);
+            }
+            world.run(300);
+            if id > 15 && id % 15 == 7 {
+                world.executors[(id / 15) as usize].leave();
+            }
+            if id > 16 {
+                let state = world.state(id - 16);
+                late += u32::from(state != Some(JobState::Succeeded));
+            }
+        }
+        assert_eq!(late == 0, moves, "{late} late");
+        world.run(LEASE + 20 * WORK);
+        assert!(world.unfinished().is_empty());
+        world.check();
+    }
+}
+
+/// The successor learns of the notice by the executor's entry.
+#[test]
+fn a_takeover_in_the_middle_moves_it_too() {
+    let mut world = World::new(3);
+    world.run(50);
+    world.submit(job(1, "batch", vec![long(20, true)]));
+    world.run(100);
+    let at = world.executors_with(1)[0];
+    world.give_notice(at, STAYS);
+    world.run(200);
+    assert_eq!(world.executors_with(1), [at]);
+    world.executors[at].info.remaining = Some(STAYS - 200);
+    world.replace_leader();
+    world.run(STAYS - 200);
+    world.executors[at].leave();
+    let now = world.executors_with(1);
+    assert!(now.len() == 1 && now != [at], "{now:?}");
+    world.run(30 * WORK);
+    assert!(world.unfinished().is_empty());
+    world.check();
+}
+
+/// A stop that goes unanswered is waited for: nothing runs twice.
+#[test]
+fn a_task_whose_stop_is_lost_is_not_started_elsewhere_before_it_is_gone() {
+    let mut world = World::new(3);
+    world.run(50);
+    world.submit(job(1, "batch", vec![long(20, false)]));
+    world.run(100);
+    let at = world.executors_with(1)[0];
+    world.executors[at].cut = true;
+    world.give_notice(at, STAYS);
+    world.run(STAYS);
+    assert_eq!(world.starts.values().sum::<u32>(), 1);
+    world.executors[at].leave();
+    world.run(2 * LEASE + 40 * WORK);
+    assert!(world.unfinished().is_empty());
+    world.check();
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -8,6 +8,7 @@
 mod displacing;
 mod faults;
 mod fuzz;
+mod leaving;
 mod lives;
 mod outage;
 mod reborn;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -146,6 +146,13 @@
         shown + lived - lived * self.slow / 1_000
     }
 
+    /// It goes, and all that runs there dies. Its entry stays for longer.
+    pub fn leave(&mut self) {
+        self.dead = true;
+        self.resets = true;
+        self.running.clear();
+    }
+
     /// Whether a task runs there.
     pub fn runs(&self, task: &TaskKey) -> bool {
         self.running.contains_key(task)
@@ -708,7 +715,8 @@
                 | Action::TaskGivenUp { .. }
                 | Action::RunGivenUp { .. }
                 | Action::Displaced { .. }
-                | Action::ExecutorSpeed { .. } => {}
+                | Action::ExecutorSpeed { .. }
+                | Action::Cleared { .. } => {}
                 Action::TaskSuspected { executor, .. } => {
                     self.suspected_on.insert(executor.clone());
                 }
