--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -347,6 +347,9 @@
     Advisors(Vec<String>),
     /// The outstanding commit is written.
     Committed,
+    /// The store has declined the outstanding commit each time, so that
+    /// nothing of it is done or will be. These are its changes.
+    CommitDeclined(Vec<Change>),
     /// Time has passed.
     Tick,
 }
@@ -517,6 +520,16 @@
         /// How long it should have taken there, in milliseconds.
         should: Millis,
     },
+    /// Runs are stopped on an executor that is about to leave, before they die
+    /// with it; for the logs.
+    Cleared {
+        /// The executor.
+        executor: String,
+        /// How much longer it surely stays, in milliseconds.
+        left: Millis,
+        /// How many.
+        runs: u32,
+    },
     /// Everything that a predecessor ordered is known; for the logs.
     Settled {
         /// Executors that did not answer in time.
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -17,6 +17,8 @@
 they run, `suspects` tasks that crash the executors that start them, `due`
 knows which executors to look at, `advise` spreads the calls for advice over
 all nodes, which `advisors` knows, `commit` groups what has to be written,
+`outage` refuses what would wait in vain for the store,
+`leaving` moves what runs on executors that are about to go,
 `records` knows what of it still matters, `pace` slows tasks that fill beside
 tasks that serve, `waves` takes machines down for their upkeep, and `restore`
 takes over from a predecessor.
@@ -55,11 +57,13 @@
 mod holds;
 mod in_flight;
 mod judge;
+mod leaving;
 mod ledger;
 mod live;
 mod lives;
 mod machines;
 mod order;
+mod outage;
 mod pace;
 mod place;
 mod records;
@@ -79,9 +83,11 @@
 use self::domains::Domains;
 use self::due::DueHolds;
 use self::in_flight::InFlight;
+use self::leaving::Notices;
 use self::ledger::Ledger;
 pub use self::ledger::Usage;
 use self::live::Live;
+use self::outage::Outages;
 use self::shares::Shares;
 use self::speeds::Guesses;
 use self::urgent::UrgentRoom;
@@ -182,6 +188,8 @@
     /// The share of executors that may run the steps of a queue.
     shares: BTreeMap<String, f64>,
     commits: CommitQueue,
+    outages: Outages,
+    notices: Notices,
     machines: Machines,
     domains: Domains,
     cordons: Cordons,
@@ -207,6 +215,8 @@
         let mut scheduler = Scheduler {
             next_run: config.token * RUNS_PER_TOKEN,
             commits: CommitQueue::new(config.token),
+            outages: Outages::default(),
+            notices: Notices::default(),
             machines: Machines::default(),
             domains: Domains::default(),
             cordons: Cordons::default(),
@@ -292,7 +302,11 @@
             Event::Request { id, caller, request } => {
                 self.request(id, &caller, request, now);
             }
-            Event::Listed(info) => self.listed(info, now),
+            Event::Listed(info) => {
+                let id = info.id.clone();
+                self.listed(info, now);
+                self.note_notice(&id, now);
+            }
             Event::Unlisted(id) => self.unlisted(&id, now),
             Event::EntryUnreadable(id) => self.entry_unreadable(&id),
             Event::EntriesRead => self.entries_read = true,
@@ -316,6 +330,9 @@
                 self.upkeep_answered(wave, &machine, answer, now);
             }
             Event::Committed => self.committed(now),
+            Event::CommitDeclined(changes) => {
+                self.commit_declined(changes, now);
+            }
             Event::Tick => self.tick(now),
         }
     }
@@ -348,6 +365,7 @@
         self.release_due(now);
         self.settle(now);
         self.refuse_waiting(now);
+        self.clear_leaving(now);
         self.advance_waves(now);
         self.refresh_speeds(now);
         self.stale = true;
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -81,6 +81,7 @@
         | Event::Machines(_)
         | Event::EntriesRead
         | Event::Committed
+        | Event::CommitDeclined(_)
         | Event::Tick => {}
     }
 }
@@ -118,6 +119,9 @@
         Action::RunOverdue { executor, task, run, ran, should } => {
             info!(executor, %task, run, ran, should, token, "run_overdue");
         }
+        Action::Cleared { executor, left, runs } => {
+            info!(executor, left, runs, token, "leaving_cleared");
+        }
         Action::Settled { unseen } => info!(token, unseen, "settled"),
         Action::ExecutorHeard { id, born, running, ended } => {
             info!(
