Jobs that can't be done while they are of use are refused

Cause: nothing was refused below 20,000 live jobs, so that an overload was accepted and not done in time.

Change: a model of the backlog says how long a new job waits at the least; one that would end beyond three times its objective is refused, and its client is told when to come back, in turn.

--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -483,6 +483,20 @@
         /// Whether that is within its objective.
         in_time: bool,
     },
+    /// A job is refused since there is no room for it while it is of use;
+    /// for the logs.
+    NotAdmitted {
+        /// The job.
+        job: JobId,
+        /// The client account that it would belong to.
+        account: Option<String>,
+        /// When it would end at the earliest, in milliseconds from now.
+        ends_in: Millis,
+        /// For how long it is of use, in milliseconds from now.
+        of_use_for: Millis,
+        /// Its account has more than its share of what waits.
+        over_share: bool,
+    },
     /// Tasks give way to a gang; for the logs.
     Displaced {
         /// The gang.
--- /dev/null
+++ b/puffinknot-core/src/jobs/scheduler/admission.rs
@@ -0,0 +1,315 @@
+/*!
+Which jobs are taken when more is handed in than can be done.
+
+A job is of use until [`OF_USE`] times its objective has passed. One that
+can't be done by then, reckoned as if the whole cell did nothing else than what
+goes before it (see [`crate::jobs::backlog`]), is refused at once: its client
+learns it while it can still do something about it, and those that were
+accepted keep their room. An account is judged by the part of the
+room that it can have: its share, or what others leave of the cell if that is
+more. So one that hands in more than that is refused, and no other is for it.
+
+Nothing is refused while little waits, and never what is due at times of its
+own or lasts.
+*/
+
+use std::collections::BTreeMap;
+
+use crate::config::Resources;
+use crate::ids::Millis;
+use crate::jobs::backlog::{Backlog, Room, Wait, Work};
+use crate::jobs::executor::Executor;
+use crate::jobs::mechanism::Mechanism;
+use crate::jobs::message::{AccountIndex, Action};
+use crate::jobs::model::{Job, JobId, StepKey};
+use crate::jobs::scheduler::estimate::expected_end;
+use crate::jobs::scheduler::live::Live;
+use crate::jobs::scheduler::order::{Class, Rank};
+use crate::jobs::scheduler::requests::COME_BACK;
+use crate::jobs::scheduler::returns::Returns;
+use crate::jobs::scheduler::Scheduler;
+
+/// A job that takes longer than so many times its objective is of no use.
+const OF_USE: Millis = 3;
+/// How old the known backlog may be, in milliseconds: a small part of the
+/// shortest objective. What was accepted since is added to it.
+const BACKLOG_AGE: Millis = 50;
+/// With each so many live jobs or executors the backlog may be older by [`BACKLOG_AGE`], so
+/// that reckoning it takes a bounded share of the time.
+const CROWD: usize = 512;
+/// Work whose objectives end within so many milliseconds counts as one.
+const GRAIN: Millis = 100;
+
+/// A place in the order, in grains.
+type Place = (Class, bool, Millis);
+
+fn place(rank: &Rank) -> Place {
+    (rank.class, rank.late, rank.by / GRAIN)
+}
+
+/// What is known of the work that waits, and who was refused.
+#[derive(Debug, Default)]
+pub(super) struct Admission {
+    /// By service.
+    backlogs: BTreeMap<String, Backlog<Place>>,
+    /// The weights of the accounts that compete for room.
+    weights: BTreeMap<AccountIndex, f64>,
+    /// What runs of each account.
+    held: BTreeMap<AccountIndex, Resources>,
+    reckoned: Option<Millis>,
+    returns: Returns,
+}
+
+/// Why a job is refused.
+struct Refusal {
+    wait: Wait,
+    /// When it would end at the earliest.
+    ends: Millis,
+    /// Until when it is of use.
+    of_use: Millis,
+    /// How long it would keep its account's part of the room.
+    takes: Millis,
+}
+
+/// Whether a job may be refused for want of room: timed and lasting work is
+/// not done sooner or later than its time.
+fn is_judged(job: &Job) -> bool {
+    job.repeats.is_none() && !job.steps.iter().any(|step| step.lasting)
+}
+
+impl Scheduler {
+    /// Decides whether a job that is not accepted yet is refused for want of
+    /// room, and if so, returns after which time its client is to come back.
+    pub(super) fn refuses(
+        &mut self,
+        id: JobId,
+        now: Millis,
+    ) -> Option<Millis> {
+        if !self.has(Mechanism::Admission) {
+            return None;
+        }
+        if self.ready.is_empty() {
+            return None;
+        }
+        self.reckon_backlog(now);
+        let live = self.jobs.get(&id)?;
+        if !is_judged(&live.job) {
+            return None;
+        }
+        let Some(refusal) = self.refusal(id, live, now) else {
+            self.add_to_backlog(id, now);
+            return None;
+        };
+        let over_share = refusal.wait.over_share();
+        self.count(match over_share {
+            true => "refused_account_over_share",
+            false => "refused_no_room_in_time",
+        });
+        let excess = refusal.ends.saturating_sub(refusal.of_use);
+        let turn = self.turn(id, now + excess, refusal.takes, now);
+        let live = self.jobs.get(&id)?;
+        self.actions.push(Action::NotAdmitted {
+            job: id,
+            account: live.job.account.clone(),
+            ends_in: refusal.ends.saturating_sub(now),
+            of_use_for: refusal.of_use.saturating_sub(now),
+            over_share,
+        });
+        Some(turn.saturating_sub(now).max(COME_BACK))
+    }
+
+    fn refusal(&self, id: JobId, live: &Live, now: Millis) -> Option<Refusal> {
+        let backlog = self.admission.backlogs.get(&live.queue.service)?;
+        let rank = self.rank(StepKey { job: id, time: 0, step: 0 }, now)?;
+        let room = backlog.room();
+        let own = live.account.and_then(|account| {
+            Some((account, self.part_of_room(account, room)?))
+        });
+        let queue = &live.job.queue;
+        let wait = backlog.wait(own, queue, place(&rank))?;
+        if wait.least() == 0 {
+            return None;
+        }
+        let of_use = live.since + OF_USE * (live.deadline - live.since);
+        let ends = now + wait.least() + live.job.chain();
+        let part = own.map_or(1.0, |(_, part)| part);
+        let takes = room.busy_with(&work_of(&live.job), part);
+        (ends > of_use).then_some(Refusal { wait, ends, of_use, takes })
+    }
+
+    /// The part of the room that an account can have: its share among those
+    /// that compete, or what the others don't hold if that is more.
+    fn part_of_room(&self, account: AccountIndex, room: &Room) -> Option<f64> {
+        let share = self.share_of_room(account)?;
+        let held = self.admission.held.iter();
+        let others = held.filter(|(other, _)| **other != account);
+        let others =
+            others.fold(Resources::default(), |sum, (_, held)| sum.plus(held));
+        Some(share.max(1.0 - room.part_of(&others)))
+    }
+
+    /// An account's share among those that compete for room, by weight.
+    fn share_of_room(&self, account: AccountIndex) -> Option<f64> {
+        let weights = &self.admission.weights;
+        let own = weights.get(&account).copied();
+        let own = own.or_else(|| self.weight_of(account))?;
+        let others = weights.iter().filter(|(other, _)| **other != account);
+        let others: f64 = others.map(|(_, weight)| weight).sum();
+        Some(own / (own + others))
+    }
+
+    fn weight_of(&self, account: AccountIndex) -> Option<f64> {
+        let name = self.ledger.name(account)?;
+        let weight = self.policy.accounts.get(name)?.weight;
+        (weight > 0.0).then_some(weight)
+    }
+
+    /// Reckons the backlog anew if it is too old.
+    fn reckon_backlog(&mut self, now: Millis) {
+        let crowds = self.jobs.len() / CROWD + self.executors() / CROWD;
+        let age = BACKLOG_AGE * (1 + crowds as Millis);
+        let reckoned = self.admission.reckoned;
+        if reckoned.is_some_and(|at| now < at + age) {
+            return;
+        }
+        let mut backlogs = self.rooms(now);
+        let unsettled = self.unsettled.is_some();
+        for (id, live) in &self.jobs {
+            let Some(backlog) = backlogs.get_mut(&live.queue.service) else {
+                continue;
+            };
+            // What a predecessor has started may run unseen.
+            let unknown = live.inherited && unsettled;
+            if !unknown && live.ended.is_none() {
+                self.add_waiting(backlog, *id, live, now);
+            }
+        }
+        let waiting = backlogs.values().flat_map(Backlog::accounts);
+        let held: BTreeMap<AccountIndex, Resources> =
+            self.ledger.held().collect();
+        let competing = waiting.chain(held.keys().copied());
+        let weights = competing
+            .filter_map(|account| Some((account, self.weight_of(account)?)));
+        self.admission.weights = weights.collect();
+        self.admission.held = held;
+        self.admission.backlogs = backlogs;
+        self.admission.reckoned = Some(now);
+    }
+
+    /// The room of each service: that of all executors that take work, or
+    /// will again when they are heard.
+    fn rooms(&self, now: Millis) -> BTreeMap<String, Backlog<Place>> {
+        let mut rooms: BTreeMap<&str, Room> = BTreeMap::new();
+        let stays = |e: &&Executor| e.over.is_none() && !e.info.draining;
+        for executor in self.executors.values().filter(stays) {
+            let room = rooms.entry(&executor.info.service).or_default();
+            room.add(&executor.info.capacity, &executor.free);
+            for run in executor.runs.values() {
+                let left = expected_end(run, now).saturating_sub(now);
+                room.free_after(left, &run.need);
+            }
+        }
+        let rooms = rooms.into_iter();
+        rooms.map(|(name, room)| (name.into(), Backlog::new(room))).collect()
+    }
+
+    /// Adds what waits of a job to a backlog. Steps whose turn has not come
+    /// are left out: they are in nobody's way yet.
+    fn add_waiting(
+        &self,
+        backlog: &mut Backlog<Place>,
+        id: JobId,
+        live: &Live,
+        now: Millis,
+    ) {
+        for (&(time, number), run) in &live.steps {
+            let step = &live.job.steps[number as usize];
+            if step.lasting || !run.released || run.waiting.is_empty() {
+                continue;
+            }
+            let key = StepKey { job: id, time, step: number };
+            let Some(rank) = self.rank(key, now) else { continue };
+            let tasks = run.waiting.len() as u32;
+            let each = self.usual_run_time(key);
+            let work = Work::of(&step.room(), tasks, each);
+            backlog.add(live.account, &live.job.queue, place(&rank), &work);
+        }
+    }
+
+    /// Adds a job that is accepted now, all steps of which may yet wait, to
+    /// the backlog that is known.
+    fn add_to_backlog(&mut self, id: JobId, now: Millis) {
+        let Some(live) = self.jobs.get(&id) else { return };
+        let key = StepKey { job: id, time: 0, step: 0 };
+        let Some(rank) = self.rank(key, now) else { return };
+        let backlogs = &mut self.admission.backlogs;
+        let Some(backlog) = backlogs.get_mut(&live.queue.service) else {
+            return;
+        };
+        let work = first_work(&live.job);
+        backlog.add(live.account, &live.job.queue, place(&rank), &work);
+    }
+
+    /// When a job is to come back for which there is room from `from` on.
+    fn turn(
+        &mut self,
+        id: JobId,
+        from: Millis,
+        takes: Millis,
+        now: Millis,
+    ) -> Millis {
+        if !self.has(Mechanism::ReturnTimes) {
+            return now + COME_BACK;
+        }
+        let Some(live) = self.jobs.get(&id) else { return now + COME_BACK };
+        let line = (live.account, live.job.queue.clone());
+        let returns = &mut self.admission.returns;
+        let turn = returns.turn(id, line, from, takes, now);
+        returns.refused(id, live.since, turn);
+        turn
+    }
+
+    /// A job is refused for another reason than want of room; its client is
+    /// to come back after [`COME_BACK`].
+    pub(super) fn note_refused(
+        &mut self,
+        id: JobId,
+        first: Millis,
+        now: Millis,
+    ) {
+        if self.has(Mechanism::ReturnTimes) {
+            let returns = &mut self.admission.returns;
+            let first = returns.first(id).unwrap_or(first);
+            returns.refused(id, first, now + COME_BACK);
+        }
+    }
+
+    /// When a job that is handed in now was handed in first.
+    pub(super) fn handed_in(&self, id: JobId, now: Millis) -> Millis {
+        self.admission.returns.first(id).unwrap_or(now)
+    }
+
+    /// A job is accepted.
+    pub(super) fn admitted(&mut self, id: JobId) {
+        self.admission.returns.accepted(id);
+    }
+
+    /// Forgets refused clients that should have come back.
+    pub(super) fn forget_refused(&mut self, now: Millis) {
+        self.admission.returns.forget(now);
+    }
+}
+
+fn work_of(job: &Job) -> Work {
+    job.steps.iter().fold(Work::default(), |sum, step| {
+        sum.plus(&Work::of(&step.room(), step.count, step.estimate))
+    })
+}
+
+/// The work of the steps that may begin at once.
+fn first_work(job: &Job) -> Work {
+    let first = job.steps.iter().filter(|step| step.after.is_empty());
+    first.fold(Work::default(), |sum, step| {
+        sum.plus(&Work::of(&step.room(), step.count, step.estimate))
+    })
+}
--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -428,6 +428,7 @@
         }
         for job in std::mem::take(&mut self.commits.accepted) {
             let Some(live) = self.jobs.remove(&job) else { continue };
+            self.note_refused(job, live.since, now);
             self.drop_reservations(job);
             self.drop_calls(job);
             for id in live.submitters.into_iter().chain(live.cancellers) {
--- a/puffinknot-core/src/jobs/scheduler/ledger.rs
+++ b/puffinknot-core/src/jobs/scheduler/ledger.rs
@@ -155,6 +155,15 @@
         }
     }
 
+    /// What accounts have running, of those that have anything.
+    pub fn held(
+        &self,
+    ) -> impl Iterator<Item = (AccountIndex, Resources)> + '_ {
+        let entries = self.entries.iter().enumerate();
+        let busy = entries.filter(|(_, e)| e.held != Resources::default());
+        busy.map(|(index, entry)| (index as AccountIndex, entry.held))
+    }
+
     /// What is known of each account.
     pub fn usage(&self) -> impl Iterator<Item = Usage<'_>> {
         self.entries.iter().map(|entry| Usage {
@@ -164,7 +173,8 @@
         })
     }
 
-    fn name(&self, account: AccountIndex) -> Option<&str> {
+    /// The name of an account.
+    pub fn name(&self, account: AccountIndex) -> Option<&str> {
         let entry = self.entries.get(account as usize)?;
         Some(&entry.name)
     }
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -11,6 +11,8 @@
 chooses what starts where, `gangs` does so for gangs, `displace` has others give way to them, `shares` knows what comes
 beyond an account's due, `speeds` learns how long runs take, `domains` finds data centres that are out of reach,
 `cordons` knows those that take no new work,
+`admission` refuses what can't be done in time, `returns` knows who was
+refused,
 `alarm` connections that have fallen silent, `judge` executors that fail what
 they run, `suspects` tasks that crash the executors that start them, `due`
 knows which executors to look at, `advise` spreads the calls for advice over
@@ -37,6 +39,7 @@
 use crate::jobs::policy::{Policy, Queue};
 use crate::jobs::record::EndedJob;
 
+mod admission;
 mod admit;
 mod advise;
 mod advisors;
@@ -63,12 +66,14 @@
 mod records;
 mod requests;
 mod restore;
+mod returns;
 mod runs;
 mod shares;
 mod speeds;
 mod suspects;
 mod waves;
 
+use self::admission::Admission;
 use self::advise::Call;
 use self::advisors::Advisors;
 use self::alarm::Alarm;
@@ -147,6 +152,7 @@
     ledger: Ledger,
     shares_of_accounts: Shares,
     guesses: Guesses,
+    admission: Admission,
     jobs: BTreeMap<JobId, Live>,
     ended: Ended,
     executors: Executors,
@@ -214,6 +220,7 @@
             ledger: Ledger::default(),
             shares_of_accounts: Shares::default(),
             guesses: Guesses::default(),
+            admission: Admission::default(),
             jobs: BTreeMap::new(),
             ended: Ended::default(),
             executors: Executors::default(),
@@ -334,6 +341,7 @@
 
     fn tick(&mut self, now: Millis) {
         self.ended.forget(now);
+        self.forget_refused(now);
         self.give_up_lives(now);
         self.expire(now);
         self.expire_in_flight(now);
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -8,6 +8,7 @@
 use crate::jobs::accounts::Caller;
 use crate::jobs::message::{Outcome, Request, RequestId};
 use crate::jobs::model::{Job, JobId, JobState, StepKey};
+use crate::jobs::policy::Queue;
 use crate::jobs::scheduler::admit::Admitted;
 use crate::jobs::scheduler::live::Live;
 use crate::jobs::scheduler::Scheduler;
@@ -15,7 +16,7 @@
 /// The most jobs that may be live; more are refused.
 const MAX_LIVE: usize = 20_000;
 /// When a refused client is told to come back, in milliseconds.
-const COME_BACK: Millis = 1_000;
+pub(super) const COME_BACK: Millis = 1_000;
 
 impl Scheduler {
     pub(super) fn request(
@@ -81,16 +82,9 @@
         let Some(queue) = self.queues.get(&job.queue).cloned() else {
             return self.reply(id, Outcome::NoSuchQueue);
         };
-        if self.jobs.len() >= MAX_LIVE {
-            self.count("refused_full");
-            return self.reply(id, Outcome::Refused(COME_BACK));
-        }
-        if self.commits.stuck(now) {
-            self.count("refused_store_trouble");
-            return self.reply(id, Outcome::Refused(COME_BACK));
-        }
-        if job.repeats.is_none() && self.takes_nothing_new(&queue.service) {
-            self.count("refused_cordoned");
+        if let Some(why) = self.takes_none(&job, &queue, now) {
+            self.count(why);
+            self.note_refused(job.id, now, now);
             return self.reply(id, Outcome::Refused(COME_BACK));
         }
         job.account = who.owner();
@@ -98,18 +92,43 @@
             self.count("refused_over_limit");
             return self.reply(id, Outcome::OverLimit);
         }
-        self.count("submitted");
         let name = job.id;
         let beyond_due = self.is_beyond_due(&job, now);
-        let mut live = self.live_job(job, queue, now);
+        let first = self.handed_in(name, now);
+        let mut live = self.live_job(job, queue, first);
         live.beyond_due = beyond_due;
-        live.submitters.push(id);
         self.jobs.insert(name, live);
+        if let Some(after) = self.refuses(name, now) {
+            self.jobs.remove(&name);
+            return self.reply(id, Outcome::Refused(after));
+        }
+        self.count("submitted");
+        self.admitted(name);
+        if let Some(live) = self.jobs.get_mut(&name) {
+            live.submitters.push(id);
+        }
         self.commits.accept(name, now);
         self.release_due_of(name, now);
         self.ask_ahead(name, now);
     }
 
+    /// Why no job can be taken now, if that is so, as a counter.
+    fn takes_none(
+        &self,
+        job: &Job,
+        queue: &Queue,
+        now: Millis,
+    ) -> Option<&'static str> {
+        if self.jobs.len() >= MAX_LIVE {
+            return Some("refused_full");
+        }
+        if self.commits.stuck(now) {
+            return Some("refused_store_trouble");
+        }
+        let cordoned = self.takes_nothing_new(&queue.service);
+        (job.repeats.is_none() && cordoned).then_some("refused_cordoned")
+    }
+
     /// Whether the job has a gang that needs more than its account may have
     /// running, so that it would wait for ever.
     fn over_limit(&mut self, job: &Job) -> bool {
--- /dev/null
+++ b/puffinknot-core/src/jobs/scheduler/returns.rs
@@ -0,0 +1,110 @@
+/*!
+Clients that were refused, and when they are to come back.
+
+Each is told a time of its own: when the backlog should have room for it, after
+those that were refused before it. One that is refused again keeps its turn.
+What comes back is as old as its first attempt: its objective counts from
+then, so that it goes before what is new of its like.
+
+A takeover forgets this. Clients then count as new, once.
+*/
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::ids::Millis;
+use crate::jobs::message::AccountIndex;
+use crate::jobs::model::JobId;
+
+/// How long a refused client is remembered after it was told to come back, in
+/// milliseconds: it makes four further attempts, which take it up to 3 s each.
+const REMEMBERED: Millis = 12_000;
+/// The most clients that are remembered; the ones refused first are forgotten
+/// first, and count as new.
+const MOST: usize = 20_000;
+/// The latest time that a client is told to come back at, in milliseconds:
+/// no backlog is known for longer ahead.
+const LATEST: Millis = 30_000;
+
+/// A client that was refused.
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    /// When it came first.
+    first: Millis,
+    /// When it may come back.
+    turn: Millis,
+    /// When it may be forgotten.
+    until: Millis,
+}
+
+/// Jobs that take turns with each other: those of one account and queue.
+type Line = (Option<AccountIndex>, String);
+
+/// The clients that were refused.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Returns {
+    jobs: BTreeMap<JobId, Refused>,
+    /// When each of them may be forgotten, in the order of refusals.
+    until: VecDeque<(Millis, JobId)>,
+    /// Until when the room of each line is taken by clients that were told to
+    /// come back.
+    lines: BTreeMap<Line, Millis>,
+}
+
+impl Returns {
+    /// When a job was handed in first, if it was refused since.
+    pub fn first(&self, job: JobId) -> Option<Millis> {
+        self.jobs.get(&job).map(|refused| refused.first)
+    }
+
+    /// A job is refused that was handed in first at `first` and may come back
+    /// at `turn`.
+    pub fn refused(&mut self, job: JobId, first: Millis, turn: Millis) {
+        while self.until.len() >= MOST {
+            self.forget_oldest();
+        }
+        let until = turn + REMEMBERED;
+        self.jobs.insert(job, Refused { first, turn, until });
+        self.until.push_back((until, job));
+    }
+
+    /// When a job may come back for which there is room from `from` on at the
+    /// earliest, and which then takes the room of its line for `takes`.
+    pub fn turn(
+        &mut self,
+        job: JobId,
+        line: Line,
+        from: Millis,
+        takes: Millis,
+        now: Millis,
+    ) -> Millis {
+        let latest = now + LATEST;
+        if let Some(known) = self.jobs.get(&job) {
+            return known.turn.max(from).min(latest);
+        }
+        let next = self.lines.entry(line).or_default();
+        let turn = from.max(*next).min(latest);
+        *next = turn + takes;
+        turn
+    }
+
+    /// The job is accepted.
+    pub fn accepted(&mut self, job: JobId) {
+        self.jobs.remove(&job);
+    }
+
+    /// Forgets who should have come back.
+    pub fn forget(&mut self, now: Millis) {
+        while self.until.front().is_some_and(|(until, _)| *until <= now) {
+            self.forget_oldest();
+        }
+        self.lines.retain(|_, next| *next > now);
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((until, job)) = self.until.pop_front() else { return };
+        // One that was refused again since is remembered for longer.
+        if self.jobs.get(&job).is_some_and(|known| known.until <= until) {
+            self.jobs.remove(&job);
+        }
+    }
+}
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -108,6 +108,23 @@
         Action::JobEnded { job, account, state, after, in_time } => {
             info!(%job, account, ?state, after, in_time, token, "job_ended");
         }
+        Action::NotAdmitted {
+            job,
+            account,
+            ends_in,
+            of_use_for,
+            over_share,
+        } => {
+            info!(
+                %job,
+                account,
+                ends_in,
+                of_use_for,
+                over_share,
+                token,
+                "not_admitted"
+            );
+        }
         Action::Displaced { step, tasks } => {
             info!(%step, tasks, token, "displaced");
         }
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -84,6 +84,7 @@
                 }
                 // These are for the logs only.
                 Action::Settled { .. }
+                | Action::NotAdmitted { .. }
                 | Action::Displaced { .. }
                 | Action::ExecutorSpeed { .. }
                 | Action::ExecutorHeard { .. }
--- /dev/null
+++ b/tests/jobs/admission.rs
@@ -0,0 +1,400 @@
+//! More is handed in than can be done: what is refused, when refused clients
+//! come back, and what those get who were accepted.
+
+use std::collections::BTreeMap;
+
+use puffinknot_core::ids::Millis;
+use puffinknot_core::jobs::{JobId, Mechanism, Outcome, Repeats, Without};
+
+use super::world::{
+    account, job, owned_queue, room, step, World, INHERITED, WORK,
+};
+
+/// The objective of each job here: twice its work and a second.
+const OBJECTIVE: Millis = 2 * WORK + 1_000;
+/// Later ends are of no use.
+const OF_USE: Millis = 3 * OBJECTIVE;
+/// The tasks of a job, of a core each.
+const TASKS: u32 = 4;
+/// The executors have four cores each, so that the cell does this many jobs
+/// a second.
+const EXECUTORS: usize = 8;
+const JOBS_PER_S: u64 = 1_000 / WORK * (EXECUTORS as u64) * 4 / TASKS as u64;
+/// How often a client comes back at the most.
+const RETRIES: u32 = 4;
+
+/// A job that clients hand in.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: Millis,
+    id: u64,
+    queue: &'static str,
+    account: Option<&'static str>,
+}
+
+/// What became of a job.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fate {
+    first: Millis,
+    accepted: Option<Millis>,
+    refusals: u32,
+    ended: Option<Millis>,
+}
+
+impl Fate {
+    fn took(&self) -> Option<Millis> {
+        Some(self.ended?.saturating_sub(self.first))
+    }
+
+    fn in_time(&self) -> bool {
+        self.took().is_some_and(|took| took <= OBJECTIVE)
+    }
+
+    fn of_use(&self) -> bool {
+        self.took().is_some_and(|took| took <= OF_USE)
+    }
+}
+
+/// What became of all jobs of a play.
+struct Played(BTreeMap<u64, (Arrival, Fate)>);
+
+impl Played {
+    fn count(&self, which: impl Fn(&Arrival, &Fate) -> bool) -> usize {
+        self.0.values().filter(|(arrival, fate)| which(arrival, fate)).count()
+    }
+
+    fn in_time(&self) -> usize {
+        self.count(|_, fate| fate.in_time())
+    }
+
+    fn of_use(&self) -> usize {
+        self.count(|_, fate| fate.of_use())
+    }
+
+    /// Accepted while they were of use, and not done while they were.
+    fn wrongly_accepted(&self) -> usize {
+        self.count(|_, fate| {
+            let since = fate.accepted.map(|at| at - fate.first);
+            since.is_some_and(|since| since <= OF_USE) && !fate.of_use()
+        })
+    }
+
+    fn refused(&self) -> usize {
+        self.count(|_, fate| fate.accepted.is_none())
+    }
+}
+
+/// Plays arrivals in turn with clients that come back when they are told to,
+/// in whole seconds, until everything accepted is done.
+struct Play {
+    world: World,
+    due: BTreeMap<(Millis, u64), Arrival>,
+    fates: BTreeMap<u64, (Arrival, Fate)>,
+    open: BTreeMap<u64, u64>,
+}
+
+impl Play {
+    fn new(world: World, arrivals: &[Arrival]) -> Play {
+        let due = arrivals.iter().map(|a| ((a.at, a.id), *a)).collect();
+        let fate = |a: &Arrival| (*a, Fate { first: a.at, ..Fate::default() });
+        let fates = arrivals.iter().map(|a| (a.id, fate(a))).collect();
+        Play { world, due, fates, open: BTreeMap::new() }
+    }
+
+    fn hand_in(&mut self, arrival: Arrival) {
+        let work = vec![step(TASKS, room(1_000, 100))];
+        let job = job(arrival.id, arrival.queue, work);
+        let request = match arrival.account {
+            Some(account) => self.world.submit_as(account, job),
+            None => self.world.submit(job),
+        };
+        self.open.insert(request, arrival.id);
+    }
+
+    fn take_answers(&mut self) {
+        let (world, now) = (&self.world, self.world.now);
+        let answered = self.open.iter().filter_map(|(request, id)| {
+            Some((*request, *id, *world.replies.get(request)?))
+        });
+        let answered: Vec<(u64, u64, Outcome)> = answered.collect();
+        for (request, id, outcome) in answered {
+            self.open.remove(&request);
+            let (arrival, fate) = self.fates.get_mut(&id).expect("known");
+            match outcome {
+                Outcome::Accepted => fate.accepted = Some(now),
+                Outcome::Refused(after) => {
+                    fate.refusals += 1;
+                    if fate.refusals <= RETRIES {
+                        let wait = after.div_ceil(1_000) * 1_000;
+                        self.due.insert((now + wait, id), *arrival);
+                    }
+                }
+                other => panic!("{id}: {other:?}"),
+            }
+        }
+    }
+
+    fn run_until(&mut self, end: Millis) {
+        while self.world.now < end {
+            let now = self.world.now;
+            while let Some(entry) = self.due.first_entry() {
+                if entry.key().0 > now {
+                    break;
+                }
+                let arrival = entry.remove();
+                self.hand_in(arrival);
+            }
+            self.world.run(10);
+            self.take_answers();
+        }
+    }
+
+    fn finish(mut self, end: Millis) -> Played {
+        self.run_until(end);
+        self.world.check();
+        for (id, (_, fate)) in &mut self.fates {
+            fate.ended = self.world.ended_at.get(&JobId(*id)).copied();
+        }
+        Played(self.fates)
+    }
+}
+
+fn without(off: &[Mechanism]) -> Without {
+    Without::new(off.iter().copied())
+}
+
+/// A world with this many accounts of one weight, `a0` to `a3`.
+fn world(off: &[Mechanism]) -> World {
+    let mut world = World::without(EXECUTORS, without(off));
+    world.set_policy(|policy| {
+        for name in ACCOUNTS {
+            let mut account = account(name, 0);
+            account.weight = JOBS_PER_S as f64 / 4.0;
+            policy.accounts.insert(name.into(), account);
+        }
+        let mut urgent = owned_queue("owned-urgent");
+        urgent.priority = 0;
+        policy.queues.insert(urgent.name.clone(), urgent);
+    });
+    world.run(200);
+    world
+}
+
+const ACCOUNTS: [&str; 4] = ["a0", "a1", "a2", "a3"];
+
+/// So many jobs a second, evenly from `from` on for `lasting`.
+fn stream(
+    first_id: u64,
+    per_s: u64,
+    from: Millis,
+    lasting: Millis,
+    queue: &'static str,
+    account: Option<&'static str>,
+) -> Vec<Arrival> {
+    let jobs = per_s * lasting / 1_000;
+    let arrivals = (0..jobs).map(|n| Arrival {
+        at: from + n * 1_000 / per_s,
+        id: first_id + n,
+        queue,
+        account,
+    });
+    arrivals.collect()
+}
+
+#[test]
+fn nothing_is_refused_while_there_is_room() {
+    let mut arrivals =
+        stream(1, JOBS_PER_S * 8 / 10, 2_000, 8_000, "batch", None);
+    // A wave that is worked off within the objectives.
+    arrivals.extend(stream(10_000, 40, 4_000, 500, "batch", None));
+    let played = Play::new(world(&[]), &arrivals).finish(20_000);
+    assert_eq!(played.refused(), 0);
+    assert_eq!(played.of_use(), arrivals.len());
+}
+
+/// Three times what can be done, for several objectives on end, with and
+/// without refusals. No more than a few in a hundred fewer are served, and of
+/// those that were accepted most are.
+#[test]
+fn what_cannot_be_served_is_refused_and_what_can_is_not() {
+    let arrivals = stream(1, 3 * JOBS_PER_S, 2_000, 16_000, "batch", None);
+    let off = [Mechanism::Admission, Mechanism::ReturnTimes];
+    let end = 80_000;
+    let with = Play::new(world(&[]), &arrivals).finish(end);
+    let all = Play::new(world(&off), &arrivals).finish(end);
+    println!(
+        "with: {} in time, {} of use, {} wrongly accepted, {} refused; \
+         without: {}, {}, {}, {}; of {}",
+        with.in_time(),
+        with.of_use(),
+        with.wrongly_accepted(),
+        with.refused(),
+        all.in_time(),
+        all.of_use(),
+        all.wrongly_accepted(),
+        all.refused(),
+        arrivals.len(),
+    );
+    assert_eq!(all.refused(), 0);
+    assert!(with.of_use() * 100 >= all.of_use() * 98);
+    assert!(with.in_time() * 100 >= all.in_time() * 98);
+    assert!(with.wrongly_accepted() * 4 <= all.wrongly_accepted());
+}
+
+/// One account sends six times its part. Its own are refused, nothing of the
+/// others is, and these are served as if it did not.
+#[test]
+fn an_account_over_its_share_is_refused_first() {
+    let quiet = JOBS_PER_S / 8;
+    let mut arrivals = Vec::new();
+    for (number, name) in ACCOUNTS[1..].iter().enumerate() {
+        let first = 100_000 * (number as u64 + 1);
+        let some = stream(first, quiet, 2_000, 16_000, "owned", Some(*name));
+        arrivals.extend(some);
+    }
+    let hot = JOBS_PER_S * 6 / 4;
+    let flood = stream(1, hot, 4_000, 10_000, "owned", Some("a0"));
+    arrivals.extend(flood);
+    let played = Play::new(world(&[]), &arrivals).finish(60_000);
+    let hot = |arrival: &Arrival| arrival.account == Some("a0");
+    let refused_hot = played.count(|a, f| hot(a) && f.accepted.is_none());
+    let refused = played.refused();
+    println!(
+        "{refused_hot} of {refused} refused are of the hot account; \
+         {} wrongly accepted of {}",
+        played.wrongly_accepted(),
+        arrivals.len()
+    );
+    assert!(refused_hot > 0);
+    assert_eq!(refused, refused_hot);
+    let late = played.count(|a, f| !hot(a) && !f.in_time());
+    assert_eq!(late, 0);
+}
+
+/// Work that is due at its times, or lasts, is taken whatever waits.
+#[test]
+fn timed_and_lasting_jobs_are_never_refused() {
+    let flood = stream(1, 6 * JOBS_PER_S, 2_000, 6_000, "batch", None);
+    let mut play = Play::new(world(&[]), &flood);
+    play.run_until(7_000);
+    let refused = |play: &Play| {
+        play.fates.values().filter(|(_, fate)| fate.refusals > 0).count()
+    };
+    assert!(refused(&play) > 0);
+    let mut timed = job(50_000, "batch", vec![step(1, room(100, 10))]);
+    timed.repeats = Some(Repeats { first: 9_000, every: 500, times: 2 });
+    let mut lasting = step(1, room(100, 10));
+    lasting.lasting = true;
+    let lasting = job(50_001, "batch", vec![lasting]);
+    for job in [timed, lasting] {
+        let id = play.world.submit(job);
+        play.world.run(200);
+        assert_eq!(play.world.answer_to(id), Outcome::Accepted);
+    }
+}
+
+/// Refused clients come back spread over the time in which there is room, in
+/// the order in which they came.
+#[test]
+fn refused_clients_come_back_in_turn() {
+    let flood = stream(1, 6 * JOBS_PER_S, 2_000, 4_000, "batch", None);
+    let mut play = Play::new(world(&[]), &flood);
+    play.run_until(6_100);
+    let returns: Vec<(u64, Millis)> = play
+        .due
+        .iter()
+        .filter(|(_, arrival)| play.fates[&arrival.id].1.refusals == 1)
+        .map(|((at, id), _)| (*id, *at))
+        .collect();
+    assert!(returns.len() > 100, "{}", returns.len());
+    // Whole seconds and the wait from each own arrival blur the order by so
+    // much.
+    let blur = 1_000;
+    for (id, at) in &returns {
+        let earlier = returns.iter().filter(|(other, _)| other < id);
+        let latest = earlier.map(|(_, at)| *at).max().unwrap_or(0);
+        assert!(*at + blur > latest, "{id} before its elders");
+    }
+    let mut per_second: BTreeMap<Millis, u64> = BTreeMap::new();
+    for (_, at) in &returns {
+        *per_second.entry(at / 1_000).or_default() += 1;
+    }
+    let most = per_second.values().max().copied().unwrap_or(0);
+    assert!(most <= 2 * JOBS_PER_S + 2, "{per_second:?}");
+}
+
+/// A client that was refused by a leader without a store is as old as its
+/// first attempt when it comes back: it goes before what is new.
+#[test]
+fn who_returned_goes_before_who_is_new() {
+    let mut world = world(&[]);
+    world.store_down = true;
+    let old = job(1, "batch", vec![step(TASKS, room(1_000, 100))]);
+    world.submit(old.clone());
+    // The store is found stuck.
+    world.run(4_000);
+    let refused = world.submit(old.clone());
+    assert!(matches!(world.answer_to(refused), Outcome::Refused(_)));
+    world.store_up();
+    world.run(1_000);
+    // The cell is full for a while.
+    for id in 100..100 + EXECUTORS as u64 {
+        world.submit(job(id, "batch", vec![step(4, room(1_000, 100))]));
+    }
+    world.run(100);
+    for id in 200..220 {
+        world.submit(job(id, "batch", vec![step(4, room(1_000, 100))]));
+    }
+    world.submit(old);
+    world.run(8 * WORK);
+    world.check();
+    let ended = |id: u64| world.ended_at.get(&JobId(id)).copied();
+    let old = ended(1).expect("done");
+    assert!((200..220).all(|id| ended(id).is_none_or(|new| old <= new)));
+}
+
+/// The leader is replaced in the midst of an overload. The successor has
+/// accepted jobs to go by, refuses what they leave no room for, and
+/// everything accepted is done.
+#[test]
+fn a_successor_refuses_by_what_was_accepted() {
+    let arrivals = stream(1, 3 * JOBS_PER_S, 2_000, 12_000, "batch", None);
+    let mut play = Play::new(world(&[]), &arrivals);
+    play.run_until(9_000);
+    play.world.replace_leader();
+    // Nobody answers what its predecessor was asked.
+    let lost: Vec<u64> = play.open.values().copied().collect();
+    play.open.clear();
+    for id in lost {
+        let arrival = play.fates[&id].0;
+        play.hand_in(arrival);
+    }
+    play.run_until(9_000 + INHERITED);
+    let counters = play.world.scheduler.counters();
+    let refused = counters.get("refused_no_room_in_time").copied();
+    assert!(refused.unwrap_or(0) > 0);
+    let played = play.finish(80_000);
+    let undone =
+        played.count(|_, f| f.accepted.is_some() && f.ended.is_none());
+    assert_eq!(undone, 0);
+}
+
+/// A store that is away is told as such, not as want of room, and the jobs
+/// that were refused never run.
+#[test]
+fn a_store_that_is_away_refuses_without_the_backlog() {
+    let arrivals = stream(1, 2 * JOBS_PER_S, 2_000, 9_000, "batch", None);
+    let mut play = Play::new(world(&[]), &arrivals);
+    play.run_until(4_000);
+    play.world.store_down = true;
+    play.run_until(8_000);
+    let counters = play.world.scheduler.counters();
+    assert!(counters.get("refused_store_trouble").copied() > Some(0));
+    play.world.store_up();
+    let played = play.finish(80_000);
+    let undone =
+        played.count(|_, f| f.accepted.is_some() && f.ended.is_none());
+    assert_eq!(undone, 0);
+    let ran = played.count(|_, f| f.accepted.is_none() && f.ended.is_some());
+    assert_eq!(ran, 0);
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -3,6 +3,7 @@
 
 mod absence;
 mod accounts;
+mod admission;
 mod cordons;
 mod crashing;
 mod displacing;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -187,6 +187,8 @@
     queue: BTreeMap<(Millis, u64), Pending>,
     order: u64,
     pub replies: BTreeMap<u64, Outcome>,
+    /// When the end of each job was written.
+    pub ended_at: BTreeMap<JobId, Millis>,
     requests: u64,
     jobs: BTreeMap<JobId, Job>,
     acknowledged: BTreeSet<JobId>,
@@ -418,6 +420,7 @@
             queue: BTreeMap::new(),
             order: 0,
             replies: BTreeMap::new(),
+            ended_at: BTreeMap::new(),
             requests: 0,
             jobs: BTreeMap::new(),
             acknowledged: BTreeSet::new(),
@@ -522,6 +525,7 @@
     }
 
     pub fn submit(&mut self, job: Job) -> u64 {
+        self.attempted(&job);
         self.jobs.insert(job.id, job.clone());
         self.submitted.insert(self.requests + 1, job.id);
         self.request(Request::Submit(job))
@@ -529,6 +533,7 @@
 
     /// Hands a job in with the key of an account.
     pub fn submit_as(&mut self, account: &str, job: Job) -> u64 {
+        self.attempted(&job);
         self.owners.insert(job.id, account.into());
         self.jobs.insert(job.id, job.clone());
         self.submitted.insert(self.requests + 1, job.id);
@@ -692,12 +697,15 @@
                     }
                 }
                 Action::Deposed => self.deposed = true,
-                Action::JobEnded { .. }
-                | Action::Settled { .. }
+                Action::JobEnded { job, .. } => {
+                    self.ended_at.insert(*job, self.now);
+                }
+                Action::Settled { .. }
                 | Action::ExecutorHeard { .. }
                 | Action::TaskCleared { .. }
                 | Action::TaskGivenUp { .. }
                 | Action::RunGivenUp { .. }
+                | Action::NotAdmitted { .. }
                 | Action::Displaced { .. }
                 | Action::ExecutorSpeed { .. } => {}
                 Action::TaskSuspected { executor, .. } => {
--- a/tests/jobs/world/oracle.rs
+++ b/tests/jobs/world/oracle.rs
@@ -29,6 +29,12 @@
         Some(highest)
     }
 
+    /// A job is handed in. If it was refused before, it may run from now on,
+    /// unless it is refused again.
+    pub(super) fn attempted(&mut self, job: &Job) {
+        self.refused.remove(&job.id);
+    }
+
     pub(super) fn note_reply(&mut self, id: u64, outcome: Outcome) {
         let Some(&job) = self.submitted.get(&id) else { return };
         match outcome {
