--- a/src/client/explain.rs
+++ b/src/client/explain.rs
@@ -305,6 +305,21 @@
     text
 }
 
+/// Why there was no room for a job.
+fn not_admitted(line: &Line) -> String {
+    let seconds = |field| line.number(field).unwrap_or_default() as f64 / 1e3;
+    let whose = match line.text("account") {
+        "" => "what waited".to_string(),
+        account => format!("what waited of {account}"),
+    };
+    format!(
+        "it was refused and never ran: {whose} left it no end within {:.1} s, \
+         after which it was of no use; {:.1} s at the least",
+        seconds("of_use_for"),
+        seconds("ends_in"),
+    )
+}
+
 fn unended(own: &[&Line], context: &[&Line]) -> String {
     let submitted = own.iter().any(|line| line.kind() == "submit");
     let refused = own.iter().rev().find(|line| {
@@ -322,6 +337,9 @@
         }
         _ => {}
     }
+    if let Some(line) = own.iter().rfind(|l| l.kind() == "not_admitted") {
+        return not_admitted(line);
+    }
     let trouble = context.iter().rev().find(|line| {
         matches!(line.kind(), "store_lost" | "lead_ended" | "leader_link_lost")
     });
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -100,6 +100,23 @@
     assert!(report.text.contains("check the id"));
 }
 
+#[test]
+fn a_job_that_found_no_room_in_time_says_so() {
+    let log = "  1.5 n1 {\"message\":\"not_admitted\",\
+        \"job\":\"00000000000000ab\",\"account\":\"c7\",\
+        \"ends_in\":9100,\"of_use_for\":4600,\"over_share\":true}\n";
+    let path = std::env::temp_dir()
+        .join(format!("puffinknot-explain-room-{}.log", std::process::id()));
+    std::fs::write(&path, log).expect("a file");
+    let report = explain(&["00000000000000ab", &path.to_string_lossy()]);
+    let _ = std::fs::remove_file(&path);
+    assert_eq!(
+        cause(&report),
+        "it was refused and never ran: what waited of c7 left it no end \
+         within 4.6 s, after which it was of no use; 9.1 s at the least",
+    );
+}
+
 #[test]
 fn a_job_whose_key_is_of_no_account_says_so() {
     let log = "  1.5 n1 {\"message\":\"refused\",\
--- /dev/null
+++ b/tests/jobs/backlog.rs
@@ -0,0 +1,71 @@
+//! The model of what waits for room.
+
+use puffinknot_core::jobs::backlog::{Backlog, Room, Work};
+
+use super::world::room;
+
+/// A room of ten cores, of which some are free and others from later on.
+fn cores(free: u32, later: &[(u64, u32)]) -> Room {
+    let mut all = Room::default();
+    all.add(&room(10_000, 1_000), &room(free * 1_000, 1_000));
+    for (after, cores) in later {
+        all.free_after(*after, &room(cores * 1_000, 0));
+    }
+    all
+}
+
+/// The work of this many cores for a time.
+fn work(cores: u32, time: u64) -> Work {
+    Work::of(&room(1_000, 0), cores, time)
+}
+
+#[test]
+fn work_takes_what_is_free_and_what_comes_free() {
+    let full = cores(10, &[]);
+    assert_eq!(full.time_for(&work(0, 0), 1.0), Some(0));
+    assert_eq!(full.time_for(&work(20, 500), 1.0), Some(1_000));
+    // A fifth of the room is five times as slow.
+    assert_eq!(full.time_for(&work(20, 500), 0.2), Some(5_000));
+    // Half of it comes free after a second: 5 core-seconds by then, the other
+    // 5 in half a second.
+    let half = cores(5, &[(1_000, 5)]);
+    assert_eq!(half.time_for(&work(20, 500), 1.0), Some(1_500));
+    // What runs for longer than is foreseen delays no more than so long.
+    let long = cores(0, &[(3_600_000, 10)]);
+    assert_eq!(long.time_for(&work(10, 100), 1.0), Some(10_100));
+}
+
+#[test]
+fn nothing_is_told_without_room_of_the_kind() {
+    let none = Room::default();
+    assert_eq!(none.time_for(&work(1, 1), 1.0), None);
+    let backlog: Backlog<u64> = Backlog::new(none);
+    assert!(backlog.wait(None, "q", 1).is_some_and(|w| w.least() == 0));
+}
+
+#[test]
+fn what_counts_goes_before_or_was_accepted_in_the_same_queue() {
+    let mut backlog = Backlog::new(cores(10, &[]));
+    backlog.add(None, "other", 1, &work(10, 100));
+    backlog.add(None, "other", 9, &work(10, 200));
+    backlog.add(None, "own", 9, &work(10, 400));
+    let wait = |queue, place| {
+        backlog.wait(None, queue, place).map(|wait| wait.least())
+    };
+    assert_eq!(wait("own", 5), Some(500));
+    assert_eq!(wait("third", 5), Some(100));
+    assert_eq!(wait("third", 9), Some(700));
+}
+
+#[test]
+fn an_account_waits_for_its_own_work_in_its_part() {
+    let mut backlog = Backlog::new(cores(10, &[]));
+    backlog.add(Some(1), "q", 1, &work(10, 900));
+    backlog.add(Some(2), "q", 1, &work(10, 100));
+    let hot = backlog.wait(Some((1, 0.5)), "q", 2).expect("room");
+    assert_eq!((hot.least(), hot.over_share()), (1_800, true));
+    let quiet = backlog.wait(Some((2, 0.5)), "q", 2).expect("room");
+    assert_eq!((quiet.least(), quiet.over_share()), (200, false));
+    let idle = backlog.wait(Some((3, 0.5)), "q", 2).expect("room");
+    assert_eq!(idle.least(), 0);
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod absence;
 mod accounts;
 mod admission;
+mod backlog;
 mod cordons;
 mod crashing;
 mod displacing;
