--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -450,7 +450,7 @@
         if !self.has(Mechanism::AfterOutage) {
             if stuck {
                 for job in self.commits.take_accepted() {
-                    self.refuse_new(job);
+                    self.refuse_new(job, now);
                 }
             }
             return;
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -11,8 +11,8 @@
 chooses what starts where, `gangs` does so for gangs, `urgent` keeps room free
 for urgent tasks, `displace` has others give way to them and to gangs, `shares`
 knows what comes beyond an account's due, `speeds` learns how long runs take,
-`domains` finds data centres that are out of reach,
-`cordons` knows those that take no new work,
+`domains` finds data centres that are out of reach, `cordons` knows those that
+take no new work, `admission` refuses what can't be done in time,
 `alarm` connections that have fallen silent, `judge` executors that fail what
 they run, `suspects` tasks that crash the executors that start them, `due`
 knows which executors to look at, `advise` spreads the calls for advice over
@@ -41,6 +41,7 @@
 use crate::jobs::policy::{Policy, Queue};
 use crate::jobs::record::EndedJob;
 
+mod admission;
 mod admit;
 mod advise;
 mod advisors;
@@ -69,6 +70,7 @@
 mod records;
 mod requests;
 mod restore;
+mod returns;
 mod runs;
 mod shares;
 mod speeds;
@@ -76,6 +78,7 @@
 mod urgent;
 mod waves;
 
+use self::admission::Admission;
 use self::advise::Call;
 use self::advisors::Advisors;
 use self::alarm::Alarm;
@@ -158,6 +161,7 @@
     shares_of_accounts: Shares,
     guesses: Guesses,
     urgent: UrgentRoom,
+    admission: Admission,
     jobs: BTreeMap<JobId, Live>,
     ended: Ended,
     executors: Executors,
@@ -230,6 +234,7 @@
             shares_of_accounts: Shares::default(),
             guesses: Guesses::default(),
             urgent: UrgentRoom::default(),
+            admission: Admission::default(),
             jobs: BTreeMap::new(),
             ended: Ended::default(),
             executors: Executors::default(),
@@ -357,6 +362,7 @@
 
     fn tick(&mut self, now: Millis) {
         self.ended.forget(now);
+        self.forget_refused(now);
         self.give_up_lives(now);
         self.expire(now);
         self.expire_in_flight(now);
--- a/puffinknot-core/src/jobs/scheduler/outage.rs
+++ b/puffinknot-core/src/jobs/scheduler/outage.rs
@@ -103,7 +103,7 @@
         }
         for job in self.commits.take_accepted() {
             if self.is_hopeless(job, now) {
-                self.refuse_new(job);
+                self.refuse_new(job, now);
             } else {
                 self.commits.accept(job, now);
             }
@@ -117,8 +117,9 @@
     }
 
     /// Drops a job that is not written, and tells those who wait for it.
-    pub(super) fn refuse_new(&mut self, job: JobId) {
+    pub(super) fn refuse_new(&mut self, job: JobId, now: Millis) {
         let Some(live) = self.jobs.remove(&job) else { return };
+        self.note_refused(job, live.since, now);
         self.drop_reservations(job);
         self.drop_calls(job);
         for id in live.submitters.into_iter().chain(live.cancellers) {
@@ -151,7 +152,7 @@
             for job in hopeless {
                 self.commits.withdraw(job);
                 self.count("withdrawn");
-                self.refuse_new(job);
+                self.refuse_new(job, now);
             }
         }
         self.refuse_hopeless(now);
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -3,6 +3,8 @@
 
 mod absence;
 mod accounts;
+mod admission;
+mod backlog;
 mod cordons;
 mod crashing;
 mod displacing;
