--- a/puffinknot-core/src/jobs/scheduler/urgent.rs
+++ b/puffinknot-core/src/jobs/scheduler/urgent.rs
@@ -6,8 +6,8 @@
 nothing. While there are no more slots than should be free, tasks that may wait
 start only where they take none away. The rest of the cell is theirs, and a
 step that has waited for twice its objective, and for some seconds, may use the
-slots, so that nothing starves by them. Gangs use them at any time, since they find room seldom
-enough.
+slots, so that nothing starves by them. Gangs use them at any time, since they
+find room seldom enough.
 
 What still finds no room has others give way to it, see [`super::displace`].
 */
