--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -515,10 +515,10 @@
         /// How long runs take there, in percent of the usual.
         percent: u32,
     },
-    /// Tasks that may wait are not started, so that room stays free for
-    /// urgent ones; for the logs.
+    /// A step that may wait is held back for the first time, so that room
+    /// stays free for urgent ones; for the logs.
     HeldBack {
-        /// The first step that waits for this.
+        /// The step.
         step: StepKey,
     },
     /// A run goes on for far longer than it should; for the logs.
--- a/puffinknot-core/src/jobs/scheduler/live.rs
+++ b/puffinknot-core/src/jobs/scheduler/live.rs
@@ -72,6 +72,8 @@
     pub displacing_until: Millis,
     /// When others may be asked to give way to it.
     pub displace_from: Millis,
+    /// Whether a start was held back for urgent work.
+    pub held_back: bool,
     /// Whether its turn has come: all that it depends on is done. What a
     /// predecessor has started is reported in any order, so that a step may
     /// be known before.
--- a/puffinknot-core/src/jobs/scheduler/urgent.rs
+++ b/puffinknot-core/src/jobs/scheduler/urgent.rs
@@ -44,8 +44,6 @@
     /// The slots that may be taken still; none is no bound.
     spare: Option<u64>,
     counted_at: Millis,
-    /// Whether a start has been held back since the last count.
-    held_back: bool,
     /// The looks for others that give way, in this placing.
     looks: u32,
 }
@@ -63,7 +61,6 @@
         }
         self.urgent.counted_at = now;
         self.urgent.spare = None;
-        self.urgent.held_back = false;
         if !self.has(Mechanism::UrgentRoom) || !self.has_both_kinds() {
             return;
         }
@@ -153,7 +150,10 @@
     /// A task was not started for the sake of the slots.
     pub(super) fn held_back(&mut self, key: StepKey) {
         self.count("starts_held_back");
-        if !std::mem::replace(&mut self.urgent.held_back, true) {
+        let live = self.jobs.get_mut(&key.job);
+        let state = live.and_then(|live| live.step_run(key.time, key.step));
+        let before = state.map(|s| std::mem::replace(&mut s.held_back, true));
+        if before == Some(false) {
             self.actions.push(Action::HeldBack { step: key });
         }
     }
--- a/src/client/explain.rs
+++ b/src/client/explain.rs
@@ -305,6 +305,9 @@
     if !between.is_empty() {
         text += &format!("; meanwhile {}", between.join(", "));
     }
+    if own.iter().any(|line| line.kind() == "held_back") {
+        text += "; room was kept free for urgent work";
+    }
     if let Some(lost) = lost {
         let how = match lost.kind() {
             "start_failed" => lost.text("error"),
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -162,3 +162,37 @@
          run for 1.7 s of 0.5 s and went on",
     );
 }
+
+#[test]
+fn a_late_job_that_was_held_back_says_so() {
+    let job = "00000000000000ab";
+    let line = |at: f64, text: &str| format!("  {at} n1 {{{text}}}\n");
+    let log = [
+        line(1.0, &format!("\"message\":\"submit\",\"job\":\"{job}\"")),
+        line(
+            1.1,
+            &format!("\"message\":\"held_back\",\"step\":\"{job}.0.0\""),
+        ),
+        line(
+            9.5,
+            &format!("\"message\":\"start_ordered\",\"task\":\"{job}.0.0.0\""),
+        ),
+        line(
+            9.9,
+            &format!(
+                "\"message\":\"job_ended\",\"job\":\"{job}\",\
+                 \"state\":\"Succeeded\",\"in_time\":false"
+            ),
+        ),
+    ];
+    let file =
+        std::env::temp_dir().join(format!("held-{}.log", std::process::id()));
+    std::fs::write(&file, log.concat()).expect("a log file");
+    let report = explain(&[job, &file.to_string_lossy()]);
+    std::fs::remove_file(&file).expect("to remove the log file");
+    assert_eq!(
+        cause(&report),
+        "it succeeded late: nothing happened for 8.4 s between held_back and \
+         start_ordered; room was kept free for urgent work",
+    );
+}
