Admission counts only what smaller work can't pass

Gangs and wide tasks that wait were reckoned as before small urgent ones, which pass them in fact; and who returned after the store was away counted as late at once and went behind all else.

Change: only urgent work and what was accepted in the same queue counts. Who returns is as old as its first attempt only while that still helps it. Nobody is told to come back later than clients go on trying.

--- a/puffinknot-core/src/jobs/backlog.rs
+++ b/puffinknot-core/src/jobs/backlog.rs
@@ -6,11 +6,15 @@
 one question: if something is handed in now with this place, how long does
 the work before it take, at the least? What counts as before it:
 
-* all that the order puts first;
+* urgent work that the order puts first;
 * what was accepted earlier of its own queue, wherever the order has it by
   now. It is still to be done, and a queue into which more comes than goes out
   serves no more jobs by taking more.
 
+Other work that the order puts first does not count: while it waits for the
+members of its gang, for advice or for an executor with enough room, smaller
+tasks pass it.
+
 [`Room`] says what works at the backlog: what is free, and what runs now from
 the time on at which it should end. All of it is taken to work without a gap,
 and at nothing but what goes before. No cell is faster, so that the answer errs
@@ -21,7 +25,6 @@
 */
 
 use std::collections::BTreeMap;
-use std::ops::Bound::{Excluded, Unbounded};
 
 use crate::config::Resources;
 use crate::ids::Millis;
@@ -146,39 +149,51 @@
     }
 }
 
-/// What waits of one account, or of all.
+/// What waits of one queue.
 #[derive(Clone, Debug)]
-struct Lane<P> {
-    by_place: BTreeMap<P, Work>,
-    by_queue: BTreeMap<String, BTreeMap<P, Work>>,
+struct Waiting<P> {
+    all: Work,
+    /// What of it is urgent, by its place.
+    urgent: BTreeMap<P, Work>,
 }
 
+/// What waits of one account, or of all, by queue.
+#[derive(Clone, Debug)]
+struct Lane<P>(BTreeMap<String, Waiting<P>>);
+
 impl<P> Default for Lane<P> {
     fn default() -> Lane<P> {
-        let (by_place, by_queue) = (BTreeMap::new(), BTreeMap::new());
-        Lane { by_place, by_queue }
+        Lane(BTreeMap::new())
     }
 }
 
 impl<P: Ord + Copy> Lane<P> {
-    fn add(&mut self, place: P, queue: &str, work: &Work) {
-        if !self.by_queue.contains_key(queue) {
-            self.by_queue.insert(queue.to_string(), BTreeMap::new());
+    fn add(&mut self, queue: &str, work: &Work, urgent: Option<P>) {
+        if !self.0.contains_key(queue) {
+            let (all, urgent) = (Work::default(), BTreeMap::new());
+            self.0.insert(queue.to_string(), Waiting { all, urgent });
         }
-        let own = self.by_queue.get_mut(queue);
-        for places in own.into_iter().chain([&mut self.by_place]) {
-            let sum = places.entry(place).or_default();
+        let Some(waiting) = self.0.get_mut(queue) else { return };
+        waiting.all = waiting.all.plus(work);
+        if let Some(place) = urgent {
+            let sum = waiting.urgent.entry(place).or_default();
             *sum = sum.plus(work);
         }
     }
 
     /// The work before something of this queue with this place.
     fn before(&self, place: P, queue: &str) -> Work {
-        let first = self.by_place.range(..=place);
-        let own = self.by_queue.get(queue);
-        let own = own.into_iter();
-        let own = own.flat_map(|own| own.range((Excluded(place), Unbounded)));
-        first.chain(own).fold(Work::default(), |sum, (_, w)| sum.plus(w))
+        let mut sum = Work::default();
+        for (name, waiting) in &self.0 {
+            if name == queue {
+                sum = sum.plus(&waiting.all);
+                continue;
+            }
+            for (_, work) in waiting.urgent.range(..=place) {
+                sum = sum.plus(work);
+            }
+        }
+        sum
     }
 }
 
@@ -224,18 +239,18 @@
         &self.room
     }
 
-    /// Adds work that waits.
+    /// Adds work that waits; `urgent` is its place in the order, if it is.
     pub fn add(
         &mut self,
         account: Option<AccountIndex>,
         queue: &str,
-        place: P,
         work: &Work,
+        urgent: Option<P>,
     ) {
-        self.all.add(place, queue, work);
+        self.all.add(queue, work, urgent);
         if let Some(account) = account {
             let lane = self.accounts.entry(account).or_default();
-            lane.add(place, queue, work);
+            lane.add(queue, work, urgent);
         }
     }
 
--- a/puffinknot-core/src/jobs/policy.rs
+++ b/puffinknot-core/src/jobs/policy.rs
@@ -54,6 +54,14 @@
     pub open: bool,
 }
 
+impl Queue {
+    /// How long a job with this longest chain of work should take at the
+    /// most; both in milliseconds.
+    pub fn objective(&self, chain: Millis) -> Millis {
+        (chain as f64 * self.stretch.max(1.0)) as Millis + self.target
+    }
+}
+
 /// The policy of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
--- a/puffinknot-core/src/jobs/scheduler/admission.rs
+++ b/puffinknot-core/src/jobs/scheduler/admission.rs
@@ -21,7 +21,8 @@
 use crate::jobs::executor::Executor;
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{AccountIndex, Action};
-use crate::jobs::model::{Job, JobId, StepKey};
+use crate::jobs::model::{Job, JobId, Step, StepKey};
+use crate::jobs::policy::Queue;
 use crate::jobs::scheduler::estimate::expected_end;
 use crate::jobs::scheduler::live::Live;
 use crate::jobs::scheduler::order::{Class, Rank};
@@ -131,9 +132,9 @@
             return None;
         }
         let of_use = live.since + OF_USE * (live.deadline - live.since);
-        let ends = now + wait.least() + live.job.chain();
+        let ends = now + wait.least() + self.whole_chain(id, live);
         let part = own.map_or(1.0, |(_, part)| part);
-        let takes = room.busy_with(&work_of(&live.job), part);
+        let takes = room.busy_with(&self.work_of(id, live, |_| true), part);
         (ends > of_use).then_some(Refusal { wait, ends, of_use, takes })
     }
 
@@ -232,7 +233,8 @@
             let tasks = run.waiting.len() as u32;
             let each = self.usual_run_time(key);
             let work = Work::of(&step.room(), tasks, each);
-            backlog.add(live.account, &live.job.queue, place(&rank), &work);
+            let urgent = rank.urgent().then(|| place(&rank));
+            backlog.add(live.account, &live.job.queue, &work, urgent);
         }
     }
 
@@ -242,12 +244,39 @@
         let Some(live) = self.jobs.get(&id) else { return };
         let key = StepKey { job: id, time: 0, step: 0 };
         let Some(rank) = self.rank(key, now) else { return };
+        let work = self.work_of(id, live, |step| step.after.is_empty());
         let backlogs = &mut self.admission.backlogs;
         let Some(backlog) = backlogs.get_mut(&live.queue.service) else {
             return;
         };
-        let work = first_work(&live.job);
-        backlog.add(live.account, &live.job.queue, place(&rank), &work);
+        let urgent = rank.urgent().then(|| place(&rank));
+        backlog.add(live.account, &live.job.queue, &work, urgent);
+    }
+
+    /// The work of those steps of a job that are asked for.
+    fn work_of(
+        &self,
+        job: JobId,
+        live: &Live,
+        which: impl Fn(&Step) -> bool,
+    ) -> Work {
+        let steps = (0..).zip(&live.job.steps);
+        let steps = steps.filter(|(_, step)| which(step));
+        steps.fold(Work::default(), |sum, (number, step)| {
+            let key = StepKey { job, time: 0, step: number };
+            let each = self.usual_run_time(key);
+            sum.plus(&Work::of(&step.room(), step.count, each))
+        })
+    }
+
+    /// How long a job should take from its start on, in milliseconds.
+    fn whole_chain(&self, job: JobId, live: &Live) -> Millis {
+        let steps = (0..).zip(&live.job.steps);
+        let first = steps.filter(|(_, step)| step.after.is_empty());
+        let chains = first.map(|(number, _)| {
+            self.chain_left(StepKey { job, time: 0, step: number })
+        });
+        chains.max().unwrap_or(0)
     }
 
     /// When a job is to come back for which there is room from `from` on.
@@ -284,9 +313,25 @@
         }
     }
 
-    /// When a job that is handed in now was handed in first.
-    pub(super) fn handed_in(&self, id: JobId, now: Millis) -> Millis {
-        self.admission.returns.first(id).unwrap_or(now)
+    /// Since when a job counts that is handed in now: since its first attempt
+    /// if its objective can still be met. Later it is late whenever it ends,
+    /// and counts as new, so that it does not wait behind all that is.
+    pub(super) fn counts_since(
+        &self,
+        job: &Job,
+        queue: &Queue,
+        now: Millis,
+    ) -> Millis {
+        let Some(first) = self.admission.returns.first(job.id) else {
+            return now;
+        };
+        let chain = job.chain();
+        let met = now + chain <= first + queue.objective(chain);
+        if met {
+            first
+        } else {
+            now
+        }
     }
 
     /// A job is accepted.
@@ -299,17 +344,3 @@
         self.admission.returns.forget(now);
     }
 }
-
-fn work_of(job: &Job) -> Work {
-    job.steps.iter().fold(Work::default(), |sum, step| {
-        sum.plus(&Work::of(&step.room(), step.count, step.estimate))
-    })
-}
-
-/// The work of the steps that may begin at once.
-fn first_work(job: &Job) -> Work {
-    let first = job.steps.iter().filter(|step| step.after.is_empty());
-    first.fold(Work::default(), |sum, step| {
-        sum.plus(&Work::of(&step.room(), step.count, step.estimate))
-    })
-}
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -102,8 +102,8 @@
         }
         let name = job.id;
         let beyond_due = self.is_beyond_due(&job, now);
-        let first = self.handed_in(name, now);
-        let mut live = self.live_job(job, queue, first);
+        let since = self.counts_since(&job, &queue, now);
+        let mut live = self.live_job(job, queue, since);
         live.beyond_due = beyond_due;
         self.jobs.insert(name, live);
         if let Some(after) = self.refuses(name, now) {
@@ -162,12 +162,10 @@
     ) -> Live {
         let account = job.account.as_deref();
         let account = account.map(|name| self.ledger.index(name));
-        let stretch = queue.stretch.max(1.0);
-        let chain = (job.chain() as f64 * stretch) as Millis;
         self.arrivals += 1;
         Live {
             since: now,
-            deadline: now + chain + queue.target,
+            deadline: now + queue.objective(job.chain()),
             spec: job.spec.as_str().into(),
             queue,
             account,
--- a/puffinknot-core/src/jobs/scheduler/returns.rs
+++ b/puffinknot-core/src/jobs/scheduler/returns.rs
@@ -3,8 +3,8 @@
 
 Each is told a time of its own: when the backlog should have room for it, after
 those that were refused before it. One that is refused again keeps its turn.
-What comes back is as old as its first attempt: its objective counts from
-then, so that it goes before what is new of its like.
+What comes back while its objective can be met is as old as its first attempt,
+so that it goes before what is new of its like.
 
 A takeover forgets this. Clients then count as new, once.
 */
@@ -15,15 +15,13 @@
 use crate::jobs::message::AccountIndex;
 use crate::jobs::model::JobId;
 
-/// How long a refused client is remembered after it was told to come back, in
-/// milliseconds: it makes four further attempts, which take it up to 3 s each.
-const REMEMBERED: Millis = 12_000;
+/// How long clients go on trying, in milliseconds: four further attempts of up
+/// to 3 s each. None is told to come back later than that, and none is
+/// remembered for longer after its turn.
+const TRIES_FOR: Millis = 12_000;
 /// The most clients that are remembered; the ones refused first are forgotten
 /// first, and count as new.
 const MOST: usize = 20_000;
-/// The latest time that a client is told to come back at, in milliseconds:
-/// no backlog is known for longer ahead.
-const LATEST: Millis = 30_000;
 
 /// A client that was refused.
 #[derive(Clone, Copy, Debug)]
@@ -62,7 +60,7 @@
         while self.until.len() >= MOST {
             self.forget_oldest();
         }
-        let until = turn + REMEMBERED;
+        let until = turn + TRIES_FOR;
         self.jobs.insert(job, Refused { first, turn, until });
         self.until.push_back((until, job));
     }
@@ -77,7 +75,7 @@
         takes: Millis,
         now: Millis,
     ) -> Millis {
-        let latest = now + LATEST;
+        let latest = now + TRIES_FOR;
         if let Some(known) = self.jobs.get(&job) {
             return known.turn.max(from).min(latest);
         }
