Room of a full cell goes by accounts' shares, steps by their latest start

Cause: an account's due was counted in jobs a second, whatever they cost, and a job that could meet its objective no more still went before others that could.

Ruled out: one sum of urgent and patient work (an account's patient runs then put its urgent steps behind everything); a mean alone (an account that holds nothing would pay for what it once had); a tolerance of one task (in a cell of two executors nobody is ever over his share).

Change: `jobs::fair` works out max-min fair shares by weight, `scheduler::shares` says who is over his, urgent work apart; the bucket (`scheduler::buckets`) decides only `--without room-shares`. `order` ranks by the latest start, what is late behind what can be in time, and gives the longest waiting late step a turn once a second in each class.

`what_is_beyond_its_account_s_due_waits_for_others` said that nothing protects without the bucket; now shares do, so it checks both and neither.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -61,6 +61,8 @@
     pub account: Option<AccountIndex>,
     /// What it has running by that.
     pub amount: Resources,
+    /// It is urgent.
+    pub urgent: bool,
 }
 
 /// A run that takes up room on an executor.
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -483,6 +483,14 @@
         /// Whether that is within its objective.
         in_time: bool,
     },
+    /// A client account holds more than its share of a full cell; for the logs,
+    /// at most once a second.
+    OverShare {
+        /// The account.
+        account: String,
+        /// The largest part of the cell's room that it holds in any resource.
+        held: f64,
+    },
     /// Tasks give way to a gang; for the logs.
     Displaced {
         /// The gang.
--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -23,6 +23,7 @@
 pub mod cordon;
 pub mod executor;
 mod executors;
+pub mod fair;
 pub mod health;
 pub mod losses;
 pub mod mechanism;
--- a/puffinknot-core/src/jobs/model.rs
+++ b/puffinknot-core/src/jobs/model.rs
@@ -257,6 +257,9 @@
     /// milliseconds.
     pub fn chain_from(&self, number: u32) -> Millis {
         let first = number as usize;
+        if let [last] = &self.steps[first.min(self.steps.len())..] {
+            return last.estimate;
+        }
         let mut ends: Vec<Option<Millis>> = vec![None; self.steps.len()];
         for (at, step) in self.steps.iter().enumerate().skip(first) {
             let before = step.after.iter();
--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -214,8 +214,8 @@
         let Some(live) = self.jobs.get(&key.job) else { return };
         let Some(cost) = live.queue.advice else { return };
         let part = self.part(&cost, executors.len());
+        let urgent = self.rank(key, now).is_some_and(|rank| rank.urgent());
         let Some(live) = self.jobs.get_mut(&key.job) else { return };
-        let urgent = live.queue.priority == 0 && !live.beyond_due;
         let deadline = live.deadline;
         let place = (key.time, key.step);
         let Some(state) = live.steps.get_mut(&place) else { return };
--- a/puffinknot-core/src/jobs/scheduler/displace.rs
+++ b/puffinknot-core/src/jobs/scheduler/displace.rs
@@ -193,7 +193,7 @@
     fn may_displace(&self, key: StepKey, now: Millis) -> bool {
         let Some(live) = self.jobs.get(&key.job) else { return false };
         let tried = self.step_run(key).map(|state| state.displace_from);
-        if live.beyond_due {
+        if self.rank(key, now).is_none_or(|rank| rank.beyond()) {
             return false;
         }
         if live.job.repeats.is_some() || tried.is_none_or(|from| now < from) {
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -86,6 +86,7 @@
         if self.is_displacing(key, now) {
             return false;
         }
+        self.note_full(key);
         self.unreserve(key);
         let displaces = keep && self.has(Mechanism::Displacing);
         if displaces && self.displace(key, &step, &open, now) {
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -337,6 +337,7 @@
             if let Some(step) = live.job.steps.get(key.step as usize) {
                 need = Some(step.room());
                 charge.amount = step.need;
+                charge.urgent = live.queue.priority == 0;
             }
             let ended = live.ended;
             let gang = live.job.steps.get(key.step as usize);
--- a/puffinknot-core/src/jobs/scheduler/ledger.rs
+++ b/puffinknot-core/src/jobs/scheduler/ledger.rs
@@ -34,15 +34,29 @@
     pub limit: Resources,
 }
 
+/// What an account holds, and what it may.
+pub(super) struct Holding {
+    /// Its weight against others; zero is none.
+    pub weight: f64,
+    pub held: Resources,
+    /// What urgent runs hold of that.
+    pub urgent: Resources,
+    pub most: Resources,
+}
+
 /// What is known of one account.
 #[derive(Clone, Debug, Default)]
 struct Entry {
     name: String,
+    /// The newest weight that the policy gave it; zero is none.
+    weight: f64,
     /// The newest limit that the policy gave it. An account that the policy
     /// names no more keeps its last one, for what it has handed in.
     limit: Resources,
     /// What all runs that are known count for.
     held: Resources,
+    /// What those of urgent queues count for.
+    urgent: Resources,
     /// When its runs should end, and what each of them counts for.
     ends: BTreeMap<(Millis, ExecutorIndex, TaskKey), Resources>,
     /// What may run unseen of jobs that have ended.
@@ -71,11 +85,13 @@
         index
     }
 
-    /// Takes over the limits of a policy.
-    pub fn set_limits(&mut self, policy: &Policy) {
+    /// Takes over the limits and weights of a policy.
+    pub fn set_accounts(&mut self, policy: &Policy) {
         for account in policy.accounts.values() {
             let index = self.index(&account.name);
-            self.entries[index as usize].limit = account.limit;
+            let entry = &mut self.entries[index as usize];
+            entry.limit = account.limit;
+            entry.weight = account.weight;
         }
     }
 
@@ -86,6 +102,9 @@
     fn take(&mut self, at: ExecutorIndex, task: TaskKey, run: &RunOn) {
         if let Some(entry) = self.entry(&run.charge) {
             entry.held = entry.held.plus(&run.charge.amount);
+            if run.charge.urgent {
+                entry.urgent = entry.urgent.plus(&run.charge.amount);
+            }
             entry.ends.insert((run.ends, at, task), run.charge.amount);
         }
     }
@@ -93,6 +112,9 @@
     fn give_back(&mut self, at: ExecutorIndex, task: TaskKey, run: &RunOn) {
         if let Some(entry) = self.entry(&run.charge) {
             entry.held = entry.held.minus(&run.charge.amount);
+            if run.charge.urgent {
+                entry.urgent = entry.urgent.minus(&run.charge.amount);
+            }
             entry.ends.remove(&(run.ends, at, task));
         }
     }
@@ -164,7 +186,28 @@
         })
     }
 
-    fn name(&self, account: AccountIndex) -> Option<&str> {
+    /// The number of accounts that were ever named.
+    pub fn accounts(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether any account has a weight.
+    pub fn has_weights(&self) -> bool {
+        self.entries.iter().any(|entry| entry.weight > 0.0)
+    }
+
+    /// What accounts hold, in the order of their numbers.
+    pub fn holdings(&self) -> impl Iterator<Item = Holding> + '_ {
+        self.entries.iter().map(|entry| Holding {
+            weight: entry.weight,
+            held: entry.held,
+            urgent: entry.urgent,
+            most: accounts::left(&entry.limit, &Resources::default()),
+        })
+    }
+
+    /// The name of an account.
+    pub fn name(&self, account: AccountIndex) -> Option<&str> {
         let entry = self.entries.get(account as usize)?;
         Some(&entry.name)
     }
@@ -286,7 +329,8 @@
         }
         let amount = live.waits_for();
         let account = live.account;
-        if let Some(entry) = self.ledger.entry(&Charge { account, amount }) {
+        let charge = Charge { account, amount, urgent: false };
+        if let Some(entry) = self.ledger.entry(&charge) {
             entry.inherited = entry.inherited.plus(&amount);
         }
     }
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -8,8 +8,9 @@
 follows it under its name, `in_flight` which orders that one may carry out,
 `machines` what the list of machines tells of lives, `order` says what
 comes first, `estimate` how long runs take, `fit` where a task fits, `place`
-chooses what starts where, `gangs` does so for gangs, `displace` has others give way to them, `shares` knows what comes
-beyond an account's due, `domains` finds data centres that are out of reach,
+chooses what starts where, `gangs` does so for gangs, `displace` has others give way to them, `shares` knows which
+accounts hold more than their share, `buckets` what comes beyond an account's
+due, `domains` finds data centres that are out of reach,
 `cordons` knows those that take no new work,
 `alarm` connections that have fallen silent, `judge` executors that fail what
 they run, `suspects` tasks that crash the executors that start them, `due`
@@ -41,6 +42,7 @@
 mod advise;
 mod advisors;
 mod alarm;
+mod buckets;
 mod commit;
 mod cordons;
 mod displace;
@@ -71,6 +73,7 @@
 use self::advise::Call;
 use self::advisors::Advisors;
 use self::alarm::Alarm;
+use self::buckets::Buckets;
 use self::commit::CommitQueue;
 use self::domains::Domains;
 use self::due::DueHolds;
@@ -78,6 +81,7 @@
 use self::ledger::Ledger;
 pub use self::ledger::Usage;
 use self::live::Live;
+use self::order::LateTurns;
 use self::shares::Shares;
 use self::waves::Machines;
 
@@ -144,6 +148,8 @@
     keys: KeyRing,
     ledger: Ledger,
     shares_of_accounts: Shares,
+    buckets: Buckets,
+    late_turns: LateTurns,
     jobs: BTreeMap<JobId, Live>,
     ended: Ended,
     executors: Executors,
@@ -210,6 +216,8 @@
             keys: KeyRing::default(),
             ledger: Ledger::default(),
             shares_of_accounts: Shares::default(),
+            buckets: Buckets::default(),
+            late_turns: LateTurns::default(),
             jobs: BTreeMap::new(),
             ended: Ended::default(),
             executors: Executors::default(),
@@ -253,7 +261,7 @@
             }
         }
         self.keys = KeyRing::new(&policy);
-        self.ledger.set_limits(&policy);
+        self.ledger.set_accounts(&policy);
         self.policy = policy;
         self.stale = true;
     }
--- a/puffinknot-core/src/jobs/scheduler/order.rs
+++ b/puffinknot-core/src/jobs/scheduler/order.rs
@@ -1,32 +1,63 @@
 /*!
 The one order in which steps are looked at, wherever they compete.
 
-Urgent queues come first, then those whose objective can still be met, by when
-it ends; what is beyond its account's due comes behind all else.
+Urgent queues come first. What would take an account beyond its share of a full
+cell comes behind all else, see [`super::shares`].
+
+Within a class, what can still meet its objective comes first, by the latest
+start that does: the end of the objective less what is left of the job. Then
+comes what can be done while it is of some use, then the rest. Ordered by
+objectives alone, a cell that has too much to do would go on with what is
+already lost, and lose what it could have kept.
+
+So that what is late is not starved, the one that came first gets a turn every
+so often: it goes first in its class until all of it has started.
 */
 
+use std::collections::BTreeMap;
+
 use crate::ids::Millis;
 use crate::jobs::mechanism::Mechanism;
-use crate::jobs::model::StepKey;
+use crate::jobs::model::{Step, StepKey};
+use crate::jobs::scheduler::fit::times;
+use crate::jobs::scheduler::live::Live;
 use crate::jobs::scheduler::Scheduler;
 
+/// A job that takes longer than so many times its objective is of little use.
+const OF_USE: Millis = 3;
+/// A late step gets a turn at most so often in each class, in milliseconds, so
+/// that nearly all room goes to what can be in time.
+const TURN_GAP: Millis = 1_000;
+
 /// What a step competes with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Class {
     /// Its queue is urgent.
     Urgent,
+    /// The same, but its account has more than its share of what is urgent.
+    UrgentBeyond,
     /// It may wait.
     Patient,
     /// It is beyond what is its account's.
-    BeyondDue,
+    Beyond,
+}
+
+/// What use it can be if it starts now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Reach {
+    /// Its objective can be met.
+    InTime,
+    /// It would be late, but of some use.
+    Late,
+    /// It would be of little use.
+    TooLate,
 }
 
 /// The place of a step in the order; the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     pub class: Class,
-    /// Its objective can't be met any more.
-    pub late: bool,
+    pub reach: Reach,
     /// What it is ordered by among its like, in milliseconds.
     pub by: Millis,
     /// The order in which jobs came.
@@ -36,24 +67,153 @@
 impl Rank {
     /// Whether it goes before all that may wait.
     pub fn urgent(&self) -> bool {
-        self.class == Class::Urgent
+        self.class <= Class::UrgentBeyond
+    }
+
+    /// Whether it goes behind all that is within an account's share.
+    pub fn beyond(&self) -> bool {
+        self.class == Class::Beyond
     }
 }
 
+/// A late step that goes first in its class.
+#[derive(Clone, Copy, Debug, Default)]
+struct Turn {
+    holder: Option<StepKey>,
+    /// When the next one may get a turn.
+    next: Millis,
+}
+
+/// The turns of all classes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LateTurns(BTreeMap<Class, Turn>);
+
 impl Scheduler {
     /// The place of a step in the order, if its job is live.
     pub(super) fn rank(&self, key: StepKey, now: Millis) -> Option<Rank> {
         let live = self.jobs.get(&key.job)?;
-        let class = match (live.beyond_due, live.queue.priority) {
-            (true, _) => Class::BeyondDue,
-            (false, 0) => Class::Urgent,
-            (false, _) => Class::Patient,
-        };
+        let class = self.class(live);
         let arrival = live.arrival;
-        if !self.has(Mechanism::OrderByObjective) {
-            return Some(Rank { class, late: false, by: 0, arrival });
+        let (reach, by) = if !self.has(Mechanism::OrderByObjective) {
+            (Reach::InTime, 0)
+        } else if self.has(Mechanism::LatestStart) {
+            self.reach(key, live, now)
+        } else {
+            (reach_by_deadline(live, now), live.deadline)
+        };
+        Some(Rank { class, reach, by, arrival })
+    }
+
+    fn class(&self, live: &Live) -> Class {
+        let beyond = live.beyond_due || self.over_share(live.account);
+        if live.queue.priority > 0 {
+            return if beyond { Class::Beyond } else { Class::Patient };
+        }
+        let urgent = self.over_urgent_share(live.account);
+        match (live.beyond_due || (beyond && urgent), urgent) {
+            (true, _) => Class::Beyond,
+            (false, true) => Class::UrgentBeyond,
+            (false, false) => Class::Urgent,
+        }
+    }
+
+    /// What use a step can be if it starts now, and its latest start.
+    fn reach(
+        &self,
+        key: StepKey,
+        live: &Live,
+        now: Millis,
+    ) -> (Reach, Millis) {
+        let step = &live.job.steps[key.step as usize];
+        let left = self.chain_left(key) + self.rounds_before(key, step, live);
+        let latest = live.deadline.saturating_sub(left);
+        // What goes on for long, or comes again, has no one end.
+        if step.lasting || live.job.repeats.is_some() {
+            return (reach_by_deadline(live, now), latest);
+        }
+        let whole = live.deadline.saturating_sub(live.since);
+        let of_use = live.since + OF_USE * whole;
+        let reach = if now <= latest {
+            Reach::InTime
+        } else if now + left <= of_use {
+            Reach::Late
+        } else {
+            Reach::TooLate
+        };
+        (reach, latest)
+    }
+
+    /// How long all but the last tasks of a step take that is wider than the
+    /// room, or than its account may run: it goes in several rounds.
+    fn rounds_before(&self, key: StepKey, step: &Step, live: &Live) -> Millis {
+        if step.gang || step.count == 1 {
+            return 0;
+        }
+        let whole = self.shares_of_accounts.whole();
+        let room = whole.least(&self.ledger.most(live.account));
+        let waiting = live.steps.get(&(key.time, key.step));
+        let waiting = waiting.map_or(0, |run| run.waiting.len()) as u32;
+        let rounds = waiting.div_ceil(times(&room, &step.need).max(1));
+        if rounds < 2 || *whole == Default::default() {
+            return 0;
+        }
+        self.usual_run_time(key) * Millis::from(rounds - 1)
+    }
+
+    /// Puts those late steps first in their classes whose turn it is.
+    pub(super) fn give_turns(
+        &mut self,
+        order: &mut [(Rank, StepKey)],
+        now: Millis,
+    ) {
+        if !self.has(Mechanism::LatestStart) {
+            return;
+        }
+        let mut first: BTreeMap<Class, (u64, StepKey)> = BTreeMap::new();
+        for (rank, key) in order.iter() {
+            if rank.reach > Reach::InTime {
+                let came = (rank.arrival, *key);
+                let first = first.entry(rank.class).or_insert(came);
+                *first = came.min(*first);
+            }
+        }
+        let turns = &mut self.late_turns.0;
+        for (class, turn) in turns.iter_mut() {
+            let mut steps = order.iter();
+            let holds = |(rank, key): &(Rank, StepKey)| {
+                Some(*key) == turn.holder && rank.class == *class
+            };
+            if turn.holder.is_some() && !steps.any(holds) {
+                turn.holder = None;
+                turn.next = now + TURN_GAP;
+            }
+        }
+        let mut given = 0;
+        for (class, (_, key)) in first {
+            let turn = turns.entry(class).or_default();
+            if turn.holder.is_none() && now >= turn.next {
+                turn.holder = Some(key);
+                given += 1;
+            }
+        }
+        let holders: Vec<StepKey> =
+            turns.values().filter_map(|turn| turn.holder).collect();
+        for (rank, key) in order.iter_mut() {
+            if holders.contains(key) {
+                rank.reach = Reach::InTime;
+                rank.by = 0;
+            }
         }
-        let late = live.deadline < now;
-        Some(Rank { class, late, by: live.deadline, arrival })
+        for _ in 0..given {
+            self.count("late_turns");
+        }
+    }
+}
+
+fn reach_by_deadline(live: &Live, now: Millis) -> Reach {
+    if live.deadline < now {
+        Reach::Late
+    } else {
+        Reach::InTime
     }
 }
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -63,10 +63,12 @@
             self.stale = true;
             return;
         }
+        self.weigh_shares(now);
         let ready = self.ready.iter();
         let ready =
             ready.filter_map(|key| Some((self.rank(*key, now)?, *key)));
         let mut order: Vec<(Rank, StepKey)> = ready.collect();
+        self.give_turns(&mut order, now);
         let patient = order.iter().filter(|(rank, _)| !rank.urgent()).count();
         let all = patient <= FEW_WAIT || now >= self.placed_all + PLACE_GAP;
         if all {
@@ -74,6 +76,7 @@
         } else {
             order.retain(|(rank, _)| rank.urgent());
         }
+        self.begin_look(all);
         order.sort_unstable();
         self.count_unseen();
         let mut turns = Turns::default();
@@ -280,6 +283,7 @@
             self.ask(key, aged, now);
             return true;
         }
+        self.note_full(key);
         let waiting = Waiting { key, step: &step, count };
         let known: Vec<ExecutorIndex> =
             candidates.iter().map(|(at, _)| *at).collect();
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -102,6 +102,9 @@
         let name = job.id;
         let beyond_due = self.is_beyond_due(&job, now);
         let mut live = self.live_job(job, queue, now);
+        if self.over_share(live.account) {
+            self.count("jobs_over_share");
+        }
         live.beyond_due = beyond_due;
         live.submitters.push(id);
         self.jobs.insert(name, live);
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -29,7 +29,11 @@
         let Some(live) = self.jobs.get_mut(&task.step.job) else { return };
         let step = &live.job.steps[task.step.step as usize];
         let need = step.room();
-        let charge = Charge { account: live.account, amount: step.need };
+        let charge = Charge {
+            account: live.account,
+            amount: step.need,
+            urgent: live.queue.priority == 0,
+        };
         let place = (task.step.time, task.step.step);
         let Some(state) = live.steps.get_mut(&place) else { return };
         let Some(executor) = self.executors.get_mut(&index) else { return };
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -108,6 +108,9 @@
         Action::JobEnded { job, account, state, after, in_time } => {
             info!(%job, account, ?state, after, in_time, token, "job_ended");
         }
+        Action::OverShare { account, held } => {
+            info!(account, held, token, "account_over_share");
+        }
         Action::Displaced { step, tasks } => {
             info!(%step, tasks, token, "displaced");
         }
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -84,6 +84,7 @@
                 }
                 // These are for the logs only.
                 Action::Settled { .. }
+                | Action::OverShare { .. }
                 | Action::Displaced { .. }
                 | Action::ExecutorHeard { .. }
                 | Action::ExecutorOver { .. }
--- a/tests/jobs/accounts.rs
+++ b/tests/jobs/accounts.rs
@@ -294,11 +294,15 @@
 fn what_is_beyond_its_account_s_due_waits_for_others() {
     for (without, first) in [
         (Without::default(), true),
-        (Without::new([Mechanism::AccountShares]), false),
+        (Without::new([Mechanism::RoomShares]), true),
+        (
+            Without::new([Mechanism::RoomShares, Mechanism::AccountShares]),
+            false,
+        ),
     ] {
         let mut world = World::without(2, without);
         world.run(50);
-        // Its due is a job a second.
+        // Its due is a job a second, and half of a full cell.
         for id in 1..=40 {
             let one = step(1, room(4_000, 100));
             world.submit_as(LIMITED, job(id, "owned", vec![one]));
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -13,5 +13,6 @@
 mod room;
 mod rules;
 mod services;
+mod shares;
 mod size;
 mod world;
--- /dev/null
+++ b/tests/jobs/shares.rs
@@ -0,0 +1,406 @@
+//! A full cell, one account that sends many times its usual, and what the
+//! others get: played against the decisions, in virtual time.
+
+use std::collections::BTreeMap;
+
+use puffinknot_core::ids::Millis;
+use puffinknot_core::jobs::{
+    Job, Mechanism, Outcome, Queue, TaskKey, Without,
+};
+
+use super::world::{account, job, owned_queue, room, step, World};
+
+const EXECUTORS: usize = 40;
+/// Accounts of unequal weight; the first is the largest.
+const ACCOUNTS: usize = 20;
+/// How long an urgent task takes, and a patient one.
+const SHORT: Millis = 600;
+const LONG: Millis = 2_700;
+/// Jobs a second on a calm day: they take four fifths of the cell.
+const URGENT_PER_S: f64 = 15.0;
+const PATIENT_PER_S: f64 = 3.7;
+/// The flood: the largest account sends so many times its usual.
+const FLOOD: f64 = 6.0;
+/// What an urgent job may take beside its work.
+const TARGET: Millis = 250;
+/// A patient job may wait for so long and meet its objective, in a world in
+/// which its queue adds a second to four times the work.
+const SLACK: Millis = 3 * LONG + 1_000;
+/// The time between two looks at the world.
+const LOOK: Millis = 10;
+
+fn name(at: usize) -> String {
+    format!("a{at:02}")
+}
+
+fn weight(at: usize) -> f64 {
+    1.0 / ((at + 1) as f64).powf(1.2)
+}
+
+/// A world of accounts, with an urgent and a patient queue.
+fn world(executors: usize, without: Without) -> World {
+    let mut world = World::without(executors, without);
+    world.set_policy(|policy| {
+        let urgent = Queue {
+            priority: 0,
+            stretch: 1.5,
+            target: TARGET,
+            ..owned_queue("preview")
+        };
+        let patient = Queue { stretch: 4.0, ..owned_queue("patient") };
+        for queue in [urgent, patient] {
+            policy.queues.insert(queue.name.clone(), queue);
+        }
+        for at in 0..ACCOUNTS {
+            let mut account = account(&name(at), 0);
+            account.weight = weight(at);
+            policy.accounts.insert(account.name.clone(), account);
+        }
+    });
+    world.run(200);
+    world
+}
+
+fn of(id: u64, queue: &str, count: u32, time: Millis) -> Job {
+    let mut work = step(count, room(1_000, 100));
+    work.estimate = time;
+    job(id, queue, vec![work])
+}
+
+fn first_task(id: u64) -> TaskKey {
+    format!("{id:016x}.0.0.0").parse().expect("a task")
+}
+
+/// A day: what accounts hand in, and when it starts.
+struct Day {
+    world: World,
+    /// Who has handed in which kind of jobs, and how much of the next.
+    due: BTreeMap<(usize, bool), f64>,
+    next: u64,
+    /// Jobs that have not started: of whom, whether urgent, and since when.
+    waiting: BTreeMap<u64, (usize, bool, Millis)>,
+    /// How long jobs waited for their first start.
+    waited: BTreeMap<(usize, bool), Vec<Millis>>,
+}
+
+impl Day {
+    fn new(without: Without) -> Day {
+        Day {
+            world: world(EXECUTORS, without),
+            due: BTreeMap::new(),
+            next: 1,
+            waiting: BTreeMap::new(),
+            waited: BTreeMap::new(),
+        }
+    }
+
+    /// Plays so much time, in which the first account sends so many times its
+    /// usual.
+    fn play(&mut self, time: Millis, times: f64) {
+        let sum: f64 = (0..ACCOUNTS).map(weight).sum();
+        let end = self.world.now + time;
+        while self.world.now < end {
+            for at in 0..ACCOUNTS {
+                for (urgent, per_s) in
+                    [(true, URGENT_PER_S), (false, PATIENT_PER_S)]
+                {
+                    let times = if at == 0 { times } else { 1.0 };
+                    let part = per_s * times * weight(at) / sum;
+                    let due = self.due.entry((at, urgent)).or_default();
+                    *due += part * LOOK as f64 / 1_000.0;
+                    if *due >= 1.0 {
+                        *due -= 1.0;
+                        self.hand_in(at, urgent);
+                    }
+                }
+            }
+            self.world.run(LOOK);
+            self.look();
+        }
+    }
+
+    fn hand_in(&mut self, at: usize, urgent: bool) {
+        let id = self.next;
+        self.next += 1;
+        let job = match urgent {
+            true => of(id, "preview", 3, SHORT),
+            false => of(id, "patient", 10, LONG),
+        };
+        let request = self.world.submit_as(&name(at), job);
+        let answer = self.world.replies.get(&request);
+        if !matches!(answer, Some(Outcome::Refused(_))) {
+            self.waiting.insert(id, (at, urgent, self.world.now));
+        }
+    }
+
+    fn look(&mut self) {
+        let now = self.world.now;
+        let starts = &self.world.starts;
+        let waited = &mut self.waited;
+        self.waiting.retain(|id, (at, urgent, since)| {
+            let started = starts.contains_key(&first_task(*id));
+            if started {
+                let waited = waited.entry((*at, *urgent)).or_default();
+                waited.push(now - *since);
+            }
+            !started
+        });
+    }
+
+    /// The 90th percentile of what jobs of all but the first account have
+    /// waited since the last time, with those that still do.
+    fn others_waited(&mut self, urgent: bool) -> Millis {
+        let kind = |at: usize, is: bool| at > 0 && is == urgent;
+        let started = self.waited.iter();
+        let started = started.filter(|((at, is), _)| kind(*at, *is));
+        let started = started.flat_map(|(_, waited)| waited.iter().copied());
+        let waiting = self.waiting.values();
+        let waiting = waiting.filter(|(at, is, _)| kind(*at, *is));
+        let now = self.world.now;
+        let waiting = waiting.map(|(_, _, since)| now - since);
+        let mut all: Vec<Millis> = started.chain(waiting).collect();
+        all.sort_unstable();
+        let p90 = all[all.len() * 9 / 10];
+        self.waited.retain(|(at, is), _| !kind(*at, *is));
+        p90
+    }
+}
+
+/// No protection at all.
+fn unprotected() -> Without {
+    Without::new([Mechanism::RoomShares, Mechanism::AccountShares])
+}
+
+/// Whether urgent jobs of the others wait no longer than on a calm day and what
+/// their objective adds to the work, and patient ones not so much longer.
+fn served(day: &mut Day, calm: (Millis, Millis), longer: Millis) -> bool {
+    let (urgent, patient) =
+        (day.others_waited(true), day.others_waited(false));
+    urgent <= calm.0 + TARGET && patient <= calm.1 + longer
+}
+
+#[test]
+fn a_flood_of_one_account_spares_the_others() {
+    for (without, spared) in
+        [(Without::default(), true), (unprotected(), false)]
+    {
+        let mut day = Day::new(without);
+        day.play(8_000, 1.0);
+        let calm = (day.others_waited(true), day.others_waited(false));
+        day.play(LONG, FLOOD);
+        day.others_waited(false);
+        day.play(8_000, FLOOD);
+        // What is lent comes back as runs end.
+        assert_eq!(served(&mut day, calm, LONG), spared);
+        let told = day.world.scheduler.counters().get("accounts_over_share");
+        assert_eq!(told.is_some(), spared);
+        day.world.check();
+    }
+}
+
+/// A successor begins the means at zero, and what accounts hold is known when
+/// executors have answered.
+#[test]
+fn a_takeover_amid_a_flood_spares_the_others_again() {
+    let mut day = Day::new(Without::default());
+    day.play(8_000, 1.0);
+    let calm = (day.others_waited(true), day.others_waited(false));
+    day.play(LONG, FLOOD);
+    day.world.replace_leader();
+    day.play(LONG, FLOOD);
+    day.others_waited(true);
+    day.others_waited(false);
+    day.play(6_000, FLOOD);
+    assert!(served(&mut day, calm, SLACK));
+    day.world.check();
+}
+
+#[test]
+fn executors_that_leave_amid_a_flood_take_from_the_flood() {
+    let mut day = Day::new(Without::default());
+    day.play(8_000, 1.0);
+    let calm = (day.others_waited(true), day.others_waited(false));
+    day.play(LONG, FLOOD);
+    for at in 0..EXECUTORS / 8 {
+        day.world.executors[at].dead = true;
+    }
+    day.play(2 * LONG, FLOOD);
+    day.others_waited(true);
+    day.others_waited(false);
+    day.play(6_000, FLOOD);
+    assert!(served(&mut day, calm, SLACK));
+    day.world.check();
+}
+
+/// While the store is away nothing is accepted; what came meanwhile does not
+/// let the flood overtake the others.
+#[test]
+fn a_store_that_was_away_amid_a_flood_leaves_the_shares() {
+    let mut day = Day::new(Without::default());
+    day.play(8_000, 1.0);
+    let calm = (day.others_waited(true), day.others_waited(false));
+    day.play(LONG, FLOOD);
+    day.world.store_down = true;
+    day.play(1_000, FLOOD);
+    day.world.store_up();
+    day.play(LONG, FLOOD);
+    day.others_waited(true);
+    day.others_waited(false);
+    day.play(6_000, FLOOD);
+    assert!(served(&mut day, calm, SLACK));
+    day.world.check();
+}
+
+/// The thousandths of a core that a job's tasks hold.
+fn held(world: &World, jobs: impl Iterator<Item = u64>) -> usize {
+    jobs.map(|id| world.executors_with(id).len() * 1_000).sum()
+}
+
+/// Two accounts of one weight; the first has more to do than there is room.
+fn two(executors: usize, jobs: u64) -> World {
+    let mut world = world(executors, Without::default());
+    world.set_policy(|policy| {
+        for at in 0..2 {
+            let account = account(&name(at), 0);
+            policy.accounts.insert(account.name.clone(), account);
+        }
+    });
+    for id in 1..=jobs {
+        world.submit_as(&name(0), of(id, "patient", 1, LONG));
+        world.run(LOOK);
+    }
+    world
+}
+
+#[test]
+fn what_is_lent_comes_back_within_a_run_and_is_lent_again() {
+    let mut world = two(10, 400);
+    world.run(LONG);
+    assert!(held(&world, 1..=400) >= 38_000, "all is lent");
+    for id in 500..700 {
+        world.submit_as(&name(1), of(id, "patient", 1, LONG));
+    }
+    world.run(LONG + LONG / 2);
+    let back = held(&world, 500..700);
+    assert!((16_000..=24_000).contains(&back), "half: {back}");
+    world.run(40 * LONG);
+    assert!(world.unfinished().is_empty());
+    world.check();
+}
+
+#[test]
+fn urgent_work_of_an_account_over_its_share_goes_before_what_may_wait() {
+    let mut world = two(2, 30);
+    for id in 100..110 {
+        world.submit_as(&name(1), of(id, "patient", 1, LONG));
+    }
+    // Whose patient runs hold more than their share has urgent work.
+    world.submit_as(&name(0), of(200, "preview", 1, SHORT));
+    while !world.starts.contains_key(&first_task(200)) {
+        assert!(!world.starts.contains_key(&first_task(100)));
+        world.run(LOOK);
+    }
+    world.run(40 * LONG);
+    assert!(world.unfinished().is_empty());
+}
+
+#[test]
+fn a_flood_of_urgent_work_goes_behind_what_may_wait_within_its_share() {
+    for (without, spared) in
+        [(Without::default(), true), (unprotected(), false)]
+    {
+        let mut world = world(4, without);
+        world.set_policy(|policy| {
+            for at in 0..2 {
+                let account = account(&name(at), 0);
+                policy.accounts.insert(account.name.clone(), account);
+            }
+        });
+        for id in 1..=300 {
+            world.submit_as(&name(0), of(id, "preview", 1, SHORT));
+        }
+        world.run(2 * SHORT);
+        // Its urgent work alone holds more than half of what is urgent.
+        world.submit_as(&name(1), of(400, "preview", 1, SHORT));
+        for id in 500..510 {
+            world.submit_as(&name(1), of(id, "patient", 1, LONG));
+        }
+        world.run(3 * SHORT);
+        let start = |id: u64| world.starts.contains_key(&first_task(id));
+        assert!(start(400));
+        let patient = (500..510).filter(|id| start(*id)).count();
+        assert_eq!(patient > 0, spared);
+    }
+}
+
+/// What an account may not use of its share for its limit is lent.
+#[test]
+fn a_share_beyond_a_limit_is_lent() {
+    let mut world = two(10, 0);
+    world.set_policy(|policy| {
+        let mut limited = account(&name(0), 4_000);
+        limited.weight = 1.0;
+        policy.accounts.insert(limited.name.clone(), limited);
+    });
+    for id in 1..=300 {
+        let at = usize::from(id > 100);
+        world.submit_as(&name(at), of(id, "patient", 1, LONG));
+    }
+    world.run(3 * LONG);
+    assert_eq!(held(&world, 1..=100), 4_000);
+    assert!(held(&world, 101..=300) >= 35_000);
+    world.run(40 * LONG);
+    assert!(world.unfinished().is_empty());
+    world.check();
+}
+
+/// A gang of a small account gets its room though a flood fills the cell.
+#[test]
+fn a_gang_within_its_share_gets_room_in_a_flood() {
+    let mut day = Day::new(Without::default());
+    day.play(2_000, 1.0);
+    day.play(LONG, FLOOD);
+    let mut work = step(12, room(2_000, 100));
+    work.gang = true;
+    work.estimate = LONG;
+    let gang = job(100_000, "patient", vec![work]);
+    day.world.submit_as(&name(1), gang);
+    let since = day.world.now;
+    while !day.world.starts.contains_key(&first_task(100_000)) {
+        day.play(LOOK, FLOOD);
+        let waited = day.world.now - since;
+        assert!(waited < 3 * LONG, "its objective leaves it so much");
+    }
+    day.world.check();
+}
+
+/// Without accounts, and in a cell that has room, all starts as before.
+#[test]
+fn shares_change_nothing_where_nothing_competes() {
+    let starts = |without: Without, owned: bool, jobs: u64| {
+        let mut world = world(10, without);
+        let mut starts = Vec::new();
+        for id in 1..=jobs {
+            let queue = match (owned, id % 3) {
+                (true, 0) => "preview",
+                (true, _) => "patient",
+                (false, 0) => "urgent",
+                (false, _) => "batch",
+            };
+            let job = of(id, queue, 1 + (id % 5) as u32, SHORT);
+            match owned {
+                true => world.submit_as(&name(id as usize % 3), job),
+                false => world.submit(job),
+            };
+            for _ in 0..5 {
+                world.run(LOOK);
+                starts.push(world.starts.clone());
+            }
+        }
+        starts
+    };
+    for (owned, jobs) in [(false, 120), (true, 10)] {
+        let with = starts(Without::default(), owned, jobs);
+        assert!(with == starts(unprotected(), owned, jobs));
+    }
+}
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -686,6 +686,7 @@
                 | Action::TaskCleared { .. }
                 | Action::TaskGivenUp { .. }
                 | Action::RunGivenUp { .. }
+                | Action::OverShare { .. }
                 | Action::Displaced { .. } => {}
                 Action::TaskSuspected { executor, .. } => {
                     self.suspected_on.insert(executor.clone());
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,6 +4,7 @@
 mod cell;
 mod explain;
 mod failures;
+mod fair;
 mod fuzz;
 mod gone;
 mod health;
