--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -24,6 +24,7 @@
 pub mod cordon;
 pub mod executor;
 mod executors;
+pub mod fair;
 pub mod headroom;
 pub mod health;
 pub mod losses;
--- a/puffinknot-core/src/jobs/model.rs
+++ b/puffinknot-core/src/jobs/model.rs
@@ -261,6 +261,9 @@
         time_of: impl Fn(u32) -> Millis,
     ) -> Millis {
         let first = number as usize;
+        if let [last] = &self.steps[first.min(self.steps.len())..] {
+            return last.estimate;
+        }
         let mut ends: Vec<Option<Millis>> = vec![None; self.steps.len()];
         for (at, step) in self.steps.iter().enumerate().skip(first) {
             let before = step.after.iter();
--- a/puffinknot-core/src/jobs/scheduler/admission.rs
+++ b/puffinknot-core/src/jobs/scheduler/admission.rs
@@ -25,7 +25,7 @@
 use crate::jobs::policy::Queue;
 use crate::jobs::scheduler::estimate::expected_end;
 use crate::jobs::scheduler::live::Live;
-use crate::jobs::scheduler::order::{Class, Rank};
+use crate::jobs::scheduler::order::{Class, Rank, Reach};
 use crate::jobs::scheduler::requests::COME_BACK;
 use crate::jobs::scheduler::returns::Returns;
 use crate::jobs::scheduler::Scheduler;
@@ -42,10 +42,10 @@
 const GRAIN: Millis = 100;
 
 /// A place in the order, in grains.
-type Place = (Class, bool, Millis);
+type Place = (Class, Reach, Millis);
 
 fn place(rank: &Rank) -> Place {
-    (rank.class, rank.late, rank.by / GRAIN)
+    (rank.class, rank.reach, rank.by / GRAIN)
 }
 
 /// What is known of the work that waits, and who was refused.
--- a/puffinknot-core/src/jobs/scheduler/displace.rs
+++ b/puffinknot-core/src/jobs/scheduler/displace.rs
@@ -18,7 +18,7 @@
 use crate::ids::Millis;
 use crate::jobs::executor::{Executor, Phase, RunOn};
 use crate::jobs::mechanism::Mechanism;
-use crate::jobs::message::{AccountIndex, Action, ExecutorIndex};
+use crate::jobs::message::{Action, ExecutorIndex};
 use crate::jobs::model::{Step, StepKey, TaskKey};
 use crate::jobs::scheduler::fit::times;
 use crate::jobs::scheduler::gangs::{Plan, Waiting};
@@ -242,7 +242,7 @@
     fn may_displace(&self, key: StepKey, now: Millis) -> bool {
         let Some(live) = self.jobs.get(&key.job) else { return false };
         let tried = self.step_run(key).map(|state| state.displace_from);
-        if live.beyond_due {
+        if self.rank(key, now).is_none_or(|rank| rank.beyond()) {
             return false;
         }
         if live.job.repeats.is_some() || tried.is_none_or(|from| now < from) {
@@ -332,11 +332,6 @@
         (may && slack >= SLACK_LEFT).then_some(victim)
     }
 
-    /// Whether an account has more of the room than its share.
-    fn over_share(&self, _account: Option<AccountIndex>) -> bool {
-        false
-    }
-
     fn give_way(&mut self, at: ExecutorIndex, victim: &Victim) {
         let key = victim.task.step;
         if let Some(live) = self.jobs.get_mut(&key.job) {
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -92,6 +92,7 @@
         if self.is_displacing(key, now) {
             return false;
         }
+        self.note_full(key);
         self.unreserve(key);
         let waiting = Waiting { key, step: &step, count: step.count };
         let displaces = keep && self.has(Mechanism::Displacing);
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -345,6 +345,7 @@
             if let Some(step) = live.job.steps.get(key.step as usize) {
                 need = Some(step.room());
                 charge.amount = step.need;
+                charge.urgent = live.queue.priority == 0;
             }
             urgent = live.is_urgent();
             let ended = live.ended;
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -10,7 +10,8 @@
 comes first, `estimate` how long runs take, `fit` where a task fits, `place`
 chooses what starts where, `gangs` does so for gangs, `urgent` keeps room free
 for urgent tasks, `displace` has others give way to them and to gangs, `shares`
-knows what comes beyond an account's due, `speeds` learns how long runs take,
+knows which accounts hold more than their share, `buckets` what comes beyond an
+account's due, `speeds` learns how long runs take,
 `domains` finds data centres that are out of reach, `cordons` knows those that
 take no new work, `admission` refuses what can't be done in time,
 `alarm` connections that have fallen silent, `judge` executors that fail what
@@ -46,6 +47,7 @@
 mod advise;
 mod advisors;
 mod alarm;
+mod buckets;
 mod commit;
 mod cordons;
 mod displace;
@@ -82,6 +84,7 @@
 use self::advise::Call;
 use self::advisors::Advisors;
 use self::alarm::Alarm;
+use self::buckets::Buckets;
 use self::commit::CommitQueue;
 use self::domains::Domains;
 use self::due::DueHolds;
@@ -90,6 +93,7 @@
 use self::ledger::Ledger;
 pub use self::ledger::Usage;
 use self::live::Live;
+use self::order::LateTurns;
 use self::outage::Outages;
 use self::shares::Shares;
 use self::speeds::Guesses;
@@ -162,6 +166,8 @@
     guesses: Guesses,
     urgent: UrgentRoom,
     admission: Admission,
+    buckets: Buckets,
+    late_turns: LateTurns,
     jobs: BTreeMap<JobId, Live>,
     ended: Ended,
     executors: Executors,
@@ -235,6 +241,8 @@
             guesses: Guesses::default(),
             urgent: UrgentRoom::default(),
             admission: Admission::default(),
+            buckets: Buckets::default(),
+            late_turns: LateTurns::default(),
             jobs: BTreeMap::new(),
             ended: Ended::default(),
             executors: Executors::default(),
@@ -278,7 +286,7 @@
             }
         }
         self.keys = KeyRing::new(&policy);
-        self.ledger.set_limits(&policy);
+        self.ledger.set_accounts(&policy);
         self.policy = policy;
         self.stale = true;
     }
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -104,6 +104,9 @@
         let beyond_due = self.is_beyond_due(&job, now);
         let since = self.counts_since(&job, &queue, now);
         let mut live = self.live_job(job, queue, since);
+        if self.over_share(live.account) {
+            self.count("jobs_over_share");
+        }
         live.beyond_due = beyond_due;
         self.jobs.insert(name, live);
         if let Some(after) = self.refuses(name, now) {
--- a/puffinknot-core/src/jobs/scheduler/urgent.rs
+++ b/puffinknot-core/src/jobs/scheduler/urgent.rs
@@ -20,7 +20,7 @@
 use crate::jobs::message::{Action, ExecutorIndex};
 use crate::jobs::model::StepKey;
 use crate::jobs::scheduler::fit::times;
-use crate::jobs::scheduler::order::Rank;
+use crate::jobs::scheduler::order::{Rank, Reach};
 use crate::jobs::scheduler::Scheduler;
 
 /// The time between two counts of the free slots, in milliseconds: it bounds
@@ -90,7 +90,9 @@
         for run in runs.filter(|run| run.urgent) {
             demand.runs(&run.need);
         }
-        let waiting = order.iter().filter(|(r, _)| r.urgent() && !r.late);
+        let waiting = order.iter();
+        let waiting =
+            waiting.filter(|(r, _)| r.urgent() && r.reach < Reach::TooLate);
         for (_, key) in waiting {
             let (Some(step), Some(state)) =
                 (self.step(*key), self.step_run(*key))
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -126,6 +126,9 @@
                 "not_admitted"
             );
         }
+        Action::OverShare { account, held } => {
+            info!(account, held, token, "account_over_share");
+        }
         Action::Displaced { step, tasks } => {
             info!(%step, tasks, token, "displaced");
         }
--- a/src/cell/lead/orders.rs
+++ b/src/cell/lead/orders.rs
@@ -85,6 +85,7 @@
                 // These are for the logs only.
                 Action::Settled { .. }
                 | Action::NotAdmitted { .. }
+                | Action::OverShare { .. }
                 | Action::Displaced { .. }
                 | Action::ExecutorSpeed { .. }
                 | Action::HeldBack { .. }
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -17,6 +17,7 @@
 mod room;
 mod rules;
 mod services;
+mod shares;
 mod size;
 mod speeds;
 mod urgent;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -721,6 +721,7 @@
                 | Action::TaskCleared { .. }
                 | Action::TaskGivenUp { .. }
                 | Action::RunGivenUp { .. }
+                | Action::OverShare { .. }
                 | Action::NotAdmitted { .. }
                 | Action::Displaced { .. }
                 | Action::ExecutorSpeed { .. }
