--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -300,9 +300,9 @@
         }
         let waiting = Waiting { key, step: &step, count };
         if urgent {
-            let fresh = candidates
-                .iter()
-                .filter(|(at, holds)| *holds && !self.is_closed(*at, now));
+            let fresh = candidates.iter().filter(|(at, holds)| {
+                *holds && open.contains(at) && !self.is_closed(*at, now)
+            });
             let fresh: Vec<ExecutorIndex> = fresh.map(|(at, _)| *at).collect();
             if self.make_way(&waiting, &fresh, now) {
                 return true;
