Admission counts on room that gives way; who returned for want of room stays old

Cause: an urgent job behind runs that save their progress was refused, though these give way. And jobs that had been refused for want of room counted as new on return, so that useless ones took the room of others.

Change: runs that save their progress count as free room while giving way is on. Only jobs that were refused for other reasons count as new once late.

--- a/puffinknot-core/src/jobs/scheduler/admission.rs
+++ b/puffinknot-core/src/jobs/scheduler/admission.rs
@@ -201,12 +201,19 @@
     /// will again when they are heard.
     fn rooms(&self, now: Millis) -> BTreeMap<String, Backlog<Place>> {
         let mut rooms: BTreeMap<&str, Room> = BTreeMap::new();
+        // What saves its progress may leave its room at any time.
+        let gives_way = self.has(Mechanism::GivingWay);
         let stays = |e: &&Executor| e.over.is_none() && !e.info.draining;
         for executor in self.executors.values().filter(stays) {
             let room = rooms.entry(&executor.info.service).or_default();
             room.add(&executor.info.capacity, &executor.free);
-            for run in executor.runs.values() {
-                let left = expected_end(run, now).saturating_sub(now);
+            for (task, run) in &executor.runs {
+                let saves =
+                    self.step(task.step).is_some_and(|s| s.checkpoints);
+                let left = match saves && gives_way {
+                    true => 0,
+                    false => expected_end(run, now).saturating_sub(now),
+                };
                 room.free_after(left, &run.need);
             }
         }
@@ -294,7 +301,7 @@
         let line = (live.account, live.job.queue.clone());
         let returns = &mut self.admission.returns;
         let turn = returns.turn(id, line, from, takes, now);
-        returns.refused(id, live.since, turn);
+        returns.refused(id, live.since, true, turn);
         turn
     }
 
@@ -308,26 +315,28 @@
     ) {
         if self.has(Mechanism::ReturnTimes) {
             let returns = &mut self.admission.returns;
-            let first = returns.first(id).unwrap_or(first);
-            returns.refused(id, first, now + COME_BACK);
+            let first = returns.first(id).map_or(first, |(first, _)| first);
+            returns.refused(id, first, false, now + COME_BACK);
         }
     }
 
-    /// Since when a job counts that is handed in now: since its first attempt
-    /// if its objective can still be met. Later it is late whenever it ends,
-    /// and counts as new, so that it does not wait behind all that is.
+    /// Since when a job counts that is handed in now: since its first attempt.
+    /// One that was refused for another reason than want of room and can't meet
+    /// its objective any more counts as new: it is late whenever it ends, but
+    /// would be behind all that is new.
     pub(super) fn counts_since(
         &self,
         job: &Job,
         queue: &Queue,
         now: Millis,
     ) -> Millis {
-        let Some(first) = self.admission.returns.first(job.id) else {
+        let Some((first, for_room)) = self.admission.returns.first(job.id)
+        else {
             return now;
         };
         let chain = job.chain();
         let met = now + chain <= first + queue.objective(chain);
-        if met {
+        if met || for_room {
             first
         } else {
             now
--- a/puffinknot-core/src/jobs/scheduler/returns.rs
+++ b/puffinknot-core/src/jobs/scheduler/returns.rs
@@ -3,8 +3,9 @@
 
 Each is told a time of its own: when the backlog should have room for it, after
 those that were refused before it. One that is refused again keeps its turn.
-What comes back while its objective can be met is as old as its first attempt,
-so that it goes before what is new of its like.
+What comes back is as old as its first attempt, so that it goes before what is
+new of its like while its objective can be met. Later it counts as new if it was
+not for want of room that it was refused: its client can't help it.
 
 A takeover forgets this. Clients then count as new, once.
 */
@@ -28,6 +29,8 @@
 struct Refused {
     /// When it came first.
     first: Millis,
+    /// There was no room for it.
+    for_room: bool,
     /// When it may come back.
     turn: Millis,
     /// When it may be forgotten.
@@ -49,19 +52,27 @@
 }
 
 impl Returns {
-    /// When a job was handed in first, if it was refused since.
-    pub fn first(&self, job: JobId) -> Option<Millis> {
-        self.jobs.get(&job).map(|refused| refused.first)
+    /// When a job was handed in first, if it was refused since, and whether
+    /// that was for want of room.
+    pub fn first(&self, job: JobId) -> Option<(Millis, bool)> {
+        let refused = self.jobs.get(&job)?;
+        Some((refused.first, refused.for_room))
     }
 
     /// A job is refused that was handed in first at `first` and may come back
     /// at `turn`.
-    pub fn refused(&mut self, job: JobId, first: Millis, turn: Millis) {
+    pub fn refused(
+        &mut self,
+        job: JobId,
+        first: Millis,
+        for_room: bool,
+        turn: Millis,
+    ) {
         while self.until.len() >= MOST {
             self.forget_oldest();
         }
         let until = turn + TRIES_FOR;
-        self.jobs.insert(job, Refused { first, turn, until });
+        self.jobs.insert(job, Refused { first, for_room, turn, until });
         self.until.push_back((until, job));
     }
 
--- a/tests/jobs/admission.rs
+++ b/tests/jobs/admission.rs
@@ -327,7 +327,8 @@
 /// first attempt when it comes back: it goes before what is new.
 #[test]
 fn who_returned_goes_before_who_is_new() {
-    let mut world = world(&[]);
+    // With it, jobs would wait for the store, and none would be refused.
+    let mut world = world(&[Mechanism::AfterOutage]);
     world.store_down = true;
     let old = job(1, "batch", vec![step(TASKS, room(1_000, 100))]);
     world.submit(job(2, "batch", vec![step(1, room(100, 100))]));
