New jobs wait for half a second before the store counts as away for all

Cause: a leader that the store turns away alone offers the lead after three failures; the next one takes its clients' requests over.

Change: nothing is refused in the first half second. A job whose client would be back as soon as the store is refused, not only one that would be sooner: admission's test of who returns expects it after a second of an outage.

--- a/puffinknot-core/src/jobs/scheduler/outage.rs
+++ b/puffinknot-core/src/jobs/scheduler/outage.rs
@@ -28,6 +28,11 @@
 use crate::jobs::scheduler::requests::{slack, COME_BACK};
 use crate::jobs::scheduler::Scheduler;
 
+/// If the store turns away this leader only, another node leads after so long,
+/// in milliseconds: the lead is offered after three failures, about 0.2 s, and
+/// to a second node 0.25 s later. Its clients are served sooner by that one
+/// than if they came back.
+const LEAD_MOVES: Millis = 500;
 /// So many outages are remembered.
 const REMEMBERED: usize = 16;
 
@@ -77,10 +82,11 @@
 
     /// Whether a job that was handed in then, and is late if it is accepted
     /// after `slack`, is to wait for the store. One that should be late is
-    /// refused at once, and so is one whose client would be back before.
+    /// refused, and so is one whose client would be back as soon.
     pub fn bears(&self, since: Millis, slack: Millis, now: Millis) -> bool {
         let Some(left) = self.left(now) else { return true };
-        now + left <= since + slack.min(COME_BACK)
+        let begun = self.since.unwrap_or(now);
+        now < begun + LEAD_MOVES || now + left < since + slack.min(COME_BACK)
     }
 }
 
--- a/tests/jobs/outage.rs
+++ b/tests/jobs/outage.rs
@@ -69,6 +69,25 @@
     world.check();
 }
 
+/// The store may turn away this leader only; its clients are served by the
+/// next one sooner than if they came back.
+#[test]
+fn nobody_is_refused_before_another_node_could_lead() {
+    let mut world = World::new(2);
+    world.set_policy(|policy| {
+        let queue = policy.queues.get_mut("urgent").expect("a queue");
+        (queue.stretch, queue.target) = (1.0, 100);
+    });
+    world.run(100);
+    world.store_declines = true;
+    let request = world.submit(lookup(1));
+    world.run(400);
+    assert!(!world.replies.contains_key(&request));
+    world.run(200);
+    assert_eq!(world.answer_to(request), Outcome::Refused(COME_BACK));
+    world.check();
+}
+
 /// It may be written yet, so that its client can't be told that it is not.
 #[test]
 fn what_may_be_written_yet_is_not_refused() {
