Speeds are known sooner; urgent work takes the quick, patient work does not

Patient steps went to the quick before executors that were known to be slower by a little, since both were weighed against the usual.

Runs are compared with the guess besides the other runs of their step, each by its weight; evidence halves in ten seconds. Urgent steps are tight also by the time until their client is told; patient ones only if they would miss their objective. Executors that are slower by less than a factor of two are like the usual for patient work. Ruled out: fewer standard errors, which finds executors by chance.

--- a/puffinknot-core/src/jobs/scheduler/speeds.rs
+++ b/puffinknot-core/src/jobs/scheduler/speeds.rs
@@ -23,16 +23,23 @@
 /// A run that goes on for this many times what it should is noted: two of
 /// three guesses are within 1.6, nearly all within the square of that.
 const OVERDUE: Millis = 3;
-/// A step needs a quick executor if it would miss its objective by taking
-/// this many times as long as it should: guesses are off by as much.
+/// An urgent step needs a quick executor if it would miss its objective by
+/// taking this many times as long as it should: guesses are off by as much.
+/// Others do only if they would miss it by taking what they should.
 const TIGHT: Millis = 2;
+/// The time until a client is told of an end, in milliseconds: the end has to be
+/// reported, written and asked for. Short steps have little else to spare.
+const TOLD: Millis = 500;
 /// For steps that need a quick executor, a logarithm of run time counts as so
 /// many thousandths of an executor left over: one that is quicker by a third
 /// goes before the best fit.
 const BY_SPEED: f64 = 4_000.0;
-/// The same for other steps on executors that are slow: they hold room for
-/// longer.
-const OFF_SLOW: f64 = 2_000.0;
+/// An executor that is slower by more than this logarithm, a factor of two, is
+/// the last for all: patient objectives allow for twice the time, about.
+const VERY_SLOW: f64 = 0.69;
+/// The same as [`BY_SPEED`] for other steps, by what an executor is slower
+/// beyond that: they would hold room there for long.
+const OFF_SLOW: f64 = 4_000.0;
 /// The same for other steps on executors that are quick, which are left to
 /// those that need them: about as much as a good fit is worth.
 const OFF_QUICK: f64 = 600.0;
@@ -140,7 +147,7 @@
             return;
         }
         let error = self.guesses.of_mut(&live.job.queue, step);
-        let expected = (step.estimate as f64).ln() + error.bias();
+        let expected = (step.estimate as f64).ln() + error.mean();
         let speed_of = |at: ExecutorIndex| {
             self.executors.get(&at).map(|e| e.speed).unwrap_or_default()
         };
@@ -290,7 +297,9 @@
         let rank = self.rank(key, now);
         let urgent = rank.is_some_and(|rank| rank.class == Class::Urgent);
         let missed = live.deadline < now && !urgent;
-        let misses = live.deadline < now + TIGHT * self.chain_left(key);
+        let times = if urgent { TIGHT } else { 1 };
+        let late = times * self.chain_left(key) + TOLD;
+        let misses = live.deadline < now + late;
         misses && !missed && !live.beyond_due
     }
 
@@ -301,7 +310,7 @@
         let cost = match (tight, slowness < 0.0) {
             (true, _) => slowness * BY_SPEED,
             (false, true) => -slowness * OFF_QUICK,
-            (false, false) => slowness * OFF_SLOW,
+            (false, false) => (slowness - VERY_SLOW).max(0.0) * OFF_SLOW,
         };
         cost as i64
     }
@@ -323,8 +332,8 @@
         };
         let first = match tight {
             true => group(|slowness| slowness < 0.0),
-            false => group(|slowness| slowness == 0.0),
+            false => group(|slowness| (0.0..VERY_SLOW).contains(&slowness)),
         };
-        vec![first, group(|slowness| slowness <= 0.0)]
+        vec![first, group(|slowness| slowness < VERY_SLOW)]
     }
 }
--- a/puffinknot-core/src/jobs/speed.rs
+++ b/puffinknot-core/src/jobs/speed.rs
@@ -34,12 +34,12 @@
 /// variance: two of three within a factor of 1.6.
 const PRIOR: f64 = 0.25;
 /// Evidence loses half of its weight in this time, in milliseconds: an
-/// executor that gets no runs for being slow is tried again before a client
-/// would have given up several jobs.
-const HALF_LIFE: f64 = 5_000.0;
-/// Evidence weighs no more than this, the standard error being a tenth, so
+/// executor that gets no runs for being slow is tried again within a minute,
+/// and one that gets a run every few seconds stays known.
+const HALF_LIFE: f64 = 10_000.0;
+/// Evidence weighs no more than this, the standard error being an eighth, so
 /// that a change is not outweighed by a long past.
-const MOST_WEIGHT: f64 = 100.0;
+const MOST_WEIGHT: f64 = 60.0;
 /// A run that lies further off than this many standard deviations is no chance
 /// any more: the executor has changed, or something else held the run up.
 const FAR: f64 = 3.0;
@@ -223,9 +223,10 @@
     pub variance: f64,
 }
 
-/// Compares the runs of a step by executors. What they all share says nothing
-/// of any of them; if all were on one, `expected`, the logarithm of what they
-/// should have taken, has to do.
+/// Compares the runs of a step by executors: each with what the others took,
+/// and with `expected`, the logarithm of what they should have taken, each by
+/// its weight. The error of the guess, which all share, counts little beside
+/// several others.
 pub fn compare(
     times: &StepTimes,
     speed_of: impl Fn(ExecutorIndex) -> Speed,
@@ -243,14 +244,16 @@
     let unsure: f64 = groups.iter().map(|group| group.unsure).sum();
     let findings = groups.iter().map(|group| {
         let others = count - group.count;
-        let (usual, variance) = if others > 0.0 {
+        let mut weight = 1.0 / error.spread();
+        let mut usual = weight * expected;
+        if others > 0.0 {
             let unsure = (unsure - group.unsure) / (others * others);
-            ((sum - group.usual()) / others, error.uneven() / others + unsure)
-        } else {
-            (expected, error.spread())
-        };
-        let longer = group.sum / group.count - usual;
-        let variance = variance + error.uneven() / group.count;
+            let seen = 1.0 / (error.uneven() / others + unsure);
+            usual += seen * (sum - group.usual()) / others;
+            weight += seen;
+        }
+        let longer = group.sum / group.count - usual / weight;
+        let variance = 1.0 / weight + error.uneven() / group.count;
         Finding { at: group.at, longer, variance }
     });
     findings.collect()
@@ -331,6 +334,11 @@
         self.uneven += (variance - self.uneven) / self.compared;
     }
 
+    /// How far off they are thought to be on the mean, sure or not.
+    pub fn mean(&self) -> f64 {
+        self.bias
+    }
+
     /// How far off they are on the mean, as a natural logarithm; zero unless
     /// they are known to be.
     pub fn bias(&self) -> f64 {
--- a/tests/jobs/speeds.rs
+++ b/tests/jobs/speeds.rs
@@ -335,6 +335,8 @@
         (random >> 33) as f64 / f64::from(1_u32 << 31)
     };
     let error = GuessError::default();
+    // The mean of what the work below is.
+    let expected = 1_000_f64.ln() + 1.0;
     let mut differ = 0;
     for round in 0..200 {
         // The guess is off by a factor of its own each time.
@@ -347,7 +349,7 @@
         }
         let known = speeds;
         let speed_of = |at: u32| known[at as usize];
-        for finding in compare(&times, speed_of, &error, 0.0) {
+        for finding in compare(&times, speed_of, &error, expected) {
             let speed = &mut speeds[finding.at as usize];
             speed.note(finding.longer, finding.variance, round * 500);
             differ += usize::from(speed.slowness() != 0.0);
