Urgent work beyond its account's share neither displaces nor keeps room

Change: only urgent work within its account's share counts for headroom and may have others give way.

--- a/puffinknot-core/src/jobs/scheduler/displace.rs
+++ b/puffinknot-core/src/jobs/scheduler/displace.rs
@@ -169,7 +169,9 @@
         now: Millis,
     ) -> bool {
         let key = waiting.key;
-        if !self.has(Mechanism::GivingWay) {
+        let live = self.jobs.get(&key.job);
+        let account = live.and_then(|live| live.account);
+        if !self.has(Mechanism::GivingWay) || self.over_urgent_share(account) {
             return false;
         }
         if self.is_displacing(key, now) && self.keeps_usable(key) {
--- a/puffinknot-core/src/jobs/scheduler/urgent.rs
+++ b/puffinknot-core/src/jobs/scheduler/urgent.rs
@@ -14,13 +14,13 @@
 
 use crate::config::Resources;
 use crate::ids::Millis;
-use crate::jobs::executor::Executor;
+use crate::jobs::executor::{Executor, RunOn};
 use crate::jobs::headroom::{Demand, Headroom};
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{Action, ExecutorIndex};
 use crate::jobs::model::StepKey;
 use crate::jobs::scheduler::fit::times;
-use crate::jobs::scheduler::order::{Rank, Reach};
+use crate::jobs::scheduler::order::{Class, Rank, Reach};
 use crate::jobs::scheduler::Scheduler;
 
 /// The time between two counts of the free slots, in milliseconds: it bounds
@@ -87,12 +87,15 @@
     fn urgent_demand(&self, order: &[(Rank, StepKey)]) -> Demand {
         let mut demand = Demand::default();
         let runs = self.executors.values().flat_map(|e| e.runs.values());
-        for run in runs.filter(|run| run.urgent) {
+        let within = |run: &&RunOn| {
+            run.urgent && !self.over_urgent_share(run.charge.account)
+        };
+        for run in runs.filter(within) {
             demand.runs(&run.need);
         }
-        let waiting = order.iter();
-        let waiting =
-            waiting.filter(|(r, _)| r.urgent() && r.reach < Reach::TooLate);
+        let waiting = order.iter().filter(|(rank, _)| {
+            rank.class == Class::Urgent && rank.reach < Reach::TooLate
+        });
         for (_, key) in waiting {
             let (Some(step), Some(state)) =
                 (self.step(*key), self.step_run(*key))
