--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -10,6 +10,7 @@
 mod displacing;
 mod faults;
 mod fuzz;
+mod latest;
 mod leaving;
 mod lives;
 mod outage;
