--- a/puffinknot-core/src/jobs/accounts.rs
+++ b/puffinknot-core/src/jobs/accounts.rs
@@ -65,8 +65,8 @@
     pub name: String,
     /// Its API keys.
     pub keys: Vec<KeyDigest>,
-    /// So many jobs a second are its due. What comes beyond goes behind all
-    /// else; zero means that nothing is beyond.
+    /// Its part of a full cell against others, and the jobs a second that are
+    /// its due; zero means that it is never beyond either.
     pub weight: f64,
     /// The most that it may have running on all executors together; zero
     /// means that there is no limit.
--- a/puffinknot-core/src/jobs/mechanism.rs
+++ b/puffinknot-core/src/jobs/mechanism.rs
@@ -20,7 +20,8 @@
     RoomForGangs,
     /// Tasks that save their progress give way to gangs that would be late.
     Displacing,
-    /// What comes beyond an account's due goes behind all else.
+    /// What comes beyond an account's due goes behind all else, in a cell
+    /// without [`RoomShares`].
     AccountShares,
     /// Gangs that wait get their part of their account's limit in turn.
     LimitForGangs,
--- a/src/client/explain.rs
+++ b/src/client/explain.rs
@@ -142,9 +142,16 @@
         return Report { text, code: WRONG };
     };
     let last = own.last().map_or(first, |line| line.at);
+    let account = own.iter().map(|line| line.text("account"));
+    let account = account.max().unwrap_or_default();
+    let concerns = |line: &Line| match line.kind() {
+        "account_over_share" => {
+            !account.is_empty() && line.text("account") == account
+        }
+        kind => CONTEXT.contains(&kind),
+    };
     let context = lines.iter().filter(|line| {
-        CONTEXT.contains(&line.kind())
-            && (first - BEFORE..=last).contains(&line.at)
+        concerns(line) && (first - BEFORE..=last).contains(&line.at)
     });
     let context: Vec<&Line> = context.collect();
     let cause = cause(&own, &context);
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -196,3 +196,27 @@
          start_ordered; room was kept free for urgent work",
     );
 }
+
+#[test]
+fn a_late_job_names_that_its_account_was_over_its_share() {
+    let log = [
+        "1.0 n1 {\"message\":\"submit\",\"job\":\"00000000000000ab\"}",
+        "2.0 n1 {\"message\":\"account_over_share\",\"account\":\"c7\"}",
+        "2.1 n1 {\"message\":\"account_over_share\",\"account\":\"c8\"}",
+        "6.0 n1 {\"message\":\"start_ordered\",\
+         \"task\":\"00000000000000ab.0.0.0\"}",
+        "6.5 n1 {\"message\":\"job_ended\",\"job\":\"00000000000000ab\",\
+         \"account\":\"c7\",\"state\":\"Succeeded\",\"in_time\":false}",
+    ];
+    let path = std::env::temp_dir()
+        .join(format!("puffinknot-over-share-{}.log", std::process::id()));
+    std::fs::write(&path, log.join("\n")).expect("a file");
+    let report = explain(&["00000000000000ab", &path.to_string_lossy()]);
+    let _ = std::fs::remove_file(&path);
+    assert_eq!(
+        cause(&report),
+        "it succeeded late: nothing happened for 5.0 s between submit and \
+         start_ordered; meanwhile account_over_share",
+    );
+    assert!(!report.text.contains("c8"));
+}
