Measure the leader's loop: waits, turns, and what rounds look through

A leader that reaches its share of the processor hears of ends seconds late and believes the cell full. Callers saw work lost; logs and metrics could not tell a dear placing round from inputs that wait behind others, or from a process that is not given its processor.

Now histograms say how long each kind of input waited in the leader's queue (wait_KIND) and took to be dealt with (handle_KIND), how long turns of the loop took on the monotonic clock and on that of the thread's processor time, and their placing part (advance). Counters say how many rounds, steps, executors and runs placing looked through, and how many rounds were put off; they are added up in integers and told to the counters once a round. A turn_slow line, once a second at the most, names the worst turn or wait from a quarter of the least time on that answers of executors are waited for.

Histograms show their sums besides, so that a mean of a while can be told.

Tests: tests/turn.rs and tests/jobs/looked.rs are new; the figures they ask for did not exist before.

--- a/puffinknot-core/src/jobs/scheduler/displace.rs
+++ b/puffinknot-core/src/jobs/scheduler/displace.rs
@@ -206,6 +206,9 @@
             .iter()
             .filter_map(|&at| self.offer(at, key, step, priority, now))
             .collect();
+        self.looked.add_executors(executors.len());
+        let known = executors.iter().filter_map(|at| self.executors.get(at));
+        self.looked.add_runs(known.map(|e| e.runs.len()).sum());
         let found = choose(&mut offers, step, count);
         if found == 0 || step.gang && found < count {
             self.try_displacing(key, 0, now + TRY_AGAIN);
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -70,12 +70,17 @@
             failed_on.contains(&at) || self.is_no_trial(at, suspect.as_ref())
         };
         let groups = self.alike(&open, self.is_tight(key, now));
+        let mut planned = 0;
         let on_alike = groups.iter().find_map(|group| {
+            planned += group.len();
             let plan = self.plan(&step, group, &holds, again, free)?;
             plan.iter().all(|(at, _)| holds[at]).then_some(plan)
         });
-        let plan =
-            on_alike.or_else(|| self.plan(&step, &open, &holds, again, free));
+        let plan = on_alike.or_else(|| {
+            planned += open.len();
+            self.plan(&step, &open, &holds, again, free)
+        });
+        self.looked.add_executors(planned);
         if let Some(plan) = plan {
             let fresh = plan.iter().all(|(at, _)| holds[at]);
             if fresh {
@@ -271,6 +276,8 @@
                 ends.push((expected_end(run, now), at, run.need));
             }
         }
+        self.looked.add_executors(executors.len());
+        self.looked.add_runs(ends.len());
         ends.sort_unstable_by_key(|(end, at, _)| (*end, *at));
         let mut total: u64 = free
             .values()
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -20,6 +20,7 @@
 all nodes, which `advisors` knows, `commit` groups what has to be written,
 `outage` refuses what would wait in vain for the store,
 `leaving` moves what runs on executors that are about to go,
+`looked` counts what placing looks through,
 `records` knows what of it still matters, `pace` slows tasks that fill beside
 tasks that serve, `waves` takes machines down for their upkeep, and `restore`
 takes over from a predecessor.
@@ -64,6 +65,7 @@
 mod ledger;
 mod live;
 mod lives;
+mod looked;
 mod machines;
 mod order;
 mod outage;
@@ -93,6 +95,7 @@
 use self::ledger::Ledger;
 pub use self::ledger::Usage;
 use self::live::Live;
+pub use self::looked::Looked;
 use self::order::LateTurns;
 use self::outage::Outages;
 use self::shares::Shares;
@@ -211,6 +214,7 @@
     confirmed: Millis,
     /// Wall time less monotonic time, in milliseconds.
     wall_offset: i64,
+    looked: Looked,
     counters: BTreeMap<&'static str, u64>,
     actions: Vec<Action>,
 }
@@ -263,6 +267,7 @@
             unsettled: None,
             confirmed: 0,
             wall_offset: 0,
+            looked: Looked::default(),
             counters: BTreeMap::new(),
             actions: Vec::new(),
         };
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -58,9 +58,16 @@
     /// very many steps wait; while some others wait, those are looked at less
     /// often.
     pub(super) fn place(&mut self, now: Millis) {
+        self.looked.rounds += 1;
+        self.place_round(now);
+        self.count_looked();
+    }
+
+    fn place_round(&mut self, now: Millis) {
         let crowds = (self.ready.len() / CROWD) as Millis;
         if now < self.placed_all + PLACE_GAP * crowds {
             self.stale = true;
+            self.looked.put_off += 1;
             return;
         }
         self.weigh_shares(now);
@@ -86,6 +93,7 @@
         let mut turns = Turns::default();
         let mut kept = Kept::new();
         let mut plans = 0;
+        self.looked.steps += order.len() as u64;
         for (rank, key) in order {
             let urgent = rank.urgent();
             if !self.may_place(key) || self.is_at_limit(key, &mut turns, now) {
@@ -208,6 +216,7 @@
             BTreeSet::new()
         };
         let candidates = self.candidates(key, now);
+        self.looked.add_executors(candidates.len());
         let account = live.account;
         Some(Opening { key, step, failed_on, candidates, account })
     }
@@ -246,6 +255,7 @@
             if !self.ledger.left(account).fits(&step.need) {
                 break;
             }
+            self.looked.add_executors(candidates.len());
             let fits = candidates.iter().filter(|(at, _)| {
                 let Some(executor) = self.executors.get(at) else {
                     return false;
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -9,11 +9,32 @@
 use puffinknot_core::jobs::{Action, Event, Outcome, Request, Scheduler};
 use tracing::{info, warn};
 
+use crate::cell::turn::Took;
+
 fn name(scheduler: &Scheduler, index: ExecutorIndex) -> &str {
     let executor = scheduler.executor(index);
     executor.map(|e| e.info.id.as_str()).unwrap_or_default()
 }
 
+/// Logs the worst of so many turns that were slow.
+pub fn slow_turn(scheduler: &Scheduler, token: u64, slow: u64, took: &Took) {
+    info!(
+        took_ms = took.turn / 1_000,
+        cpu_ms = took.cpu / 1_000,
+        advance_ms = took.advance / 1_000,
+        inputs = took.inputs,
+        oldest_wait_ms = took.oldest.0 / 1_000,
+        oldest = took.oldest.1.name(),
+        steps = took.looked.steps,
+        executors = took.looked.executors,
+        runs = took.looked.runs,
+        jobs = scheduler.live(),
+        slow,
+        token,
+        "turn_slow"
+    );
+}
+
 /// Logs what the scheduler is told.
 pub fn event(scheduler: &Scheduler, token: u64, event: &Event) {
     match event {
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -40,7 +40,8 @@
 use crate::cell::patience::{Bounds, Patience};
 use crate::cell::ports::Platform;
 use crate::cell::relay::{Relay, Relays};
-use crate::clock;
+use crate::cell::turn::{Clocks, Kind, SlowTurns, Turn};
+use crate::clock::{self, Micros};
 
 use self::ways::Ways;
 
@@ -56,6 +57,11 @@
 /// How long answers of executors are waited for. A machine's share of its
 /// processor may be given to it in slices a tenth of a second apart.
 const ORDERS: Bounds = Bounds { least: 120, first: 300, most: 300 };
+/// A turn of the loop, or the wait of an input, is slow from so many
+/// milliseconds on: no answer is read meanwhile, and a quarter of the least
+/// time that answers are waited for is gone.
+const SLOW: Millis = ORDERS.least / 4;
+
 /// The number of a peer within one tenure.
 pub type PeerId = u64;
 
@@ -76,6 +82,30 @@
     Over,
 }
 
+impl Input {
+    fn kind(&self) -> Kind {
+        match self {
+            Input::Ask(..) => Kind::Request,
+            Input::Event(event) => Kind::of(event),
+            Input::Join(..)
+            | Input::StoreSilent(..)
+            | Input::Leave(_)
+            | Input::Policy(_)
+            | Input::Cordons(_)
+            | Input::Confirmed(..)
+            | Input::KeyGone
+            | Input::HandOver(_)
+            | Input::Over => Kind::Other,
+        }
+    }
+}
+
+/// An input, and when it was sent.
+struct Sent {
+    input: Input,
+    at: Micros,
+}
+
 /// Who waits for an answer.
 enum Origin {
     Here(oneshot::Sender<Outcome>),
@@ -85,7 +115,7 @@
 /// The way to the scheduler of this node.
 #[derive(Clone)]
 pub struct LeadHandle {
-    inputs: mpsc::UnboundedSender<Input>,
+    inputs: mpsc::UnboundedSender<Sent>,
     peers: Rc<Cell<PeerId>>,
     over: Rc<Cell<bool>>,
     confirmed: Rc<Cell<Millis>>,
@@ -185,8 +215,9 @@
     }
 
     fn send(&self, input: Input) {
+        let sent = Sent { input, at: clock::mono_micros() };
         // A tenure that is over answers nobody.
-        let _ = self.inputs.send(input);
+        let _ = self.inputs.send(sent);
     }
 }
 
@@ -264,6 +295,10 @@
     });
 }
 
+fn clocks() -> Clocks {
+    Clocks { mono: clock::mono_micros(), cpu: clock::thread_cpu() }
+}
+
 struct Peer {
     node: String,
     sender: Sender,
@@ -305,7 +340,7 @@
     /// Leads until it is over, and says why it is.
     async fn run(
         mut self,
-        mut inputs: mpsc::UnboundedReceiver<Input>,
+        mut inputs: mpsc::UnboundedReceiver<Sent>,
     ) -> &'static str {
         // Reading what a predecessor left may take longer than the lease.
         self.spawn_renewals();
@@ -315,6 +350,7 @@
         self.spawn_watch();
         let mut last_tick = 0;
         let mut accounts_told = 0;
+        let mut slow_turns = SlowTurns::new(SLOW);
         self.tell_advisors(&mut scheduler);
         for wave in self.shared.waves() {
             self.handle.wave(wave);
@@ -337,15 +373,22 @@
                 // waited: timers tell neither, the clock does.
                 continue;
             }
-            let mut input = first;
-            while let Some(next) = input {
-                if let Some(why) = self.input(&mut scheduler, next) {
+            let shared = self.shared.clone();
+            let stats = &shared.stats;
+            let mut turn = Turn::begin(clocks(), scheduler.looked());
+            let mut next = first;
+            while let Some(Sent { input, at }) = next {
+                let now = clock::mono_micros();
+                turn.take(stats, input.kind(), at, now);
+                if let Some(why) = self.input(&mut scheduler, input) {
                     self.give_up_requests();
                     return why;
                 }
-                input = inputs.try_recv().ok();
+                next = inputs.try_recv().ok();
             }
-            let now = clock::mono();
+            let taken = clock::mono_micros();
+            turn.put_down(stats, taken);
+            let now = taken / 1_000;
             if self.is_unconfirmed() {
                 continue;
             }
@@ -372,10 +415,16 @@
             if scheduler.executors() != self.ways.executors() {
                 self.ways.set_executors(scheduler.executors_by_dc());
             }
+            let since = clock::mono_micros();
             let actions = scheduler.advance(now);
+            turn.advanced(stats, since, clock::mono_micros());
             if self.perform(&scheduler, actions) {
                 return "fenced";
             }
+            let took = turn.end(stats, clocks(), scheduler.looked());
+            if let Some((slow, worst)) = slow_turns.observe(took) {
+                decisions::slow_turn(&scheduler, self.token, slow, &worst);
+            }
             if self.handed_over.is_some() && self.origins.is_empty() {
                 break;
             }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -19,7 +19,8 @@
 * [`reach`] knows whether this node can serve clients, and [`search`] whom to
   try on the way to the leader.
 * [`logs`] and [`stats`] are what on-call engineers look at.
-* [`decisions`] logs what the leader decides, and from what.
+* [`decisions`] logs what the leader decides, and from what; [`turn`] measures
+  how long that takes, and how long inputs wait for it.
 * [`ingress`] answers clients, and whoever asks whether the node is ready;
   [`stop`] ends the node so that all are answered.
 */
@@ -43,5 +44,6 @@
 pub mod stats;
 pub mod stop;
 pub mod store;
+pub mod turn;
 
 pub use self::node::{run, NodeSettings, Orders};
--- a/src/cell/stats.rs
+++ b/src/cell/stats.rs
@@ -14,10 +14,14 @@
 use puffinknot_core::jobs::scheduler::Usage;
 use puffinknot_core::jobs::{Cordon, Cordons};
 
+use crate::clock::Micros;
+
 /// The digits of a latency that are kept.
 const DIGITS: u8 = 2;
 /// The longest latency that is told from longer ones, in milliseconds.
-const LONGEST: u64 = 60_000;
+const LONGEST: Millis = 60_000;
+/// The largest size that is told from larger ones.
+const LARGEST: u64 = 10_000_000;
 /// The accounts that are shown at the most: more would make a page that
 /// nobody reads and a series for each that somebody keeps.
 const MOST_ACCOUNTS: usize = 64;
@@ -30,12 +34,67 @@
     counters: RefCell<BTreeMap<&'static str, u64>>,
     /// Counters of the scheduler, while this node leads.
     leading: RefCell<BTreeMap<&'static str, u64>>,
-    latencies: RefCell<BTreeMap<&'static str, Histogram<u64>>>,
+    latencies: RefCell<Family>,
+    /// What is too short for milliseconds.
+    times: RefCell<Family>,
+    sizes: RefCell<Family>,
     /// What client accounts have running, while this node leads.
     accounts: RefCell<Vec<AccountUsage>>,
     cordons: RefCell<Cordons>,
 }
 
+/// Distributions of one unit, by their names.
+type Family = BTreeMap<&'static str, Distribution>;
+
+/// How a figure is distributed, and its sum: the mean of a time is the sum's
+/// growth divided by that of the count.
+struct Distribution {
+    histogram: Histogram<u64>,
+    sum: u64,
+}
+
+impl Distribution {
+    fn new(most: u64) -> Distribution {
+        let histogram = Histogram::new_with_max(most, DIGITS)
+            .unwrap_or_else(|_| unreachable!("the bounds are constant"));
+        Distribution { histogram, sum: 0 }
+    }
+
+    fn record(&mut self, value: u64) {
+        self.histogram.saturating_record(value);
+        self.sum += value;
+    }
+
+    fn render(&self, text: &mut String, family: &str, name: &str) {
+        for quantile in QUANTILES {
+            let value = self.histogram.value_at_quantile(quantile);
+            let _ = writeln!(
+                text,
+                "puffinknot_{family}{{what=\"{name}\",\
+                 quantile=\"{quantile}\"}} {value}"
+            );
+        }
+        let (sum, count) = (self.sum, self.histogram.len());
+        for (total, value) in [("sum", sum), ("count", count)] {
+            let _ = writeln!(
+                text,
+                "puffinknot_{family}_{total}{{what=\"{name}\"}} {value}"
+            );
+        }
+    }
+}
+
+fn record(
+    family: &RefCell<Family>,
+    name: &'static str,
+    value: u64,
+    most: u64,
+) {
+    let mut family = family.borrow_mut();
+    let distribution = family.entry(name);
+    distribution.or_insert_with(|| Distribution::new(most)).record(value);
+}
+
 /// What a client account has running, and may have, in thousandths of a core.
 struct AccountUsage {
     account: String,
@@ -75,12 +134,17 @@
 
     /// Takes in how long something took.
     pub fn took(&self, name: &'static str, time: Millis) {
-        let mut latencies = self.latencies.borrow_mut();
-        let histogram = latencies.entry(name).or_insert_with(|| {
-            Histogram::new_with_max(LONGEST, DIGITS)
-                .unwrap_or_else(|_| unreachable!("the bounds are constant"))
-        });
-        histogram.saturating_record(time);
+        record(&self.latencies, name, time, LONGEST);
+    }
+
+    /// Takes in how long something short took.
+    pub fn took_micros(&self, name: &'static str, time: Micros) {
+        record(&self.times, name, time, LONGEST * 1_000);
+    }
+
+    /// Takes in how many there were of something at one time.
+    pub fn saw(&self, name: &'static str, count: u64) {
+        record(&self.sizes, name, count, LARGEST);
     }
 
     /// All figures as text.
@@ -115,20 +179,15 @@
                  {revision}"
             );
         }
-        for (name, histogram) in self.latencies.borrow().iter() {
-            for quantile in QUANTILES {
-                let value = histogram.value_at_quantile(quantile);
-                let _ = writeln!(
-                    text,
-                    "puffinknot_latency_ms{{what=\"{name}\",\
-                     quantile=\"{quantile}\"}} {value}"
-                );
+        let families = [
+            ("latency_ms", &self.latencies),
+            ("time_us", &self.times),
+            ("size", &self.sizes),
+        ];
+        for (family, all) in families {
+            for (name, distribution) in all.borrow().iter() {
+                distribution.render(&mut text, family, name);
             }
-            let count = histogram.len();
-            let _ = writeln!(
-                text,
-                "puffinknot_latency_ms_count{{what=\"{name}\"}} {count}"
-            );
         }
         text
     }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -12,11 +12,28 @@
 use puffinknot_core::node::Now;
 use rustix::time::{clock_gettime, ClockId};
 
+/// A time, or a time span, in microseconds.
+pub type Micros = u64;
+
 /// The monotonic clock, in milliseconds since the VM was started.
 pub fn mono() -> Millis {
-    let time = clock_gettime(ClockId::Boottime);
-    let millis = time.tv_sec * 1_000 + time.tv_nsec / 1_000_000;
-    millis.unsigned_abs()
+    mono_micros() / 1_000
+}
+
+/// The monotonic clock, in microseconds since the VM was started.
+pub fn mono_micros() -> Micros {
+    read(ClockId::Boottime)
+}
+
+/// The processor time that this thread has had.
+pub fn thread_cpu() -> Micros {
+    read(ClockId::ThreadCPUTime)
+}
+
+fn read(clock: ClockId) -> Micros {
+    let time = clock_gettime(clock);
+    let micros = time.tv_sec * 1_000_000 + time.tv_nsec / 1_000;
+    micros.unsigned_abs()
 }
 
 /// The wall clock, in milliseconds since 1970.
--- /dev/null
+++ b/tests/jobs/looked.rs
@@ -0,0 +1,100 @@
+//! How much placing looks through.
+
+use puffinknot_core::jobs::scheduler::Looked;
+use puffinknot_core::jobs::{Mechanism, Without};
+
+use super::world::{job, room, step, World, WORK};
+
+const EXECUTORS: usize = 8;
+/// Steps that wait; from so many on, looks at them are put off.
+const CROWD: u64 = 256;
+
+const NAMES: [&str; 5] = [
+    "place_rounds",
+    "place_rounds_put_off",
+    "place_steps",
+    "place_executors",
+    "place_runs",
+];
+
+fn counted(world: &World) -> [u64; 5] {
+    NAMES
+        .map(|name| world.scheduler.counters().get(name).copied().unwrap_or(0))
+}
+
+/// What was looked through while this went on.
+fn during(world: &mut World, goes: impl FnOnce(&mut World)) -> Looked {
+    let before = world.scheduler.looked();
+    goes(world);
+    let Looked { rounds, put_off, steps, executors, runs } =
+        world.scheduler.looked();
+    let all = [rounds, put_off, steps, executors, runs];
+    assert_eq!(counted(world), all, "counters tell the same");
+    world.scheduler.looked().since(&before)
+}
+
+fn full(executors: usize) -> World {
+    // What waits for longer than it is of use is to be let in.
+    let without = Without::new([Mechanism::Admission]);
+    let mut world = World::without(executors, without);
+    world.run(200);
+    let mut wide = step(executors as u32, room(4_000, 100));
+    wide.estimate = 20 * WORK;
+    world.submit(job(1, "batch", vec![wide]));
+    world.run(100);
+    world
+}
+
+/// A leader that is behind showed nothing of what its rounds went over.
+#[test]
+fn steps_and_executors_that_are_looked_at_are_counted() {
+    let mut world = full(EXECUTORS);
+    let idle = during(&mut world, |world| world.run(200));
+    assert_eq!((idle.steps, idle.executors, idle.runs), (0, 0, 0));
+    assert!(idle.rounds > 0, "ticks are rounds");
+    let one = during(&mut world, |world| {
+        world.submit(job(2, "batch", vec![step(1, room(4_000, 100))]));
+        world.run(200);
+    });
+    assert_eq!(one.put_off, 0);
+    assert!(one.steps > 0 && one.steps <= one.rounds, "{one:?}");
+    let each = EXECUTORS as u64;
+    assert!(one.executors >= one.steps * each, "{one:?}");
+    let more = during(&mut world, |world| {
+        for id in 3..8 {
+            world.submit(job(id, "batch", vec![step(1, room(4_000, 100))]));
+        }
+        world.run(200);
+    });
+    assert!(more.steps > 3 * one.steps, "{more:?} after {one:?}");
+    assert!(more.executors > 3 * one.executors, "{more:?} after {one:?}");
+}
+
+/// Room for a gang is looked for among the runs that go on.
+#[test]
+fn runs_that_are_looked_at_for_a_gang_are_counted() {
+    let mut world = full(EXECUTORS);
+    let mut gang = step(EXECUTORS as u32, room(4_000, 100));
+    gang.gang = true;
+    let looked = during(&mut world, |world| {
+        world.submit(job(2, "batch", vec![gang]));
+        world.run(200);
+    });
+    assert!(looked.runs >= EXECUTORS as u64, "{looked:?}");
+    world.run(30 * WORK);
+    world.check();
+}
+
+#[test]
+fn rounds_that_a_crowd_puts_off_are_counted() {
+    let mut world = full(EXECUTORS);
+    let looked = during(&mut world, |world| {
+        for id in 0..CROWD {
+            let task = step(1, room(4_000, 100));
+            world.submit(job(10 + id, "batch", vec![task]));
+        }
+        world.run(100);
+    });
+    assert!(looked.put_off > 0, "{looked:?}");
+    assert!(looked.rounds > looked.put_off, "{looked:?}");
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -13,6 +13,7 @@
 mod latest;
 mod leaving;
 mod lives;
+mod looked;
 mod outage;
 mod reborn;
 mod room;
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -16,3 +16,4 @@
 mod processes;
 mod regression;
 mod search;
+mod turn;
