Placing rests after each round, by what the round took

Cause: a round of placing goes over all that waits, and the leader takes in nothing meanwhile. It came every 20 ms whatever it took. Once a round took as long as that, the leader did nothing else: ends were heard 8 to 10 s late, room that was free counted as taken, and more waited. Nothing ended the state before what waits was gone. A gap by the number of steps that wait, above 256, was a guess at the cost: gangs of a hundred members cost far more than that.

Now the driver tells how long a round took, and placing rests in proportion, for steps that may wait and for urgent ones apart. What comes in always has its part of the time, so that the state can't keep itself up; the gap by numbers is gone.

--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -20,7 +20,8 @@
 all nodes, which `advisors` knows, `commit` groups what has to be written,
 `outage` refuses what would wait in vain for the store,
 `leaving` moves what runs on executors that are about to go,
-`looked` counts what placing looks through,
+`looked` counts what placing looks through, `rounds` bounds its part of the
+time,
 `records` knows what of it still matters, `pace` slows tasks that fill beside
 tasks that serve, `waves` takes machines down for their upkeep, and `restore`
 takes over from a predecessor.
@@ -75,6 +76,7 @@
 mod requests;
 mod restore;
 mod returns;
+mod rounds;
 mod runs;
 mod shares;
 mod speeds;
@@ -98,6 +100,7 @@
 pub use self::looked::Looked;
 use self::order::LateTurns;
 use self::outage::Outages;
+use self::rounds::Rounds;
 use self::shares::Shares;
 use self::speeds::Guesses;
 use self::urgent::UrgentRoom;
@@ -191,6 +194,7 @@
     stale: bool,
     /// When steps that are not urgent were looked at last.
     placed_all: Millis,
+    rounds: Rounds,
     /// Steps that have room kept, and on which executors.
     reserved: BTreeMap<StepKey, Vec<ExecutorIndex>>,
     next_run: u64,
@@ -258,6 +262,7 @@
             ready: BTreeSet::new(),
             stale: false,
             placed_all: 0,
+            rounds: Rounds::default(),
             reserved: BTreeMap::new(),
             arrivals: 0,
             advisors: Advisors::default(),
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -29,10 +29,6 @@
 /// If more steps than this wait that are not urgent, they are looked at only
 /// so often.
 const FEW_WAIT: usize = 8;
-/// With each so many steps that wait, all of them, urgent or not, are looked at
-/// less often by [`PLACE_GAP`]: going over them takes a bounded share of the
-/// time however many there are, and a leader that is behind can catch up.
-const CROWD: usize = 256;
 /// The time between two looks at them, in milliseconds.
 const PLACE_GAP: Millis = 20;
 /// The most tickets that are asked for anew in one call.
@@ -55,8 +51,8 @@
 
 impl Scheduler {
     /// Starts what can be started. Urgent steps are looked at each time, unless
-    /// very many steps wait; while some others wait, those are looked at less
-    /// often.
+    /// placing rests, see [`super::rounds`]; while some others wait, those are
+    /// looked at less often.
     pub(super) fn place(&mut self, now: Millis) {
         self.looked.rounds += 1;
         self.place_round(now);
@@ -64,8 +60,7 @@
     }
 
     fn place_round(&mut self, now: Millis) {
-        let crowds = (self.ready.len() / CROWD) as Millis;
-        if now < self.placed_all + PLACE_GAP * crowds {
+        if !self.rounds.may_begin(now) {
             self.stale = true;
             self.looked.put_off += 1;
             return;
@@ -77,7 +72,9 @@
         let mut order: Vec<(Rank, StepKey)> = ready.collect();
         self.give_turns(&mut order, now);
         let patient = order.iter().filter(|(rank, _)| !rank.urgent()).count();
-        let all = patient <= FEW_WAIT || now >= self.placed_all + PLACE_GAP;
+        let due = patient <= FEW_WAIT || now >= self.placed_all + PLACE_GAP;
+        let all = due && self.rounds.may_take_all(now);
+        self.rounds.begin(all);
         if all {
             self.placed_all = now;
         } else {
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -417,7 +417,10 @@
             }
             let since = clock::mono_micros();
             let actions = scheduler.advance(now);
-            turn.advanced(stats, since, clock::mono_micros());
+            let until = clock::mono_micros();
+            turn.advanced(stats, since, until);
+            let took = Duration::from_micros(until.saturating_sub(since));
+            scheduler.advance_took(took, until / 1_000);
             if self.perform(&scheduler, actions) {
                 return "fenced";
             }
--- a/tests/jobs/looked.rs
+++ b/tests/jobs/looked.rs
@@ -1,12 +1,14 @@
 //! How much placing looks through.
 
+use std::time::Duration;
+
 use puffinknot_core::jobs::scheduler::Looked;
 use puffinknot_core::jobs::{Mechanism, Without};
 
 use super::world::{job, room, step, World, WORK};
 
 const EXECUTORS: usize = 8;
-/// Steps that wait; from so many on, looks at them are put off.
+/// Steps that wait.
 const CROWD: u64 = 256;
 
 const NAMES: [&str; 5] = [
@@ -86,8 +88,9 @@
 }
 
 #[test]
-fn rounds_that_a_crowd_puts_off_are_counted() {
+fn rounds_that_are_put_off_while_placing_rests_are_counted() {
     let mut world = full(EXECUTORS);
+    world.look_takes = Duration::from_micros(100);
     let looked = during(&mut world, |world| {
         for id in 0..CROWD {
             let task = step(1, room(4_000, 100));
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use puffinknot_core::config::Resources;
 use puffinknot_core::ids::Millis;
@@ -275,6 +276,10 @@
     pub lost_advice: u32,
     /// How long advice takes.
     pub advice_takes: Millis,
+    /// How long the leader takes to look at an executor, and the time that it
+    /// has spent on that.
+    pub look_takes: Duration,
+    pub looking: Duration,
     pub most_down: usize,
     /// Holds that were sent so far.
     pub holds: u64,
@@ -475,6 +480,8 @@
             late_upkeeps: 0,
             lost_advice: 0,
             advice_takes: 30,
+            look_takes: Duration::ZERO,
+            looking: Duration::ZERO,
             most_down: 0,
             holds: 0,
             asked: Vec::new(),
@@ -649,7 +656,18 @@
         }
         let actions = self.scheduler.handle(event, self.now);
         self.perform(self.token, actions);
+        self.advance();
+    }
+
+    /// The leader does what has become possible, and is told how long it took.
+    fn advance(&mut self) {
+        let before = self.scheduler.looked();
         let actions = self.scheduler.advance(self.now);
+        let looked = self.scheduler.looked().since(&before);
+        let took = self.look_takes * looked.executors as u32;
+        self.looking += took;
+        let over = self.now + took.as_millis() as Millis;
+        self.scheduler.advance_took(took, over);
         self.perform(self.token, actions);
     }
 
@@ -933,8 +951,7 @@
                 .next_commit()
                 .is_some_and(|at| at <= self.now)
             {
-                let actions = self.scheduler.advance(self.now);
-                self.perform(self.token, actions);
+                self.advance();
             }
         }
     }
