A task waits for each run of it that is known, not only for its place

Cause: a successor asks executors in some order. It heard of the first run of the task, which was still going on, and gave the task that place. Then the run failed; the predecessor, which heard so by a hold that waited there, started the task again on an executor that had not yet seen the new token. That run the successor heard of next. Since the task had a place already, it ordered its stop and kept nothing of it; and when the first run's failure was told, the task was started anew while that stop was under way. Until the takeover is settled nothing starts, but it was settled by then, since each executor had answered. By reading, the same holds for members of a gang that broke and was started again.

Mended: a step keeps the runs of a task that are at an executor beside the one that counts (`strays`). When that one is over, one that goes on takes its place, so that the task waits for its end. A member of a gang that is breaking takes an empty place for the same reason.

Test: a_task_that_a_predecessor_starts_again_meanwhile_runs_once.

--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -354,11 +354,8 @@
             let place = live.step_run(key.time, key.step);
             if let (None, Some(run)) = (ended, place) {
                 let others = run.places.values().all(|(_, r)| *r == row.run);
-                // Wanted or not, its task is started nowhere until it ends.
-                if run.waiting.remove(&row.task.index) {
-                    run.places.insert(row.task.index, (index, row.run));
-                    wanted = !run.breaking && (others || !gang);
-                }
+                let waited = run.found(row.task.index, index, row.run);
+                wanted = waited && !run.breaking && (others || !gang);
             }
         }
         let Some(executor) = self.executors.get(&index) else { return };
--- a/puffinknot-core/src/jobs/scheduler/live.rs
+++ b/puffinknot-core/src/jobs/scheduler/live.rs
@@ -44,6 +44,8 @@
     pub waiting: BTreeSet<u32>,
     /// Where tasks are, and in which run.
     pub places: BTreeMap<u32, (ExecutorIndex, u64)>,
+    /// Runs beside those in `places`, which are being stopped.
+    pub strays: BTreeMap<u32, BTreeSet<(ExecutorIndex, u64)>>,
     /// Tasks that are done.
     pub done: BTreeSet<u32>,
     /// The runs that have failed, by task; a gang counts as its first.
@@ -129,6 +131,44 @@
         places.map(|(member, place)| (*member, *place)).collect()
     }
 
+    /// A run of a task is at an executor. Wanted or not, the task is started
+    /// nowhere until it ends. Returns whether the task was to be started.
+    pub fn found(&mut self, index: u32, at: ExecutorIndex, run: u64) -> bool {
+        if self.done.contains(&index) {
+            return false;
+        }
+        let place = *self.places.entry(index).or_insert((at, run));
+        if place != (at, run) {
+            self.strays.entry(index).or_default().insert((at, run));
+        }
+        self.waiting.remove(&index)
+    }
+
+    /// A run of a task is over. Returns whether it was the one that counts. If
+    /// another goes on, by `goes_on`, that is in its place.
+    pub fn ended(
+        &mut self,
+        index: u32,
+        at: ExecutorIndex,
+        run: u64,
+        goes_on: impl Fn(ExecutorIndex, u64) -> bool,
+    ) -> bool {
+        let here = self.places.get(&index) == Some(&(at, run));
+        let mut others = self.strays.remove(&index).unwrap_or_default();
+        others.remove(&(at, run));
+        if here {
+            others.retain(|(at, run)| goes_on(*at, *run));
+            match others.pop_last() {
+                Some(other) => self.places.insert(index, other),
+                None => self.places.remove(&index),
+            };
+        }
+        if !others.is_empty() {
+            self.strays.insert(index, others);
+        }
+        here
+    }
+
     /// Whether all tasks are done.
     pub fn complete(&self, step: &Step) -> bool {
         self.done.len() as u32 >= step.count
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -281,8 +281,13 @@
         let gang = step.gang;
         let step = step.clone();
         let Some(state) = live.step_run(key.time, key.step) else { return };
-        let placed = state.places.get(&task.index);
-        let here = placed.is_some_and(|(at, r)| *at == index && *r == run);
+        let placed = state.places.contains_key(&task.index);
+        let executors = &self.executors;
+        let goes_on = |at, run| {
+            let on = executors.get(&at).and_then(|e| e.runs.get(&task));
+            on.is_some_and(|on| on.run == run)
+        };
+        let here = state.ended(task.index, index, run, goes_on);
         let how = end.map(|end| end.how);
         if let Some(end) = end.filter(|end| !end.checkpoint.is_empty()) {
             let saved = step.counted(task.index);
@@ -291,10 +296,8 @@
         if how == Some(EndKind::Failed) {
             state.failed_on.insert(index);
         }
-        let later = placed.is_some() && !here;
-        if here {
-            state.places.remove(&task.index);
-        } else if later && how != Some(EndKind::Done) {
+        let later = placed && !here;
+        if later && how != Some(EndKind::Done) {
             // An end of an earlier run: only its failure counts.
             if how == Some(EndKind::Failed) {
                 self.note_failure(task, run);
@@ -338,8 +341,11 @@
                     return;
                 }
                 if !gang {
-                    state.waiting.insert(task.index);
-                    self.ready.insert(key);
+                    // It waits for another run of it to end.
+                    if !state.places.contains_key(&task.index) {
+                        state.waiting.insert(task.index);
+                        self.ready.insert(key);
+                    }
                 } else {
                     state.breaking = true;
                 }
--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -1,6 +1,7 @@
 //! Faults that were found on the users' bench, each by the smallest sequence
 //! that brings it about. Each failed before it was mended.
 
+use puffinknot_core::jobs::model::StepKey;
 use puffinknot_core::jobs::{
     Event, JobId, JobState, LifeOver, Mechanism, Outcome, Request, Without,
 };
@@ -461,3 +462,45 @@
     // Three were in doubt anyway; so the others are asked too.
     assert!(with >= without + 3, "{with} holds, {without} without");
 }
+
+/// A successor that heard of a task's next run before the end of the last one
+/// stopped the next, and started the task anew while that still went on.
+#[test]
+fn a_task_that_a_predecessor_starts_again_meanwhile_runs_once() {
+    for (gang, passed) in [false, true].into_iter().flat_map(|gang| {
+        let times = (1..13).map(|turn| 50 * turn);
+        times.map(move |passed| (gang, passed))
+    }) {
+        let mut world = World::new(6);
+        let mut step = step(2, room(2_500, 100));
+        step.estimate = 3 * WORK / 2;
+        step.gang = gang;
+        let key = StepKey { job: JobId(1), time: 0, step: 0 };
+        world.failing.insert(key.task(0), 1);
+        world.submit(job(1, "batch", vec![step]));
+        world.run(3 * WORK / 2 - passed);
+        let there = |world: &World, at: usize| {
+            (0..2).any(|index| world.executors[at].runs(&key.task(index)))
+        };
+        let at_work: Vec<bool> = (0..6).map(|at| there(&world, at)).collect();
+        let next = Some(world.token + 1);
+        for (at, at_work) in at_work.iter().enumerate() {
+            world.executors[at].cut_from = next.filter(|_| !at_work);
+        }
+        world.replace_leader();
+        world.run(20);
+        for index in 0..2 {
+            world.takes.insert(key.task(index), 300);
+        }
+        for (at, at_work) in at_work.iter().enumerate() {
+            world.executors[at].cut_from = next.filter(|_| *at_work);
+        }
+        world.run(850);
+        for executor in &mut world.executors {
+            executor.cut_from = None;
+        }
+        world.run(10_000);
+        world.check();
+        assert_eq!(world.state(1), Some(JobState::Succeeded));
+    }
+}
