Tasks are given up for crashes only if chance can't explain them

What callers saw: on a cell whose executors crash by themselves, jobs that harm nobody showed as failed.

Causes, each by the trace of the weights of all tasks that were given up: - The weight at which a task is given up was read as a chance, but was a product of the chances of its crashes. The more crashes, the likelier their product is small: with three or four within a second each, one in a hundred tasks that were tried got there, not one in a thousand. - Executors that crash by themselves were taken to do so more seldom than they do: counted over 20 s when less was known or trouble had just begun; divided by all executors that the cell has known, those that had just crashed among them; and not counted at all if nothing ran there. - Crashes by tasks counted for that rate as well, which only hid the former.

Now a crash weighs the ratio of two likelihoods, that the task did it and that the executor crashed by itself, and a run that survives its time of danger takes the weight back, so that a task that harms nobody gets to the threshold at most as often as the threshold says (it is one in 10,000 now). That a task crashes executors early, and each time at about the same age, makes up for what the stricter reckoning takes. The rate is that of executors on which nothing is under suspicion. The store's format is unchanged.

The test plays 25 starts now.

--- a/puffinknot-core/src/jobs/losses.rs
+++ b/puffinknot-core/src/jobs/losses.rs
@@ -8,9 +8,14 @@
 may, see [`crate::jobs::scheduler`]. If that executor crashes too, again and
 again, no other explanation is left than chance, and that is weighed here.
 
-What a crash weighs is its chance in powers of ten, in tenths: how likely
-executors that crash by themselves would have done so within the time that the
-task was there. It is reckoned from how often executors crash now.
+What a crash weighs is how much likelier it is if the task did it than if the
+executor crashed by itself, in powers of ten, in tenths. A task that does it is
+taken to do so at any age up to [`LONGEST_WINDOW`], most likely at a low one,
+and again at about the same; how often executors crash by themselves is
+reckoned from how many have lately. Weights add up. A task that harms nobody
+gets to a sum at most as often as that says, however often it is tried, since a
+run that survives takes back what was counted before. The product of the mere
+chances of its crashes would be small more often: the more they are, the more.
 */
 
 use std::collections::{BTreeSet, VecDeque};
@@ -33,49 +38,72 @@
 /// executor: with 1,000 ms a cell that loses a quarter of its executors every
 /// five seconds did 0.03 less of its work.
 const SOON: Millis = 100;
-/// The weight at which a task is given up: a chance of one in 1,000 for each
-/// task that is tried. At the lowest rate one crash within 20 ms after a start
-/// on its own has it, or two within 600 ms, or three of which is known only
-/// that they came within a second. More than five starts of such a task are
-/// too many; one or two of them may have been beside others that were as
-/// young, and one may be forgotten with a leader. A cell of 48 executors of
-/// which a quarter crashes every five seconds tries forty tasks in forty
-/// seconds.
-const ENOUGH: u32 = 30;
+/// The weight at which a task is given up: by chance, one in 10,000 is. At the
+/// lowest rate two crashes have it of which each was seen to come within 30 ms
+/// after a start, or three of which is known only that they came within 800.
+/// More than five starts of such a task are too many; one or two of them may
+/// have been beside others that were as young, and one may be forgotten with a
+/// leader.
+const ENOUGH: u32 = 40;
 /// The least runs that a task has to be lost with to be given up.
 const LEAST_RUNS: u32 = 2;
 /// So many crashes under a gang that was alone are enough, whatever they
 /// weigh: with one more beside others, the next start would be the sixth. It
 /// meets more crashes the wider it is, and each weighs less.
 const MOST_ALONE: u32 = 4;
+/// Of the tasks that crash executors, as many do so before this age, in
+/// milliseconds, as in each doubling of what lies beyond it.
+const EARLY: f64 = 10.0;
+/// A crash that was seen was so long before that at most, in milliseconds.
+const SEEN_WITHIN: Millis = 50;
+/// Ages that differ by less than this part of a doubling are alike.
+const ALIKE: f64 = 0.3;
 /// Executors are taken to crash at least so often, in crashes a second and
 /// executor: a quarter of them every five seconds. Trouble that begins is not
 /// known from what was before.
 const LEAST_RATE: f64 = 0.05;
-/// The rate is counted over this time, in milliseconds.
-const COUNTED_OVER: Millis = 20_000;
+/// The rate is counted over each of these times, in milliseconds, and the
+/// highest counts: trouble that has just begun is diluted in a long one, and
+/// a short one misses what comes in turns.
+const COUNTED_OVER: [Millis; 2] = [5_000, 20_000];
 
 /// How often executors crash, by whatever it is.
 #[derive(Clone, Debug, Default)]
 pub struct CrashRate {
+    /// Since when they are counted.
+    since: Option<Millis>,
     /// When they did lately.
     at: VecDeque<Millis>,
 }
 
 impl CrashRate {
+    /// Crashes are counted from now on.
+    pub fn begin(&mut self, now: Millis) {
+        self.since.get_or_insert(now);
+    }
+
     /// An executor has crashed.
     pub fn crashed(&mut self, now: Millis) {
+        self.begin(now);
         self.at.push_back(now);
-        while self.at.front().is_some_and(|at| at + COUNTED_OVER < now) {
+        let longest = COUNTED_OVER.into_iter().max().unwrap_or(0);
+        while self.at.front().is_some_and(|at| at + longest < now) {
             self.at.pop_front();
         }
     }
 
-    /// Crashes a second and executor, if there are so many executors.
-    pub fn of(&self, executors: usize) -> f64 {
-        let seconds = COUNTED_OVER as f64 / 1_000.0;
-        let lately = self.at.len() as f64 / seconds;
-        (lately / executors.max(1) as f64).max(LEAST_RATE)
+    /// Crashes a second and executor, while so many executors live. As if one
+    /// more had been seen at the lowest rate: a few executors watched for a
+    /// short time tell little.
+    pub fn of(&self, living: usize, now: Millis) -> f64 {
+        let known = now.saturating_sub(self.since.unwrap_or(now));
+        let rates = COUNTED_OVER.into_iter().map(|over| {
+            let lately = self.at.iter().filter(|at| **at + over >= now);
+            let seconds = over.min(known) as f64 / 1_000.0;
+            let watched = 1.0 / LEAST_RATE + seconds * living as f64;
+            (1 + lately.count()) as f64 / watched
+        });
+        rates.fold(LEAST_RATE, f64::max)
     }
 }
 
@@ -111,17 +139,38 @@
         least <= SOON
     }
 
-    /// What it weighs if executors crash so often.
-    fn weight(&self, rate: f64) -> u32 {
+    /// What it weighs if executors crash so often by themselves, and the
+    /// former run was lost at this age.
+    fn weight(&self, rate: f64, former: Option<Millis>) -> u32 {
         if !self.alone {
             return 0;
         }
-        let seconds = self.ran.max(1) as f64 / 1_000.0;
-        let chance = rate * seconds * f64::from(self.executors.max(1));
-        (-chance.min(1.0).log10() * 10.0) as u32
+        let least = if self.seen { SEEN_WITHIN } else { Millis::MAX };
+        let from = self.survived.max(self.ran.saturating_sub(least));
+        let from = from.min(self.ran);
+        let seconds = (self.ran - from).max(1) as f64 / 1_000.0;
+        let by_itself = rate * seconds * f64::from(self.executors.max(1));
+        let former = former.filter(|_| self.seen);
+        let likelier = by_task(from, self.ran, former) / by_itself.min(1.0);
+        (likelier.max(1.0).log10() * 10.0).round() as u32
     }
 }
 
+/// How likely a task that crashes its executors does so between two ages, if
+/// it did it before at about this one.
+fn by_task(from: Millis, until: Millis, former: Option<Millis>) -> f64 {
+    let doublings = |age: Millis| {
+        let age = age.min(LONGEST_WINDOW);
+        (1.0 + age as f64 / EARLY).log2()
+    };
+    let (from, until) = (doublings(from), doublings(until));
+    let at_any = (until - from) / doublings(LONGEST_WINDOW);
+    let Some(former) = former else { return at_any };
+    let former = doublings(former);
+    let alike = until.min(former + ALIKE) - from.max(former - ALIKE);
+    (at_any + alike.max(0.0) / (2.0 * ALIKE)) / 2.0
+}
+
 /// What was counted of the last run that was lost: a gang's may be lost with
 /// several executors, and counts once.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -150,6 +199,10 @@
     /// The addresses of the executors.
     pub addresses: BTreeSet<String>,
     last: Last,
+    /// The age of the last run that was seen to be lost, in milliseconds. A
+    /// successor does without.
+    #[serde(skip)]
+    seen_at: Option<Millis>,
 }
 
 impl Losses {
@@ -162,7 +215,12 @@
             return false;
         }
         if loss.confirmed {
-            self.count(loss, loss.weight(rate));
+            if loss.survived >= self.window() {
+                self.weight = 0;
+                self.last.weight = 0;
+            }
+            self.count(loss, loss.weight(rate, self.seen_at));
+            self.seen_at = loss.seen.then_some(loss.ran).or(self.seen_at);
         }
         self.ran = self.ran.max(loss.ran);
         self.soon |= loss.may_be_soon();
--- a/puffinknot-core/src/jobs/scheduler/lives.rs
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -202,10 +202,12 @@
         self.count("executors_over");
         self.count(why.counter());
         self.forget_carried_over(index);
-        let suspicions = self.suspicions(index, why);
+        let crash = self.crash_of(index, why);
         self.leave_in_flight(index, why, now);
         self.give_up_runs(index, why);
-        self.suspect(suspicions, now);
+        if let Some(crash) = crash {
+            self.suspect(crash, now);
+        }
         // Nothing is left there that counts for an account.
         self.hidden.remove(&index);
         if let Some(executor) = self.executors.remove(&index) {
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -369,6 +369,7 @@
     }
 
     fn tick(&mut self, now: Millis) {
+        self.crash_rate.begin(now);
         self.ended.forget(now);
         self.forget_refused(now);
         self.give_up_lives(now);
--- a/puffinknot-core/src/jobs/scheduler/suspects.rs
+++ b/puffinknot-core/src/jobs/scheduler/suspects.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeMap;
 
 use crate::ids::Millis;
-use crate::jobs::executor::{Executor, RunOn, Trial};
+use crate::jobs::executor::{Contact, Executor, RunOn, Trial};
 use crate::jobs::losses::{Loss, Losses};
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{Action, ExecutorIndex, LifeOver};
@@ -57,8 +57,16 @@
     at: ExecutorIndex,
 }
 
+/// An executor has crashed.
+pub(super) struct Crash {
+    /// No run that was there may have done it.
+    by_itself: bool,
+    /// The runs that were there.
+    suspicions: Vec<Suspicion>,
+}
+
 /// A run that was on an executor that has crashed.
-pub(super) struct Suspicion {
+struct Suspicion {
     task: TaskKey,
     executor: String,
     loss: Loss,
@@ -67,21 +75,19 @@
 impl Scheduler {
     /// How runs were lost with an executor whose life is over, if it has
     /// crashed.
-    pub(super) fn suspicions(
+    pub(super) fn crash_of(
         &self,
         index: ExecutorIndex,
         why: LifeOver,
-    ) -> Vec<Suspicion> {
-        let Some(executor) = self.executors.get(&index) else {
-            return Vec::new();
-        };
+    ) -> Option<Crash> {
+        let executor = self.executors.get(&index)?;
         let down = self.machines.was_taken_down(executor);
         if !self.has(Mechanism::Trials) || down || !has_crashed(executor, why)
         {
-            return Vec::new();
+            return None;
         }
         // One that has answered since has not crashed.
-        let Some(missed) = executor.missed_at else { return Vec::new() };
+        let missed = executor.missed_at?;
         // What was ordered later never arrived.
         let there = executor.runs.iter().chain(&executor.carried_over);
         let there = there.filter(|(_, on)| on.since < missed);
@@ -104,7 +110,8 @@
                 address: executor.info.address.clone(),
             },
         });
-        suspicions.collect()
+        let suspicions = suspicions.collect();
+        Some(Crash { by_itself: possible == 0, suspicions })
     }
 
     /// The number of executors that a run of a step is on.
@@ -118,13 +125,12 @@
 
     /// Takes down what a crash tells, and gives up those tasks of which it
     /// leaves no doubt.
-    pub(super) fn suspect(&mut self, suspicions: Vec<Suspicion>, now: Millis) {
-        if suspicions.is_empty() {
-            return;
+    pub(super) fn suspect(&mut self, crash: Crash, now: Millis) {
+        let rate = self.rate_of_crashes(now);
+        if crash.by_itself {
+            self.crash_rate.crashed(now);
         }
-        self.crash_rate.crashed(now);
-        let rate = self.crash_rate.of(self.executors());
-        for Suspicion { task, executor, loss } in suspicions {
+        for Suspicion { task, executor, loss } in crash.suspicions {
             let Some(losses) = self.record_loss(task, &loss, rate, now) else {
                 continue;
             };
@@ -142,6 +148,15 @@
         }
     }
 
+    /// How often executors crash by themselves, in crashes a second and
+    /// executor: those on which nothing is under suspicion.
+    fn rate_of_crashes(&self, now: Millis) -> f64 {
+        let innocent = self.executors.values().filter(|executor| {
+            executor.contact == Contact::Ready && executor.all_harmless()
+        });
+        self.crash_rate.of(innocent.count(), now)
+    }
+
     /// Takes down how a run was lost. Returns what is known of its task by
     /// now, if it may have crashed the executor.
     fn record_loss(
--- a/tests/jobs/crashing.rs
+++ b/tests/jobs/crashing.rs
@@ -10,6 +10,10 @@
 const SEEN: Crashes = Crashes { after: 10, dark: false };
 /// The number of the first job that crashes executors.
 const CRASHING: u64 = 1_000;
+/// The time between two jobs on a cell whose executors crash by themselves.
+const ROUND: Millis = 100;
+/// The points within it at which that begins.
+const OFFSETS: Millis = 25;
 /// Time enough for a task to crash executors as often as it may.
 const LONG_ENOUGH: Millis = 60_000;
 
@@ -188,14 +192,21 @@
 }
 
 /// Executors crash by themselves, one after the other, so that each task is
-/// lost a few times. None of them is given up for that.
+/// lost a few times. None of them is given up for that, wherever the leader is
+/// in its rounds when it begins.
 #[test]
 fn tasks_on_executors_that_crash_by_themselves_are_not_given_up() {
+    for offset in 0..OFFSETS {
+        crash_by_themselves(offset * ROUND / OFFSETS);
+    }
+}
+
+fn crash_by_themselves(offset: Millis) {
     let mut world = World::new(12);
-    world.run(100);
+    world.run(ROUND + offset);
     for round in 0..160 {
         submit_harmless(&mut world, round + 1);
-        world.run(100);
+        world.run(ROUND);
         if round % 4 == 0 {
             // Whatever lives at the next address in turn.
             let address = format!("x{}", (round / 4) % 12);
