Measure a leader while hundreds of wide steps wait

The measuring of a leader played one kind of gang of 40 on equal executors, and never more of them than find room within a turn or two: it showed nothing of what a placing costs while gangs of up to 240 members and wide steps wait. 'leader-backlog' plays 1,100 executors of unlike speed with urgent jobs, gangs of 40 to 240 members, some with a second step, and wide patient steps, begun with 150, 300 and 600 wide jobs. All reports say besides how late accounts of executors are taken in, and how many jobs are live.

--- a/puffinknot-measure/src/leader.rs
+++ b/puffinknot-measure/src/leader.rs
@@ -17,10 +17,9 @@
 use puffinknot_core::ids::Millis;
 use puffinknot_core::jobs::message::{ExecutorIndex, Kept};
 use puffinknot_core::jobs::{
-    Action, AdviceCost, AdviceRow, Caller, Change, EndKind, EndRow, Event,
-    ExecutorInfo, HoldAnswer, Job, JobId, OrderFailure, Outcome, Policy,
-    Queue, Request, RunRow, Scheduler, SchedulerConfig, Step, TaskKey,
-    Without,
+    Action, AdviceRow, Caller, Change, EndKind, EndRow, Event, ExecutorInfo,
+    HoldAnswer, JobId, OrderFailure, Outcome, Policy, Request, RunRow,
+    Scheduler, SchedulerConfig, TaskKey, Without,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -28,6 +27,10 @@
 use crate::packing::resident_kb;
 use crate::report::Report;
 
+mod load;
+
+use self::load::{Load, WIDE_ONE_IN};
+
 /// The way to an executor and back, in milliseconds.
 const WAY: Millis = 2;
 /// The time of a write, in milliseconds.
@@ -48,8 +51,13 @@
 const CROWD_TIMES: u64 = 10;
 /// The longest turn that is told from longer ones, in nanoseconds.
 const LONGEST_TURN: u64 = 60_000_000_000;
-/// One job in so many is a wide gang.
-const GANG_ONE_IN: u64 = 7;
+/// The executors of a cell with a backlog, and the jobs that it gets a
+/// second.
+const BACKLOG: (usize, u64) = (1_100, 107);
+/// The wide jobs that a cell with a backlog begins with.
+const BACKLOG_JOBS: [usize; 3] = [150, 300, 600];
+/// How long a backlog builds up before it is measured, in milliseconds.
+const BACKLOG_AFTER: Millis = 6_000;
 /// The share of executors that may run a step.
 const GOOD: f64 = 0.4;
 
@@ -72,6 +80,7 @@
 
 /// A cell without processes.
 struct Cell {
+    load: Load,
     now: Millis,
     /// What turns took and is not yet a whole millisecond, in nanoseconds.
     behind: u64,
@@ -84,12 +93,15 @@
     store: BTreeMap<String, Vec<u8>>,
     queue: BTreeMap<(Millis, u64), Next>,
     order: u64,
-    jobs: BTreeMap<JobId, Vec<(u32, Millis)>>,
+    /// How long tasks of each step take.
+    works: BTreeMap<JobId, Vec<Millis>>,
     random: StdRng,
     turns: Histogram<u64>,
     busy: u64,
     events: u64,
     late: u64,
+    /// How much later than their arrival accounts are taken in.
+    heard_after: Histogram<u64>,
     starts: u64,
     heard: BTreeSet<ExecutorIndex>,
     largest_value: usize,
@@ -97,25 +109,6 @@
     refused: u64,
 }
 
-fn policy() -> Policy {
-    let queue = Queue {
-        name: "q".into(),
-        host: "h".into(),
-        prefix: "/q/".into(),
-        service: "s".into(),
-        priority: 1,
-        max_attempts: 3,
-        stretch: 2.0,
-        target: 1_000,
-        timeout: 3_000,
-        advice: Some(AdviceCost { call_ms: 20.0, each_ms: 1.0, valid: 2_000 }),
-        open: true,
-    };
-    let mut policy = Policy { version: 1, ..Policy::default() };
-    policy.queues.insert(queue.name.clone(), queue);
-    policy
-}
-
 fn config(token: u64) -> SchedulerConfig {
     SchedulerConfig {
         token,
@@ -129,8 +122,8 @@
 }
 
 impl Cell {
-    fn new(executors: usize, seed: u64) -> Cell {
-        let policy = Arc::new(policy());
+    fn new(executors: usize, load: Load, seed: u64) -> Cell {
+        let policy = Arc::new(load.policy());
         let infos: Vec<ExecutorInfo> = (0..executors)
             .map(|number| ExecutorInfo {
                 id: format!("i-{number:010x}"),
@@ -153,7 +146,12 @@
             .collect();
         let by_id = infos.iter().enumerate();
         let by_id = by_id.map(|(at, info)| (info.id.clone(), at));
+        let histogram = || {
+            Histogram::new_with_max(LONGEST_TURN, 3)
+                .unwrap_or_else(|_| unreachable!("the bounds are constant"))
+        };
         let mut cell = Cell {
+            load,
             now: 1_000,
             behind: 0,
             scheduler: Scheduler::new(config(1), policy.clone()),
@@ -165,13 +163,13 @@
             store: BTreeMap::new(),
             queue: BTreeMap::new(),
             order: 0,
-            jobs: BTreeMap::new(),
+            works: BTreeMap::new(),
             random: StdRng::seed_from_u64(seed),
-            turns: Histogram::new_with_max(LONGEST_TURN, 3)
-                .unwrap_or_else(|_| unreachable!("the bounds are constant")),
+            turns: histogram(),
             busy: 0,
             events: 0,
             late: 0,
+            heard_after: histogram(),
             starts: 0,
             heard: BTreeSet::new(),
             largest_value: 0,
@@ -213,9 +211,23 @@
         let whole = self.behind / 1_000_000;
         self.behind %= 1_000_000;
         self.now += whole;
+        let slowest = self.slowest(&actions);
+        for action in actions {
+            self.perform(action, &slowest);
+        }
+    }
+
+    /// How long each run takes by the slowest of its executors: the members
+    /// of a gang end together.
+    fn slowest(&self, actions: &[Action]) -> BTreeMap<u64, f64> {
+        let mut slowest = BTreeMap::new();
         for action in actions {
-            self.perform(action);
+            let Action::Start { executor, run, .. } = action else { continue };
+            let Some(at) = self.at(*executor) else { continue };
+            let slow = slowest.entry(*run).or_insert(0.0_f64);
+            *slow = slow.max(self.load.slowness(at));
         }
+        slowest
     }
 
     fn at(&self, executor: ExecutorIndex) -> Option<usize> {
@@ -223,7 +235,7 @@
         self.by_id.get(&known.info.id).copied()
     }
 
-    fn perform(&mut self, action: Action) {
+    fn perform(&mut self, action: Action, slowest: &BTreeMap<u64, f64>) {
         match action {
             Action::Hold { executor, sent_at, last_seen, wait, .. } => {
                 let Some(at) = self.at(executor) else { return };
@@ -244,8 +256,9 @@
                 let Some(at) = self.at(executor) else { return };
                 self.starts += 1;
                 self.executors[at].running.insert(task, run);
-                let works = &self.jobs[&task.step.job];
-                let work = works[task.step.step as usize].1;
+                let works = &self.works[&task.step.job];
+                let work = works[task.step.step as usize] as f64;
+                let work = (work * slowest[&run]) as Millis;
                 self.later(work, Next::Done(at, task, run));
                 let answer = Ok(None);
                 let event = Event::Started { executor, task, run, answer };
@@ -344,24 +357,14 @@
     }
 
     fn submit(&mut self) -> Event {
-        self.next_job += 1;
-        let gang = self.next_job % GANG_ONE_IN == 0;
-        let (count, cpu_millis, work) =
-            if gang { (40, 4_500, 3_000) } else { (4, 3_500, 1_000) };
-        let job = JobId(self.next_job);
-        self.jobs.insert(job, vec![(count, work)]);
-        let need = Resources { cpu_millis, memory_mb: 256, accelerators: 0 };
-        let step =
-            Step { count, need, estimate: work, gang, ..Step::default() };
-        let job = Job {
-            id: job,
-            account: None,
-            queue: "q".into(),
-            service: "s".into(),
-            spec: "a text of some bytes".into(),
-            steps: vec![step],
-            repeats: None,
-        };
+        self.submit_next(1)
+    }
+
+    /// Hands in the next job whose number is a multiple of this.
+    fn submit_next(&mut self, of: u64) -> Event {
+        self.next_job = (self.next_job / of + 1) * of;
+        let (job, works) = self.load.job(self.next_job, &mut self.random);
+        self.works.insert(job.id, works);
         let request = Request::Submit(job);
         let id = self.next_job;
         Event::Request { id, caller: Caller::default(), request }
@@ -415,6 +418,9 @@
     /// An answer as the leader's node takes it, which has given up one that
     /// comes too late.
     fn in_time(&mut self, event: Event, due: Millis) -> Event {
+        if matches!(event, Event::Held { .. }) {
+            self.heard_after.saturating_record(self.now - due);
+        }
         if self.now < due + ORDER_TIMEOUT {
             return event;
         }
@@ -461,10 +467,11 @@
     /// Begins to count anew.
     fn reset(&mut self) {
         self.turns.reset();
+        self.heard_after.reset();
         (self.busy, self.events, self.late, self.starts) = (0, 0, 0, 0);
     }
 
-    fn figures(&self, over: Millis, settled: f64) -> [f64; 9] {
+    fn figures(&self, over: Millis, settled: f64) -> [f64; 11] {
         let share = self.busy as f64 / (over as f64 * 1e6);
         [
             share * 100.0,
@@ -473,6 +480,8 @@
             self.turns.value_at_quantile(0.99) as f64 / 1e3,
             self.turns.max() as f64 / 1e6,
             self.late as f64,
+            self.heard_after.value_at_quantile(0.99) as f64,
+            self.scheduler.live() as f64,
             self.starts as f64 * 1_000.0 / over as f64,
             settled,
             self.largest_value as f64 / 1_024.0,
@@ -480,8 +489,7 @@
     }
 }
 
-/// The leader's work in a calm cell, and that of its successor.
-pub fn leader(seed: u64) -> Report {
+fn report(name: &'static str) -> Report {
     let columns = [
         "busy %",
         "events/s",
@@ -489,15 +497,22 @@
         "turn p99 us",
         "turn max ms",
         "late holds",
+        "heard after ms",
+        "live jobs",
         "starts/s",
         "settled ms",
         "value KB",
         "memory KB",
     ];
-    let mut report = Report::new("leader", &columns);
+    Report::new(name, &columns)
+}
+
+/// The leader's work in a calm cell, and that of its successor.
+pub fn leader(seed: u64) -> Report {
+    let mut report = report("leader");
     for executors in [1_500, 3_000, 6_000, 12_000] {
         let before = resident_kb();
-        let mut cell = Cell::new(executors, seed);
+        let mut cell = Cell::new(executors, Load::Even, seed);
         let per_second = executors as u64 / EXECUTORS_A_JOB;
         let mut row = |case: &str, cell: &Cell, over, settled| {
             let mut values = cell.figures(over, settled).to_vec();
@@ -530,3 +545,25 @@
     }
     report
 }
+
+/// The leader's work while some hundreds of wide steps wait.
+pub fn backlog(seed: u64) -> Report {
+    let mut report = report("leader-backlog");
+    let (executors, per_second) = BACKLOG;
+    for jobs in BACKLOG_JOBS {
+        let before = resident_kb();
+        let mut cell = Cell::new(executors, Load::Mixed, seed);
+        cell.run(cell.now + 2_000, per_second);
+        let wide = (0..jobs).map(|_| cell.submit_next(WIDE_ONE_IN));
+        let first = wide.collect();
+        cell.turn(first);
+        cell.run(cell.now + BACKLOG_AFTER, per_second);
+        cell.reset();
+        let begun = cell.now;
+        cell.run(begun + CALM, per_second);
+        let mut values = cell.figures(cell.now - begun, 0.0).to_vec();
+        values.push(resident_kb() - before);
+        report.row(format!("{executors} executors, {jobs} wide"), &values);
+    }
+    report
+}
--- a/puffinknot-measure/src/main.rs
+++ b/puffinknot-measure/src/main.rs
@@ -67,6 +67,11 @@
     ("churn", "placement at 160 starts a second", packing::churn),
     ("decisions", "time and memory of decisions, by size", packing::decisions),
     ("leader", "a cell's leader by size, and its successor", leader::leader),
+    (
+        "leader-backlog",
+        "a cell's leader while hundreds of wide steps wait",
+        leader::backlog,
+    ),
     (
         "processes-calls",
         "calls through six daemons, against direct calls",
@@ -124,7 +129,7 @@
 /// disturb each other's figures, and those that measure time one by one.
 fn reports(chosen: &[&Experiment], seed: u64) -> Vec<Report> {
     let virtual_time = |name: &str| {
-        let timed = name == "decisions" || name == "leader";
+        let timed = name == "decisions" || name.starts_with("leader");
         !name.starts_with("processes") && !timed
     };
     let mut reports: Vec<Option<Report>> = Vec::new();
