Tell for how long a node's loop is busy

Turns of the leader leave the rest of the time to links, clients and orders, but the figures did not say whether that rest was used: the processor time of the thread goes on while it waits where time is simulated. The runtime knows how long it has not waited; that is served now.

--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -19,12 +19,13 @@
 use actix_service::{Service, ServiceFactory};
 use puffinknot_core::jobs::{self, Caller, KeyDigest, Outcome};
 use tokio::net::TcpListener;
+use tokio::runtime::Handle;
 use tracing::{info, warn};
 
 use crate::cell::node::Shared;
 use crate::cell::ports::{Call, ClientAnswer, Platform, Refusal};
 use crate::cell::reach;
-use crate::clock;
+use crate::clock::{self, Micros};
 use crate::http::{read_body, BodyError};
 
 /// A sender has this long for the head of its request.
@@ -96,6 +97,9 @@
     shared: Rc<Shared<P>>,
 ) {
     serve(listener, move |_| {
+        // All but the writing of logs is done on this one thread.
+        let busy = Handle::current().metrics().worker_total_busy_duration(0);
+        shared.stats.set_busy(busy.as_micros() as Micros);
         let text = shared.stats.render();
         async move {
             Response::build(StatusCode::OK)
--- a/src/cell/stats.rs
+++ b/src/cell/stats.rs
@@ -5,7 +5,7 @@
 they are kept in the process (`hdrhistogram`) and rendered when asked for.
 */
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
@@ -38,6 +38,8 @@
     /// What is too short for milliseconds.
     times: RefCell<Family>,
     sizes: RefCell<Family>,
+    /// How long the process's loop has not waited, in microseconds.
+    busy: Cell<Micros>,
     /// What client accounts have running, while this node leads.
     accounts: RefCell<Vec<AccountUsage>>,
     cordons: RefCell<Cordons>,
@@ -147,6 +149,11 @@
         record(&self.sizes, name, count, LARGEST);
     }
 
+    /// Takes over for how long the process's loop has not waited.
+    pub fn set_busy(&self, busy: Micros) {
+        self.busy.set(busy);
+    }
+
     /// All figures as text.
     pub fn render(&self) -> String {
         let mut text = String::new();
@@ -179,6 +186,7 @@
                  {revision}"
             );
         }
+        let _ = writeln!(text, "puffinknot_busy_us_total {}", self.busy.get());
         let families = [
             ("latency_ms", &self.latencies),
             ("time_us", &self.times),
