--- a/tests/jobs/behind.rs
+++ b/tests/jobs/rounds.rs
@@ -1,4 +1,4 @@
-//! A leader that is short of processor time.
+//! How much of the time the placing of tasks takes.
 
 use std::time::Duration;
 
