--- a/puffinknot-measure/src/leader.rs
+++ b/puffinknot-measure/src/leader.rs
@@ -130,7 +130,12 @@
 }
 
 impl Cell {
-    fn new(executors: usize, load: Load, seed: u64) -> Cell {
+    fn new(
+        executors: usize,
+        load: Load,
+        counts_turns: bool,
+        seed: u64,
+    ) -> Cell {
         let policy = Arc::new(load.policy());
         let infos: Vec<ExecutorInfo> = (0..executors)
             .map(|number| ExecutorInfo {
@@ -161,7 +166,7 @@
         let mut cell = Cell {
             load,
             now: 1_000,
-            counts_turns: true,
+            counts_turns,
             behind: 0,
             scheduler: Scheduler::new(config(1), policy.clone()),
             policy,
@@ -527,7 +532,7 @@
     let mut report = report("leader");
     for executors in [1_500, 3_000, 6_000, 12_000] {
         let before = resident_kb();
-        let mut cell = Cell::new(executors, Load::Even, seed);
+        let mut cell = Cell::new(executors, Load::Even, true, seed);
         let per_second = executors as u64 / EXECUTORS_A_JOB;
         let mut row = |case: &str, cell: &Cell, over, settled| {
             let mut values = cell.figures(over, settled).to_vec();
@@ -582,8 +587,7 @@
 /// A cell after a while with a backlog, and how long it was looked at.
 fn with_backlog(jobs: usize, counts_turns: bool, seed: u64) -> (Cell, Millis) {
     let (executors, per_second) = BACKLOG;
-    let mut cell = Cell::new(executors, Load::Mixed, seed);
-    cell.counts_turns = counts_turns;
+    let mut cell = Cell::new(executors, Load::Mixed, counts_turns, seed);
     cell.run(cell.now + 2_000, per_second);
     let wide = (0..jobs).map(|_| cell.submit_next(WIDE_ONE_IN));
     let first = wide.collect();
