Look for executors to ask about only if there may be some

A leader with hundreds of wide steps that wait was busy all the time and took in ends late. A third of what it did was one search: each step that has no room looked in each placing through all executors for such as it had not asked about, and had asked about all of them long before. A step now notes that a search found none, and makes no other until an executor comes, is described anew, or takes work again, or the policy changes; 'asked' only grows.

--- a/puffinknot-core/src/jobs/executors.rs
+++ b/puffinknot-core/src/jobs/executors.rs
@@ -18,11 +18,13 @@
 pub struct Executors {
     slots: Vec<Option<Box<(ExecutorIndex, Executor)>>>,
     by_address: HashMap<String, BTreeSet<ExecutorIndex>>,
+    described: u64,
 }
 
 impl Executors {
     /// Adds an executor and returns its number.
     pub fn add(&mut self, executor: Executor) -> ExecutorIndex {
+        self.described += 1;
         let index = self.slots.len() as ExecutorIndex;
         let address = executor.info.address.clone();
         self.by_address.entry(address).or_default().insert(index);
@@ -30,11 +32,18 @@
         index
     }
 
-    /// Takes over what an executor says of itself. Nothing else may change
-    /// its address.
-    pub fn describe(&mut self, index: ExecutorIndex, info: ExecutorInfo) {
+    /// Takes over what an executor says of itself, and whether it takes no
+    /// new work by that. Nothing else may change either.
+    pub fn describe(
+        &mut self,
+        index: ExecutorIndex,
+        info: ExecutorInfo,
+        cordoned: bool,
+    ) {
+        self.described += 1;
         let Some(executor) = self.get_mut(&index) else { return };
         let address = info.address.clone();
+        executor.cordoned = cordoned;
         let before = std::mem::replace(&mut executor.info, info).address;
         if before != address {
             self.leave(index, &before);
@@ -42,6 +51,20 @@
         }
     }
 
+    /// Takes over which executors take no new work.
+    pub fn cordon(&mut self, covers: impl Fn(&Executor) -> bool) {
+        self.described += 1;
+        for executor in self.values_mut() {
+            executor.cordoned = covers(executor);
+        }
+    }
+
+    /// A number that is the same as long as none was added and none is
+    /// described otherwise.
+    pub fn described(&self) -> u64 {
+        self.described
+    }
+
     fn leave(&mut self, index: ExecutorIndex, address: &str) {
         let Some(there) = self.by_address.get_mut(address) else { return };
         there.remove(&index);
--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -21,7 +21,7 @@
 use crate::jobs::model::{JobId, Step, StepKey};
 use crate::jobs::policy::AdviceCost;
 use crate::jobs::scheduler::fit::times;
-use crate::jobs::scheduler::live::Ticket;
+use crate::jobs::scheduler::live::{Advice, Ticket};
 use crate::jobs::scheduler::Scheduler;
 
 /// A long call is made in so many parts by several nodes at one time, while
@@ -149,7 +149,10 @@
             return;
         };
         // Steps that wait come here again and again.
-        if live.queue.advice.is_none() || !state.advice.open.is_empty() {
+        if live.queue.advice.is_none()
+            || !state.advice.open.is_empty()
+            || state.advice.all_asked == Some(self.executors.described())
+        {
             return;
         }
         let step = &live.job.steps[key.step as usize];
@@ -185,14 +188,24 @@
         }
         let indices: Vec<ExecutorIndex> =
             ranked.into_iter().map(|(_, index)| index).collect();
-        if indices.is_empty() {
+        if !indices.is_empty() {
+            self.ask(key, indices, now);
+            self.change_advice(key, |advice| advice.widened = now);
             return;
         }
-        self.ask(key, indices, now);
+        let described = self.executors.described();
+        self.change_advice(key, |advice| advice.all_asked = Some(described));
+    }
+
+    fn change_advice(
+        &mut self,
+        key: StepKey,
+        change: impl FnOnce(&mut Advice),
+    ) {
         let live = self.jobs.get_mut(&key.job);
         let state = live.and_then(|l| l.steps.get_mut(&(key.time, key.step)));
         if let Some(state) = state {
-            state.advice.widened = now;
+            change(&mut state.advice);
         }
     }
 
--- a/puffinknot-core/src/jobs/scheduler/cordons.rs
+++ b/puffinknot-core/src/jobs/scheduler/cordons.rs
@@ -9,6 +9,7 @@
 */
 
 use crate::jobs::cordon::Cordons;
+use crate::jobs::executor::Executor;
 use crate::jobs::scheduler::Scheduler;
 
 impl Scheduler {
@@ -18,11 +19,10 @@
         if cordons.since() <= self.cordons.since() {
             return;
         }
-        for executor in self.executors.values_mut() {
-            let cordoned = cordons.covers(&executor.info.dc);
-            self.stale |= executor.cordoned && !cordoned;
-            executor.cordoned = cordoned;
-        }
+        let covers = |executor: &Executor| cordons.covers(&executor.info.dc);
+        let freed = |e: &Executor| e.cordoned && !covers(e);
+        self.stale |= self.executors.values().any(freed);
+        self.executors.cordon(covers);
         self.cordons = cordons;
         self.count("cordons_changed");
     }
--- a/puffinknot-core/src/jobs/scheduler/live.rs
+++ b/puffinknot-core/src/jobs/scheduler/live.rs
@@ -31,6 +31,10 @@
     pub good: BTreeMap<ExecutorIndex, Ticket>,
     /// The executors that were asked about.
     pub asked: BTreeSet<ExecutorIndex>,
+    /// All executors that may run the step were asked about when
+    /// [`Executors::described`](crate::jobs::executors::Executors::described)
+    /// was this.
+    pub all_asked: Option<u64>,
     /// Whether the first answer has come.
     pub known: bool,
     /// When executors that were not asked about before were asked about last.
--- a/puffinknot-core/src/jobs/scheduler/lives.rs
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -63,9 +63,8 @@
         info: ExecutorInfo,
     ) {
         let cordoned = self.cordons.covers(&info.dc);
-        self.executors.describe(index, info);
+        self.executors.describe(index, info, cordoned);
         if let Some(executor) = self.executors.get_mut(&index) {
-            executor.cordoned = cordoned;
             executor.recount();
         }
     }
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -283,6 +283,10 @@
         for live in self.jobs.values_mut() {
             if let Some(queue) = self.queues.get(&live.job.queue) {
                 live.queue = queue.clone();
+                // It may be of another service.
+                for run in live.steps.values_mut() {
+                    run.advice.all_asked = None;
+                }
             }
         }
         self.keys = KeyRing::new(&policy);
