Plan a gang only where it has room, and reckon its run time once

In each placing each gang that waits built a set of the executors that are open to it, a map of its tickets and up to three plans, sorted out what would be left over on each executor, and reckoned its run time, with a look-up by the name of its queue, once for each executor that is kept for another. Now run times are reckoned once for a step and adapted to each executor; what is open is a list in order; how many members have room where is counted once, and nothing else is done if they don't all have. The plans are the same, also where executors without room alone differ in speed: the groups of those that are alike are drawn among those with room.

--- a/puffinknot-core/src/jobs/scheduler/estimate.rs
+++ b/puffinknot-core/src/jobs/scheduler/estimate.rs
@@ -23,19 +23,39 @@
     }
 }
 
+/// How long tasks of a step should run, by executors.
+pub(super) struct RunTimes {
+    usual: Millis,
+    /// The slowest executor that has a member already, of a gang.
+    slowest: Option<f64>,
+}
+
+impl RunTimes {
+    /// How long one should run on an executor of this slowness, in
+    /// milliseconds.
+    pub fn on(&self, slowness: f64) -> Millis {
+        // A gang ends with its slowest member.
+        let slowness = self.slowest.map_or(slowness, |s| s.max(slowness));
+        if slowness == 0.0 {
+            return self.usual;
+        }
+        (self.usual as f64 * slowness.exp()) as Millis
+    }
+}
+
 impl Scheduler {
     /// How long a task of a step should run on an executor, in milliseconds.
     pub(super) fn run_time(&self, key: StepKey, at: ExecutorIndex) -> Millis {
-        let usual = self.usual_run_time(key);
-        let mut slowness = self.slowness(at);
-        // A gang ends with its slowest member.
-        if self.step(key).is_some_and(|step| step.gang) {
-            slowness = self.slowest(key).map_or(slowness, |s| s.max(slowness));
-        }
-        if slowness == 0.0 {
-            return usual;
+        self.run_times(key).on(self.slowness(at))
+    }
+
+    /// How long tasks of a step should run.
+    pub(super) fn run_times(&self, key: StepKey) -> RunTimes {
+        let gang = self.step(key).is_some_and(|step| step.gang);
+        RunTimes {
+            usual: self.usual_run_time(key),
+            slowest: gang.then(|| self.slowest(key)).flatten(),
         }
-        (usual as f64 * slowness.exp()) as Millis
     }
 
     /// How long a task of a step should run on the usual executor of its
--- a/puffinknot-core/src/jobs/scheduler/fit.rs
+++ b/puffinknot-core/src/jobs/scheduler/fit.rs
@@ -2,11 +2,8 @@
 Where a task may go, and where it fits best.
 */
 
-use std::collections::BTreeSet;
-
 use crate::config::Resources;
 use crate::ids::Millis;
-use crate::jobs::executor::Executor;
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::model::Step;
@@ -21,35 +18,28 @@
 impl Scheduler {
     /// The candidates on which a step may start something now, whatever is
     /// free there: nothing is kept there for others that it would hold up.
+    /// They are in order, as the candidates are.
     pub(super) fn open_to(
         &self,
         opening: &Opening,
         kept: &Kept,
         urgent: bool,
         now: Millis,
-    ) -> BTreeSet<ExecutorIndex> {
-        let candidates = opening.candidates.iter().map(|(at, _)| *at);
-        let open = candidates.filter(|at| {
-            let Some(executor) = self.executors.get(at) else { return false };
-            self.is_open(*at, executor, opening, kept, urgent, now)
+    ) -> Vec<(ExecutorIndex, bool)> {
+        let candidates = opening.candidates.iter().copied();
+        if urgent || kept.is_empty() {
+            return candidates.collect();
+        }
+        let times = self.run_times(opening.key);
+        let open = candidates.filter(|(at, _)| {
+            let ends_by = |needed: &Millis| {
+                now + times.on(self.slowness(*at)) <= *needed
+            };
+            kept.get(at).is_none_or(ends_by)
         });
         open.collect()
     }
 
-    fn is_open(
-        &self,
-        at: ExecutorIndex,
-        _executor: &Executor,
-        opening: &Opening,
-        kept: &Kept,
-        urgent: bool,
-        now: Millis,
-    ) -> bool {
-        let ends_by =
-            |needed: &Millis| now + self.run_time(opening.key, at) <= *needed;
-        urgent || kept.get(&at).is_none_or(ends_by)
-    }
-
     /// What would be left on an executor: less is better, so that large
     /// tasks find room elsewhere. The wrong rack counts as much as a whole
     /// executor.
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -28,6 +28,22 @@
 /// How many members of a gang go to which executors.
 pub(super) type Plan = Vec<(ExecutorIndex, u32)>;
 
+/// Where some members of a gang have room.
+#[derive(Clone, Copy)]
+pub(super) struct Room {
+    pub at: ExecutorIndex,
+    /// What is free there for the gang.
+    free: Resources,
+    /// How many members that holds.
+    count: u32,
+}
+
+/// Whether all members of a gang have room there.
+fn hold(rooms: &[Room], step: &Step) -> bool {
+    let total: u64 = rooms.iter().map(|room| u64::from(room.count)).sum();
+    total >= u64::from(step.count)
+}
+
 /// Tasks of a step that wait for room.
 #[derive(Clone, Copy)]
 pub(super) struct Waiting<'a> {
@@ -53,31 +69,23 @@
         if state.is_none_or(|s| s.waiting.len() as u32 != step.count) {
             return true;
         }
-        let open: Vec<ExecutorIndex> = candidates
-            .iter()
-            .filter(|(at, _)| !self.is_closed(*at, now) && open.contains(at))
-            .map(|(at, _)| *at)
+        let open: Vec<ExecutorIndex> = open
+            .into_iter()
+            .filter(|(at, _)| !self.is_closed(*at, now))
+            .map(|(at, _)| at)
             .collect();
         let open = self.ready_for_trial(key, open, now);
-        let holds: BTreeMap<ExecutorIndex, bool> =
-            candidates.into_iter().collect();
-        let free = |at: ExecutorIndex| {
-            let executor = self.executors.get(&at);
-            executor.map(|e| e.free_for(&key)).unwrap_or_default()
-        };
         let suspect = self.suspected(key.task(0)).cloned();
         let again = |at: ExecutorIndex| {
             failed_on.contains(&at) || self.is_no_trial(at, suspect.as_ref())
         };
-        let groups = self.alike(&open, self.is_tight(key, now));
-        let on_alike = groups.iter().find_map(|group| {
-            let plan = self.plan(&step, group, &holds, again, free)?;
-            plan.iter().all(|(at, _)| holds[at]).then_some(plan)
-        });
-        let plan =
-            on_alike.or_else(|| self.plan(&step, &open, &holds, again, free));
-        if let Some(plan) = plan {
-            let fresh = plan.iter().all(|(at, _)| holds[at]);
+        let holds = |at: ExecutorIndex| {
+            let found = candidates.binary_search_by_key(&at, |(at, _)| *at);
+            found.is_ok_and(|found| candidates[found].1)
+        };
+        let rooms = self.rooms_for(key, &step, &open);
+        let plan = self.plan_alike(key, &step, &rooms, again, holds, now);
+        if let Some((plan, fresh)) = plan {
             if fresh {
                 self.unreserve(key);
                 self.start_gang(key, &plan, now);
@@ -101,7 +109,8 @@
         {
             return false;
         }
-        let all: Vec<ExecutorIndex> = holds.keys().copied().collect();
+        let all: Vec<ExecutorIndex> =
+            candidates.iter().map(|(at, _)| *at).collect();
         self.widen(key, now);
         let scarce = self.advice_scarce();
         if keep {
@@ -113,6 +122,54 @@
         false
     }
 
+    /// How many members of a gang have room on each of these executors, if
+    /// all together have.
+    fn rooms_for(
+        &self,
+        key: StepKey,
+        step: &Step,
+        executors: &[ExecutorIndex],
+    ) -> Vec<Room> {
+        let rooms = executors.iter().filter_map(|&at| {
+            let free = self.executors.get(&at)?.free_for(&key);
+            let mut count = times(&free, &step.room());
+            if step.max_per_executor > 0 {
+                count = count.min(step.max_per_executor);
+            }
+            (count > 0).then_some(Room { at, free, count })
+        });
+        let rooms: Vec<Room> = rooms.collect();
+        if hold(&rooms, step) {
+            rooms
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// How to spread a gang over executors that are alike, where its tickets
+    /// hold, or else over all, if it fits; and whether its tickets hold there.
+    fn plan_alike(
+        &self,
+        key: StepKey,
+        step: &Step,
+        rooms: &[Room],
+        again: impl Fn(ExecutorIndex) -> bool,
+        holds: impl Fn(ExecutorIndex) -> bool,
+        now: Millis,
+    ) -> Option<(Plan, bool)> {
+        if rooms.is_empty() {
+            return None;
+        }
+        let plan_on = |rooms: &[Room]| {
+            let plan = self.plan(step, rooms, &again, &holds)?;
+            let fresh = plan.iter().all(|(at, _)| holds(*at));
+            Some((plan, fresh))
+        };
+        let groups = self.alike(rooms, self.is_tight(key, now));
+        let mut on_alike = groups.iter().filter_map(|group| plan_on(group));
+        on_alike.find(|(_, fresh)| *fresh).or_else(|| plan_on(rooms))
+    }
+
     /// How to spread a gang over these executors, if it fits. Those where it
     /// should not start again come last, and those where a ticket holds first:
     /// while others are asked about, the best change, and the gang would never
@@ -120,32 +177,21 @@
     fn plan(
         &self,
         step: &Step,
-        executors: &[ExecutorIndex],
-        holds: &BTreeMap<ExecutorIndex, bool>,
+        rooms: &[Room],
         again: impl Fn(ExecutorIndex) -> bool,
-        free: impl Fn(ExecutorIndex) -> Resources,
+        holds: impl Fn(ExecutorIndex) -> bool,
     ) -> Option<Plan> {
-        let mut fits: Vec<((bool, bool, u64), ExecutorIndex, u32)> = executors
-            .iter()
-            .filter_map(|&at| {
-                let room = free(at);
-                let mut count = times(&room, &step.room());
-                if step.max_per_executor > 0 {
-                    count = count.min(step.max_per_executor);
-                }
-                let used = step.room().times(count.min(step.count));
-                let executor = self.executors.get(&at)?;
-                let left = rest(&room.minus(&used), &executor.info.capacity);
-                let again = again(at);
-                let stale = !holds.get(&at).copied().unwrap_or(false);
-                let order = (again, stale, left);
-                (count > 0).then_some((order, at, count))
-            })
-            .collect();
-        let total: u64 = fits.iter().map(|f| u64::from(f.2)).sum();
-        if total < u64::from(step.count) {
+        if !hold(rooms, step) {
             return None;
         }
+        let fits = rooms.iter().filter_map(|&Room { at, free, count }| {
+            let used = step.room().times(count.min(step.count));
+            let executor = self.executors.get(&at)?;
+            let left = rest(&free.minus(&used), &executor.info.capacity);
+            Some(((again(at), !holds(at), left), at, count))
+        });
+        let mut fits: Vec<((bool, bool, u64), ExecutorIndex, u32)> =
+            fits.collect();
         fits.sort_unstable();
         let mut plan = Plan::new();
         let mut left = step.count;
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -230,7 +230,9 @@
             .iter()
             .partition(|index| state.suspected(**index).is_some());
         let open = self.open_to(&opening, kept, urgent, now);
-        let may_use = |at: ExecutorIndex| open.contains(&at);
+        let may_use = |at: ExecutorIndex| {
+            open.binary_search_by_key(&at, |(at, _)| *at).is_ok()
+        };
         let mut stale =
             self.place_suspects(key, &opening, suspects, may_use, now);
         let Opening { step, failed_on, candidates, account, .. } = opening;
@@ -246,13 +248,12 @@
             if !self.ledger.left(account).fits(&step.need) {
                 break;
             }
-            let fits = candidates.iter().filter(|(at, _)| {
+            let fits = open.iter().filter(|(at, _)| {
                 let Some(executor) = self.executors.get(at) else {
                     return false;
                 };
                 let most = step.max_per_executor;
-                open.contains(at)
-                    && !executor.is_closed(now)
+                !executor.is_closed(now)
                     && executor.free_for(&key).fits(&step.room())
                     && executor.health.admits(now)
                     && (most == 0 || on.get(at).copied().unwrap_or(0) < most)
@@ -304,9 +305,9 @@
         self.note_full(key);
         let waiting = Waiting { key, step: &step, count };
         if urgent {
-            let fresh = candidates.iter().filter(|(at, holds)| {
-                *holds && open.contains(at) && !self.is_closed(*at, now)
-            });
+            let fresh = open
+                .iter()
+                .filter(|(at, holds)| *holds && !self.is_closed(*at, now));
             let fresh: Vec<ExecutorIndex> = fresh.map(|(at, _)| *at).collect();
             if self.make_way(&waiting, &fresh, now) {
                 return true;
--- a/puffinknot-core/src/jobs/scheduler/speeds.rs
+++ b/puffinknot-core/src/jobs/scheduler/speeds.rs
@@ -16,6 +16,7 @@
 use crate::jobs::message::{Action, EndKind, EndRow, ExecutorIndex};
 use crate::jobs::model::{Step, StepKey, TaskKey};
 use crate::jobs::record::SHARD_COUNT;
+use crate::jobs::scheduler::gangs::Room;
 use crate::jobs::scheduler::order::Class;
 use crate::jobs::scheduler::Scheduler;
 use crate::jobs::speed::{compare, GuessError, Speed};
@@ -318,17 +319,13 @@
     /// The groups of executors of about the same speed that a gang should be
     /// tried on, in this order, before it is on all: its slowest member ends
     /// it, so that quick ones would be wasted beside others.
-    pub(super) fn alike(
-        &self,
-        executors: &[ExecutorIndex],
-        tight: bool,
-    ) -> Vec<Vec<ExecutorIndex>> {
-        if executors.iter().all(|at| self.slowness(*at) == 0.0) {
+    pub(super) fn alike(&self, rooms: &[Room], tight: bool) -> Vec<Vec<Room>> {
+        if rooms.iter().all(|room| self.slowness(room.at) == 0.0) {
             return Vec::new();
         }
         let group = |belongs: fn(f64) -> bool| {
-            let all = executors.iter().copied();
-            all.filter(|at| belongs(self.slowness(*at))).collect()
+            let all = rooms.iter().copied();
+            all.filter(|room| belongs(self.slowness(room.at))).collect()
         };
         let first = match tight {
             true => group(|slowness| slowness < 0.0),
