Runs are timed by when accounts were given, not by when they are taken in

A leader that was seconds behind on its news took the time from an order to when it heard of the end for the time that the run took. Executors seemed slow and guesses too small, so that all was reckoned late and less was placed, which made the leader no quicker.

An account bears its executor's clock, and so does the answer to a start: the time between the two is what the run took, whenever either is taken in. Where a start bore no clock, the account's age is taken off: what the clock reads less than it must by now, from earlier readings and its drift. An end that may have waited at the executor, since no hold waited there for it, tells nothing. Runs are found overdue by the same times.

Two more followed from the time at which an account is taken in: a run counted as harmless by an account from before its start, and a start counted as carried out by another life since the account before it had been late.

The loop may tell when an event was received (Scheduler::handle_received); until it does, that is when it is taken in.

A leader that has taken over and has had no account at once knows no ages; starts that it orders are timed by clocks all the same.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -8,6 +8,7 @@
 
 use crate::config::Resources;
 use crate::ids::Millis;
+use crate::jobs::age::LeastClock;
 use crate::jobs::health::Health;
 use crate::jobs::message::{AccountIndex, LifeOver};
 use crate::jobs::model::{StepKey, TaskKey};
@@ -89,6 +90,8 @@
     pub unsure: Option<Millis>,
     /// Its start was confirmed, by whatever life.
     pub begun: bool,
+    /// What its executor's clock showed when it began, if that is known.
+    pub began: Option<Millis>,
     /// An account has listed it, so that it was there in this life. A start
     /// alone may have been carried out by a life that follows.
     pub listed: bool,
@@ -182,6 +185,15 @@
     pub carried_over: BTreeMap<TaskKey, RunOn>,
     /// A reading of its clock, and when it was received.
     pub clock: Option<(Millis, Millis)>,
+    /// When the account with that reading was asked for.
+    pub clock_asked: Millis,
+    /// The least that its clock shows.
+    pub least_clock: LeastClock,
+    /// How old its last account was when it was taken in, at the least, in
+    /// milliseconds.
+    pub age: Millis,
+    /// When its last account was given, at the latest.
+    pub given: Option<Millis>,
     /// When everything there has certainly lapsed, if nothing more is sent.
     pub expiry: Millis,
     /// Whether a hold is under way.
@@ -255,6 +267,10 @@
             runs: BTreeMap::new(),
             reserved: BTreeMap::new(),
             clock: None,
+            clock_asked: 0,
+            least_clock: LeastClock::default(),
+            age: 0,
+            given: None,
             expiry: 0,
             holding: false,
             held_at: 0,
@@ -299,6 +315,10 @@
         let Some((last, at)) = self.clock else { return true };
         let least = sent_at.saturating_sub(at);
         let least = last + least - least / DRIFT;
+        // The last reading may have been old when it was taken in.
+        let waited = at.saturating_sub(self.clock_asked);
+        let old = if waited > self.wait + GRAIN { waited } else { self.age };
+        let last = last + old;
         let most = now.saturating_sub(at);
         let most = last + most + most / DRIFT;
         least <= reading + GRAIN && reading <= most + GRAIN
@@ -313,12 +333,13 @@
         self.other.take().filter(|info| info.born == born)
     }
 
-    /// When it answered a hold last, if it has in this tenure.
+    /// When it was alive by its last account, if it has given one in this
+    /// tenure.
     pub fn heard_at(&self) -> Option<Millis> {
-        self.clock.map(|(_, at)| at)
+        self.given
     }
 
-    /// How long ago it answered a hold last, in milliseconds, if it has in
+    /// How long ago it gave its last account, in milliseconds, if it has in
     /// this tenure.
     pub fn heard_before(&self, now: Millis) -> Option<Millis> {
         self.heard_at().map(|at| now.saturating_sub(at))
--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 */
 
 pub mod accounts;
+pub mod age;
 pub mod backlog;
 pub mod cordon;
 pub mod executor;
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -11,6 +11,7 @@
     OrderFailure, RunRow,
 };
 use crate::jobs::model::{JobId, TaskKey};
+use crate::jobs::scheduler::behind::Given;
 use crate::jobs::scheduler::followers::Answerer;
 use crate::jobs::scheduler::Scheduler;
 
@@ -210,14 +211,20 @@
             });
             self.meet_in_flight(index, now);
         }
+        let received = self.behind.received();
         let Some(executor) = self.executors.get_mut(&index) else { return };
+        let given = Given::new(executor, answer.clock, received);
+        executor.age = now.saturating_sub(given.at());
+        executor.least_clock.take(answer.clock, received);
         // An answer that was held up may be older than one that came before
         // it. It still tells of ends, which are numbered, but not of what
         // runs: a task may have been started again since.
         let clock = executor.clock.map(|(reading, _)| reading);
         let outdated = clock.is_some_and(|newest| answer.clock < newest);
         if !outdated {
-            executor.clock = Some((answer.clock, now));
+            executor.clock = Some((answer.clock, received));
+            executor.clock_asked = sent_at;
+            executor.given = executor.given.max(Some(given.at()));
         }
         if executor.failures > 0 {
             // Ends there are heard of late.
@@ -260,7 +267,7 @@
             if let Some(executor) = self.executors.get_mut(&index) {
                 executor.taken = executor.taken.max(end.number);
             }
-            self.run_ended(index, end, now);
+            self.run_ended(index, end, &given, now);
         }
         if !outdated {
             for row in &answer.running {
@@ -271,7 +278,7 @@
                 self.find_missing(index, &answer.running, sent_at);
             }
             self.pace(index, &answer.running, now);
-            self.note_overdue(index, now);
+            self.note_overdue(index, &given, now);
         }
         self.follow_trial(index, now);
         if first {
@@ -378,6 +385,7 @@
             confirmed: now,
             unsure: None,
             begun: true,
+            began: None,
             listed: true,
             ends: now + run_time / 2,
             tells: false,
@@ -403,10 +411,16 @@
     }
 
     /// An executor reports the end of a run.
-    fn run_ended(&mut self, index: ExecutorIndex, end: EndRow, now: Millis) {
+    fn run_ended(
+        &mut self,
+        index: ExecutorIndex,
+        end: EndRow,
+        given: &Given,
+        now: Millis,
+    ) {
         self.begun(end.task);
         self.judge(index, &end, now);
-        self.learn(index, &end, now);
+        self.learn(index, &end, given, now);
         self.vacate(index, end.task, end.run, Some(&end));
     }
 
--- a/puffinknot-core/src/jobs/scheduler/in_flight.rs
+++ b/puffinknot-core/src/jobs/scheduler/in_flight.rs
@@ -131,6 +131,7 @@
             unsure: Some(now),
             confirmed: 0,
             tells: false,
+            began: None,
             ..on
         };
         self.put_run(next, task, on);
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -14,8 +14,8 @@
 account's due, `speeds` learns how long runs take,
 `domains` finds data centres that are out of reach, `cordons` knows those that
 take no new work, `admission` refuses what can't be done in time,
-`alarm` connections that have fallen silent, `judge` executors that fail what
-they run, `suspects` tasks that crash the executors that start them, `due`
+`alarm` connections that have fallen silent, `behind` how late the leader's
+news are, `judge` executors that fail what they run, `suspects` tasks that crash the executors that start them, `due`
 knows which executors to look at, `advise` spreads the calls for advice over
 all nodes, which `advisors` knows, `commit` groups what has to be written,
 `outage` refuses what would wait in vain for the store,
@@ -47,6 +47,7 @@
 mod advise;
 mod advisors;
 mod alarm;
+mod behind;
 mod buckets;
 mod commit;
 mod cordons;
@@ -84,6 +85,7 @@
 use self::advise::Call;
 use self::advisors::Advisors;
 use self::alarm::Alarm;
+use self::behind::Behind;
 use self::buckets::Buckets;
 use self::commit::CommitQueue;
 use self::domains::Domains;
@@ -205,6 +207,7 @@
     cordons: Cordons,
     crash_rate: CrashRate,
     alarm: Alarm,
+    behind: Behind,
     /// Until when what a predecessor ordered may be unknown, if it may.
     unsettled: Option<Millis>,
     /// When the store was last asked and confirmed that nobody else leads.
@@ -232,6 +235,7 @@
             cordons: Cordons::default(),
             crash_rate: CrashRate::default(),
             alarm: Alarm::default(),
+            behind: Behind::default(),
             config,
             policy: Arc::default(),
             queues: BTreeMap::new(),
@@ -306,8 +310,7 @@
 
     /// Takes in an event and returns what is to be done.
     pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Action> {
-        self.take(event, now);
-        std::mem::take(&mut self.actions)
+        self.handle_received(event, now, now)
     }
 
     fn take(&mut self, event: Event, now: Millis) {
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -74,6 +74,7 @@
             confirmed: 0,
             unsure: None,
             begun: false,
+            began: None,
             listed: false,
             ends,
             tells,
@@ -104,6 +105,7 @@
         let Some(executor) = self.executors.get_mut(&index) else { return };
         let Some(on) = executor.runs.get(&task) else { return };
         let own = |clock| executor.fits_clock(clock, on.since, now);
+        let began = answer.unwrap_or(None);
         let by_this_life = answer.map(|clock| clock.is_none_or(own));
         let Some(on) = executor.runs.get_mut(&task) else { return };
         match by_this_life {
@@ -114,6 +116,7 @@
                 self.count("starts_by_other_lives");
             }
             Ok(true) => {
+                on.began = on.began.or(began);
                 on.confirmed = now;
                 on.begun = true;
                 if on.phase == Phase::Starting {
--- a/puffinknot-core/src/jobs/scheduler/speeds.rs
+++ b/puffinknot-core/src/jobs/scheduler/speeds.rs
@@ -16,6 +16,7 @@
 use crate::jobs::message::{Action, EndKind, EndRow, ExecutorIndex};
 use crate::jobs::model::{Step, StepKey, TaskKey};
 use crate::jobs::record::SHARD_COUNT;
+use crate::jobs::scheduler::behind::Given;
 use crate::jobs::scheduler::order::Class;
 use crate::jobs::scheduler::Scheduler;
 use crate::jobs::speed::{compare, GuessError, Speed};
@@ -99,6 +100,7 @@
         &mut self,
         index: ExecutorIndex,
         end: &EndRow,
+        given: &Given,
         now: Millis,
     ) {
         // Ends that wait for the store are heard of late.
@@ -112,8 +114,7 @@
         if on.run != end.run {
             return;
         }
-        let tells = on.tells;
-        let time = now.saturating_sub(on.since);
+        let time = given.took(on).filter(|_| on.tells);
         let gang = self.step(key).is_some_and(|step| step.gang);
         let slowness = match gang {
             true => self.slowest(key).unwrap_or(0.0),
@@ -128,7 +129,7 @@
         if state.done.contains(&end.task.index) {
             return;
         }
-        if tells {
+        if let Some(time) = time {
             state.times.add(index, time, slowness);
         }
         if gang || state.done.len() + 1 >= count {
@@ -193,24 +194,30 @@
     }
 
     /// Looks for runs on an executor that go on far beyond what they should.
-    pub(super) fn note_overdue(&mut self, index: ExecutorIndex, now: Millis) {
+    pub(super) fn note_overdue(
+        &mut self,
+        index: ExecutorIndex,
+        given: &Given,
+        now: Millis,
+    ) {
         if !self.has(Mechanism::Speeds) {
             return;
         }
         let Some(executor) = self.executors.get(&index) else { return };
         let overdue = executor.runs.iter().filter(|(_, on)| {
             let should = on.ends.saturating_sub(on.since);
-            let ran = now.saturating_sub(on.since);
             on.tells
                 && on.phase == Phase::Running
                 && should > 0
-                && ran > OVERDUE * should
+                && given.ran(on) > OVERDUE * should
         });
-        let overdue: Vec<TaskKey> = overdue.map(|(task, _)| *task).collect();
+        let overdue = overdue.map(|(task, on)| (*task, given.ran(on)));
+        let overdue: Vec<(TaskKey, Millis)> = overdue.collect();
         let mut noted: Option<StepKey> = None;
-        for task in overdue {
+        for (task, ran) in overdue {
             self.count("runs_overdue");
-            self.run_overdue(index, task, noted == Some(task.step), now);
+            let again = noted == Some(task.step);
+            self.run_overdue(index, task, ran, again, now);
             noted = Some(task.step);
         }
     }
@@ -220,6 +227,7 @@
         &mut self,
         index: ExecutorIndex,
         task: TaskKey,
+        ran: Millis,
         again: bool,
         now: Millis,
     ) {
@@ -229,7 +237,6 @@
         let Some(on) = executor.runs.get_mut(&task) else { return };
         // Its end would be the same evidence once more.
         on.tells = false;
-        let ran = now.saturating_sub(on.since);
         self.actions.push(Action::RunOverdue {
             executor: executor.info.id.clone(),
             task,
--- /dev/null
+++ b/tests/jobs/behind.rs
@@ -0,0 +1,115 @@
+//! A leader that is behind on its news: nobody else counts as late for that,
+//! nor as silent.
+
+use puffinknot_core::jobs::{Event, HoldAnswer, Job};
+
+use super::world::{job, room, step, World, WORK};
+
+/// A job of single tasks that fill an executor each.
+fn wide(id: u64, tasks: u32) -> Job {
+    job(id, "batch", vec![step(tasks, room(4_000, 100))])
+}
+
+fn counted(world: &World, name: &str) -> u64 {
+    world.scheduler.counters().get(name).copied().unwrap_or(0)
+}
+
+/// Nobody was found slow, and a run is reckoned as its guess says.
+fn check_reckoned_as_guessed(world: &mut World, id: u64) {
+    for name in ["executors_found_slow", "executors_found_quick"] {
+        assert_eq!(counted(world, name), 0, "{name}");
+    }
+    assert_eq!(counted(world, "runs_overdue"), 0);
+    assert_eq!(counted(world, "starts_by_other_lives"), 0);
+    let all = world.executors.len() as u32;
+    world.submit(wide(id, all));
+    world.run(100);
+    let known = |at| world.scheduler.executor(at).expect("an executor");
+    for on in (0..all).flat_map(|at| known(at).runs.values()) {
+        assert_eq!(on.ends - on.since, WORK, "an estimate");
+    }
+    world.run(4 * WORK);
+    world.check();
+}
+
+fn check_started_once(world: &mut World) {
+    assert!(world.unfinished().is_empty());
+    let most = world.starts.values().max();
+    assert_eq!(most, Some(&1), "nothing is started twice");
+    assert_eq!(world.lives_over, []);
+}
+
+/// Ends that were heard of seconds late made executors seem slow.
+#[test]
+fn executors_are_not_slow_since_the_leader_is_behind() {
+    let mut world = World::new(8);
+    world.run(50);
+    for id in 1..=6 {
+        world.submit(wide(id, 8));
+        world.run(3 * WORK);
+    }
+    for id in 10..50 {
+        world.behind = [0, 300, 900, 1_600, 2_000, 800][id as usize % 6];
+        world.submit(wide(id, 8));
+        world.run(2 * WORK + 37 * (id % 5));
+    }
+    world.behind = 0;
+    world.run(30 * WORK);
+    check_started_once(&mut world);
+    check_reckoned_as_guessed(&mut world, 100);
+}
+
+/// Ends that waited at their executors while the leader stood still made
+/// these seem slow.
+#[test]
+fn executors_are_not_slow_since_the_leader_stood_still() {
+    let mut world = World::new(8);
+    world.run(50);
+    for id in 1..40 {
+        world.submit(wide(id, 8));
+        world.run(WORK / 2 + 11 * (id % 7));
+        if id % 3 > 0 {
+            world.stand_still(1_300 + 90 * (id % 11));
+        }
+        world.run(2 * WORK);
+    }
+    check_started_once(&mut world);
+    check_reckoned_as_guessed(&mut world, 100);
+}
+
+/// A run that was listed in an account taken in late seemed to go on for as
+/// long as that.
+#[test]
+fn no_run_is_overdue_since_the_leader_is_behind() {
+    let mut world = World::new(4);
+    world.run(1_000);
+    world.behind = 2_000;
+    for id in 1..60 {
+        let mut work = step(4, room(700, 100));
+        work.max_per_executor = 1;
+        world.submit(job(id, "batch", vec![work]));
+        world.run(WORK / 3);
+    }
+    world.run(20 * WORK);
+    world.behind = 0;
+    world.run(20 * WORK);
+    check_started_once(&mut world);
+    check_reckoned_as_guessed(&mut world, 100);
+}
+
+/// An account from before a start shows nothing of what the start did.
+#[test]
+fn no_run_is_harmless_by_an_account_from_before_its_start() {
+    let mut world = World::new(1);
+    world.run(1_200);
+    let known = world.scheduler.executor(0).expect("an executor");
+    let (reading, _) = known.clock.expect("a reading");
+    let sent_at = world.now;
+    world.submit(wide(1, 1));
+    world.run(400);
+    let earlier = HoldAnswer { clock: reading + 1, ..HoldAnswer::default() };
+    let answer = Ok(earlier);
+    world.event(Event::Held { executor: 0, sent_at, answer });
+    let known = world.scheduler.executor(0).expect("an executor");
+    assert!(!known.all_harmless());
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod accounts;
 mod admission;
 mod backlog;
+mod behind;
 mod cordons;
 mod crashing;
 mod displacing;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -183,6 +183,12 @@
     pub now: Millis,
     pub scheduler: Scheduler,
     pub token: u64,
+    /// The leader takes in what it is told so much later.
+    pub behind: Millis,
+    /// Nothing is told before, so that news stay in their order.
+    told_until: Millis,
+    /// The leader stands still until then: it takes in nothing.
+    still_until: Millis,
     /// Predecessors that do not know yet that they lead no more, and until
     /// when they may order.
     former: BTreeMap<u64, (Scheduler, Millis)>,
@@ -422,6 +428,9 @@
             scheduler: Scheduler::new(config, policy.clone()),
             without,
             token: 1,
+            behind: 0,
+            told_until: 0,
+            still_until: 0,
             former: BTreeMap::new(),
             policy,
             store: BTreeMap::new(),
@@ -675,7 +684,20 @@
 
     fn later(&mut self, after: Millis, pending: Pending) {
         self.order += 1;
-        self.queue.insert((self.now + after, self.order), pending);
+        let mut at = self.now + after;
+        let late = self.behind > 0 || self.told_until > at;
+        if matches!(pending, Pending::Tell(..)) && late {
+            at = self.told_until.max(at + self.behind);
+            self.told_until = at;
+        }
+        self.queue.insert((at, self.order), pending);
+    }
+
+    /// The leader stands still for some time. What has come meanwhile is told
+    /// to it after its first tick.
+    pub fn stand_still(&mut self, time: Millis) {
+        self.still_until = (self.now + time).next_multiple_of(50);
+        self.run(self.still_until - self.now);
     }
 
     fn index_of(&self, token: u64, executor: ExecutorIndex) -> Option<usize> {
@@ -921,6 +943,9 @@
                 let pending = entry.remove();
                 self.happen(pending);
             }
+            if self.now < self.still_until {
+                continue;
+            }
             if self.now % 50 == 0 {
                 let former: Vec<u64> = self.former.keys().copied().collect();
                 for token in former {
@@ -941,6 +966,11 @@
 
     fn happen(&mut self, pending: Pending) {
         match pending {
+            Pending::Tell(..) if self.now <= self.still_until => {
+                self.order += 1;
+                let at = (self.still_until + 1, self.order);
+                self.queue.insert(at, pending);
+            }
             Pending::Tell(token, event) => self.tell(token, event),
             Pending::Upkeep(wave, machine) => {
                 let _ = self.upkeep(wave, &machine);
