Nobody counts as silent for news that wait for the leader

A task whose end waited unread was started once more: the leader took a lease for lapsed, or all that its predecessor had ordered, by the clock alone while the executor's answer was there to be taken in. So it was after the leader had stood still, and in a tenure that was behind from its beginning (`settled_late` at twice the whole fleet, by reading).

Silence now is what was asked for and found unanswered: two holds in a row, the last of them sent after the leader went on if it had stood still for a second. And it counts only until when news have been taken in, which is earlier than now by as much as accounts are late lately (a smoothed age, a lease at the most), or the last one of that executor was. This holds for leases that lapse, lives that are over, executors that were never heard, what a predecessor has ordered, orders in flight and calls for advice. Everything is concluded as before or later, never earlier; leases themselves are as they were. A leader that stands still over and over concludes a lease's length after the first time, so that nothing waits for ever.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -196,6 +196,9 @@
     pub given: Option<Millis>,
     /// When everything there has certainly lapsed, if nothing more is sent.
     pub expiry: Millis,
+    /// When the last hold was sent that was found unanswered, if that was the
+    /// last of all.
+    pub missed_hold: Option<Millis>,
     /// Whether a hold is under way.
     pub holding: bool,
     /// When the hold that is under way was sent.
@@ -272,6 +275,7 @@
             age: 0,
             given: None,
             expiry: 0,
+            missed_hold: None,
             holding: false,
             held_at: 0,
             probe: false,
--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -259,10 +259,10 @@
     /// Gives up calls whose answers have not come in time, and has other
     /// nodes make them: a node may be out of reach, or have lost its link.
     pub(super) fn expire_advice(&mut self, now: Millis) {
-        let over = self
-            .calls
-            .iter()
-            .filter(|(_, call)| call.advisor.is_some() && call.overdue < now);
+        let known = self.known_until(now);
+        let over = self.calls.iter().filter(|(_, call)| {
+            call.advisor.is_some() && call.overdue < known
+        });
         let over: Vec<CallId> = over.map(|(id, _)| *id).collect();
         for id in over {
             let name = self.calls[&id].advisor.clone().unwrap_or_default();
--- a/puffinknot-core/src/jobs/scheduler/behind.rs
+++ b/puffinknot-core/src/jobs/scheduler/behind.rs
@@ -4,17 +4,29 @@
 What it takes in now may have happened some time ago: news wait in its queue,
 and unread in its connections before that. That time is the leader's own. So
 nothing is reckoned from when news are taken in that can be reckoned from when
-they were given.
+they were given, and nobody counts as silent for what may only be waiting.
 
 What the loop knows of its queue it tells by [`Scheduler::handle_received`].
-For the rest, see [`crate::jobs::age`].
+For the rest, see [`crate::jobs::age`]. A leader that has stood still learns of
+nothing that happened meanwhile until it has asked again.
+
+All of this only makes conclusions later.
 */
 
 use crate::ids::Millis;
 use crate::jobs::executor::{Executor, RunOn};
-use crate::jobs::message::{Action, Event};
+use crate::jobs::message::{Action, Event, ExecutorIndex};
+use crate::jobs::scheduler::holds::FAILURES;
 use crate::jobs::scheduler::Scheduler;
 
+/// One account counts for one part in so many of how late they are.
+const WEIGHT: Millis = 8;
+/// While no account has come for so long, in milliseconds, none waits: an
+/// executor that is asked holds its answer back for less.
+const QUIET: Millis = 2_000;
+/// A leader that was called for nothing for so long has stood still, in
+/// milliseconds: many times as long as it waits for anything.
+const STILL: Millis = 1_000;
 /// When a run has ended is known well enough if nobody waited there for that
 /// in one part of its time in so many.
 const WATCHED: Millis = 8;
@@ -75,6 +87,14 @@
 pub(super) struct Behind {
     /// When what is taken in now was received.
     received: Millis,
+    /// How late accounts are taken in, smoothed, in milliseconds.
+    late: Millis,
+    /// When the last one was taken in.
+    heard: Millis,
+    /// When the leader was called last.
+    called: Millis,
+    /// When it went on after it had stood still.
+    resumed: Millis,
 }
 
 impl Behind {
@@ -82,6 +102,33 @@
     pub fn received(&self) -> Millis {
         self.received
     }
+
+    /// The leader is called. One that stands still over and over, `most` apart
+    /// or less, concludes after the first time of these.
+    fn call(&mut self, received: Millis, now: Millis, most: Millis) {
+        let still = now > self.called + STILL && self.called > 0;
+        if still && now > self.resumed + most {
+            self.resumed = now;
+        }
+        self.called = now;
+        self.received = received.min(now);
+    }
+
+    /// Takes in how late an account was; `most` is the most that counts.
+    fn note(&mut self, late: Millis, most: Millis, now: Millis) {
+        let others = self.late(now) * (WEIGHT - 1);
+        self.late = (others + late.min(most)) / WEIGHT;
+        self.heard = now;
+    }
+
+    /// How late accounts are taken in, in milliseconds.
+    fn late(&self, now: Millis) -> Millis {
+        if now > self.heard + QUIET {
+            0
+        } else {
+            self.late
+        }
+    }
 }
 
 impl Scheduler {
@@ -93,8 +140,44 @@
         received: Millis,
         now: Millis,
     ) -> Vec<Action> {
-        self.behind.received = received.min(now);
+        self.behind.call(received, now, self.config.lease);
         self.take(event, now);
         std::mem::take(&mut self.actions)
     }
+
+    /// Takes in how late an account was. The first one shows no age, but it is
+    /// no older than its order, which was to be answered at once.
+    pub(super) fn note_late(
+        &mut self,
+        index: ExecutorIndex,
+        first: bool,
+        sent_at: Millis,
+        now: Millis,
+    ) {
+        let known = self.executors.get(&index).map_or(0, |e| e.age);
+        let late = match first {
+            true => now.saturating_sub(sent_at),
+            false => known,
+        };
+        self.behind.note(late, self.config.lease, now);
+    }
+
+    /// Until when the leader has probably taken in what was to be heard.
+    /// Silence counts until then, and no longer.
+    pub(super) fn known_until(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.behind.late(now))
+    }
+
+    /// The same of one executor.
+    pub(super) fn news_until(&self, at: &Executor, now: Millis) -> Millis {
+        let own = now.saturating_sub(at.age.min(self.config.lease));
+        own.min(self.known_until(now))
+    }
+
+    /// Whether an executor has left unanswered what was asked of it last, and
+    /// since the leader stood still.
+    pub(super) fn found_silent(&self, at: &Executor) -> bool {
+        let asked = at.missed_hold.filter(|_| at.failures >= FAILURES);
+        at.over.is_some() || asked >= Some(self.behind.resumed)
+    }
 }
--- a/puffinknot-core/src/jobs/scheduler/holds.rs
+++ b/puffinknot-core/src/jobs/scheduler/holds.rs
@@ -35,7 +35,7 @@
 /// The time between holds while reports can't be written.
 const UNWRITTEN: Millis = 500;
 /// Holds in a row that fail before an executor counts as silent.
-const FAILURES: u32 = 2;
+pub(super) const FAILURES: u32 = 2;
 /// The time until the next hold after one that could not tell which ends are
 /// noted: an order that is open is answered within it.
 const WITHHELD: Millis = 30;
@@ -168,6 +168,7 @@
         }
         self.order_unanswered(now);
         let Some(executor) = self.executors.get_mut(&index) else { return };
+        executor.missed_hold = Some(executor.held_at);
         // An executor that is silent is missed when the wait is over.
         if executor.failures == 0 && now < executor.held_at + executor.wait {
             executor.broke_off = true;
@@ -216,6 +217,7 @@
         let given = Given::new(executor, answer.clock, received);
         executor.age = now.saturating_sub(given.at());
         executor.least_clock.take(answer.clock, received);
+        executor.missed_hold = None;
         // An answer that was held up may be older than one that came before
         // it. It still tells of ends, which are numbered, but not of what
         // runs: a task may have been started again since.
@@ -226,6 +228,8 @@
             executor.clock_asked = sent_at;
             executor.given = executor.given.max(Some(given.at()));
         }
+        self.note_late(index, first, sent_at, now);
+        let Some(executor) = self.executors.get_mut(&index) else { return };
         if executor.failures > 0 {
             // Ends there are heard of late.
             for run in executor.runs.values_mut() {
--- a/puffinknot-core/src/jobs/scheduler/in_flight.rs
+++ b/puffinknot-core/src/jobs/scheduler/in_flight.rs
@@ -102,10 +102,11 @@
 
     /// Gives up the orders that come no more.
     pub(super) fn expire_in_flight(&mut self, now: Millis) {
+        let known = self.known_until(now);
         let (open, over): (Vec<InFlight>, Vec<InFlight>) =
             std::mem::take(&mut self.in_flight)
                 .into_iter()
-                .partition(|order| order.may_come(now));
+                .partition(|order| order.may_come(known));
         self.in_flight = open;
         for InFlight { from, task, on, .. } in over {
             self.vacate(from, task, on.run, None);
--- a/puffinknot-core/src/jobs/scheduler/lives.rs
+++ b/puffinknot-core/src/jobs/scheduler/lives.rs
@@ -175,7 +175,9 @@
         let confirmed = self.confirmed;
         let over = self.executors.iter().filter_map(|(index, executor)| {
             let (why, at) = executor.over?;
-            (at <= confirmed).then_some((*index, why))
+            // Ends that it has told of may wait.
+            let until = confirmed.min(self.news_until(executor, now));
+            (at <= until).then_some((*index, why))
         });
         let over: Vec<(ExecutorIndex, LifeOver)> = over.collect();
         for (index, why) in over {
@@ -245,9 +247,9 @@
         let settled = self.settled();
         let confirmed = self.confirmed;
         let lapsed = self.executors.iter().filter_map(|(index, executor)| {
+            let known = || confirmed.min(self.news_until(executor, now));
             let why = match executor.contact {
-                Contact::Ready => return None,
-                Contact::Silent if executor.expiry < now.min(confirmed) => {
+                Contact::Silent if executor.expiry < known() => {
                     LifeOver::Lapsed
                 }
                 // No lease was given to it in this tenure.
@@ -256,6 +258,9 @@
                 }
                 _ => return None,
             };
+            if !self.found_silent(executor) {
+                return None;
+            }
             Some((*index, why, executor.listed))
         });
         let lapsed: Vec<(ExecutorIndex, LifeOver, bool)> = lapsed.collect();
--- a/puffinknot-core/src/jobs/scheduler/restore.rs
+++ b/puffinknot-core/src/jobs/scheduler/restore.rs
@@ -209,7 +209,14 @@
     pub(super) fn settle(&mut self, now: Millis) {
         let Some(until) = self.unsettled else { return };
         let unseen = self.hidden.len();
-        if unseen > 0 && now.min(self.confirmed) < until {
+        let lapsed = |index| match self.executors.get(index) {
+            Some(at) => {
+                let known = self.confirmed.min(self.news_until(at, now));
+                until <= known && self.found_silent(at)
+            }
+            None => true,
+        };
+        if !self.hidden.iter().all(lapsed) {
             return;
         }
         self.unsettled = None;
--- a/tests/jobs/behind.rs
+++ b/tests/jobs/behind.rs
@@ -1,9 +1,10 @@
 //! A leader that is behind on its news: nobody else counts as late for that,
 //! nor as silent.
 
-use puffinknot_core::jobs::{Event, HoldAnswer, Job};
+use puffinknot_core::ids::Millis;
+use puffinknot_core::jobs::{Event, HoldAnswer, Job, JobState};
 
-use super::world::{job, room, step, World, WORK};
+use super::world::{job, room, step, World, INHERITED, LEASE, WORK};
 
 /// A job of single tasks that fill an executor each.
 fn wide(id: u64, tasks: u32) -> Job {
@@ -97,6 +98,107 @@
     check_reckoned_as_guessed(&mut world, 100);
 }
 
+/// A task is ordered where it is alone; then its executor is cut off until
+/// its lease has nearly lapsed. Returns when that was.
+fn cut_off_until_nearly_lapsed(world: &mut World) -> Millis {
+    world.run(500);
+    world.submit(wide(1, 1));
+    world.run(WORK / 2);
+    let at = world.executors_with(1)[0];
+    world.executors[at].cut = true;
+    let known = world.scheduler.executor(at as u32).expect("an executor");
+    let lapses = known.expiry;
+    world.run(lapses - world.now - 400);
+    world.executors[at].cut = false;
+    lapses
+}
+
+/// A task whose end waited in the leader's queue was started once more.
+#[test]
+fn a_leader_that_stood_still_hears_what_waits_before_a_lease_counts_as_over() {
+    let mut world = World::new(2);
+    let lapses = cut_off_until_nearly_lapsed(&mut world);
+    world.stand_still(2_000);
+    assert!(world.now > lapses);
+    world.run(4 * WORK);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    check_started_once(&mut world);
+}
+
+/// The same where all news wait.
+#[test]
+fn a_leader_that_is_behind_hears_what_waits_before_a_lease_counts_as_over() {
+    let mut world = World::new(16);
+    world.run(100);
+    let lapses = {
+        world.behind = 1_500;
+        world.run(3_000);
+        cut_off_until_nearly_lapsed(&mut world)
+    };
+    world.run(lapses - world.now + 1_200);
+    world.run(10 * WORK);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    check_started_once(&mut world);
+}
+
+/// A lease that has lapsed is over all the same, a little later.
+#[test]
+fn a_silent_executor_is_given_up_by_a_leader_that_is_behind() {
+    let mut world = World::new(16);
+    world.run(100);
+    world.submit(wide(1, 1));
+    world.run(WORK / 2);
+    let at = world.executors_with(1)[0];
+    world.die(at);
+    world.behind = 1_500;
+    world.run(LEASE + 10 * WORK);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
+
+/// A successor of a leader that has started tasks on all executors but one:
+/// what these answer to it is taken in so much later.
+fn successor_told_late(late: Millis) -> World {
+    let mut world = World::new(4);
+    world.run(100);
+    world.submit(wide(1, 3));
+    world.run(WORK / 2);
+    for at in world.executors_with(1) {
+        world.executors[at].told_late = late;
+    }
+    world.replace_leader();
+    world
+}
+
+/// What a predecessor had ordered counted as lapsed before an executor that
+/// lived was heard, and tasks that had ended there were started again.
+#[test]
+fn a_successor_that_is_behind_hears_executors_before_all_counts_as_lapsed() {
+    let mut world = successor_told_late(INHERITED + 1_000);
+    world.run(2 * INHERITED);
+    for executor in &mut world.executors {
+        executor.told_late = 0;
+    }
+    world.run(INHERITED);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    check_started_once(&mut world);
+}
+
+/// An executor that answers nobody holds a successor up no longer than it did.
+#[test]
+fn a_successor_starts_what_may_run_on_a_silent_executor_after_its_lease() {
+    let mut world = World::new(4);
+    world.run(100);
+    world.submit(wide(1, 3));
+    world.run(WORK / 2);
+    let at = world.executors_with(1)[0];
+    world.die(at);
+    world.replace_leader();
+    world.run(INHERITED + 2 * WORK);
+    assert_eq!(world.state(1), Some(JobState::Succeeded));
+    world.check();
+}
+
 /// An account from before a start shows nothing of what the start did.
 #[test]
 fn no_run_is_harmless_by_an_account_from_before_its_start() {
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -104,6 +104,8 @@
     /// Orders arrive, and their answers come so much later than they are
     /// waited for.
     pub held_up: Option<Millis>,
+    /// What comes of holds there is taken in so much later.
+    pub told_late: Millis,
     pub dead: bool,
     /// It is dead, and its host says so: connections are reset or refused.
     pub resets: bool,
@@ -522,6 +524,7 @@
             mute: 0,
             late: None,
             held_up: None,
+            told_late: 0,
             dead: false,
             resets: false,
             unhealthy: false,
@@ -685,6 +688,7 @@
     fn later(&mut self, after: Millis, pending: Pending) {
         self.order += 1;
         let mut at = self.now + after;
+        at += self.told_late(&pending);
         let late = self.behind > 0 || self.told_until > at;
         if matches!(pending, Pending::Tell(..)) && late {
             at = self.told_until.max(at + self.behind);
@@ -693,6 +697,15 @@
         self.queue.insert((at, self.order), pending);
     }
 
+    fn told_late(&self, pending: &Pending) -> Millis {
+        let Pending::Tell(token, Event::Held { executor, .. }) = pending
+        else {
+            return 0;
+        };
+        let at = self.index_of(*token, *executor);
+        at.map_or(0, |at| self.executors[at].told_late)
+    }
+
     /// The leader stands still for some time. What has come meanwhile is told
     /// to it after its first tick.
     pub fn stand_still(&mut self, time: Millis) {
