--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -75,6 +75,7 @@
             .map(|(at, _)| at)
             .collect();
         let open = self.ready_for_trial(key, open, now);
+        self.looked.add_executors(open.len());
         let suspect = self.suspected(key.task(0)).cloned();
         let again = |at: ExecutorIndex| {
             failed_on.contains(&at) || self.is_no_trial(at, suspect.as_ref())
@@ -83,7 +84,6 @@
             let found = candidates.binary_search_by_key(&at, |(at, _)| *at);
             found.is_ok_and(|found| candidates[found].1)
         };
-        self.looked.add_executors(open.len());
         let rooms = self.rooms_for(key, &step, &open);
         let plan = self.plan_alike(key, &step, &rooms, again, holds, now);
         if let Some((plan, fresh)) = plan {
