--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -380,7 +380,9 @@
             while let Some(Sent { input, at }) = next {
                 let now = clock::mono_micros();
                 turn.take(stats, input.kind(), at, now);
-                if let Some(why) = self.input(&mut scheduler, input) {
+                let received = at / 1_000;
+                if let Some(why) = self.input(&mut scheduler, input, received)
+                {
                     self.give_up_requests();
                     return why;
                 }
@@ -455,6 +457,7 @@
         &mut self,
         scheduler: &mut Scheduler,
         input: Input,
+        received: Millis,
     ) -> Option<&'static str> {
         match input {
             Input::Ask(caller, request, origin) => {
@@ -472,9 +475,11 @@
                     return None;
                 }
                 let event = Event::Request { id, caller, request };
-                return self.event(scheduler, event);
+                return self.event(scheduler, event, received);
+            }
+            Input::Event(event) => {
+                return self.event(scheduler, event, received)
             }
-            Input::Event(event) => return self.event(scheduler, event),
             Input::Join(id, peer) => {
                 info!(node = peer.node, "node_joined");
                 // What an earlier link of it was asked is lost.
@@ -516,9 +521,11 @@
         &mut self,
         scheduler: &mut Scheduler,
         event: Event,
+        received: Millis,
     ) -> Option<&'static str> {
         decisions::event(scheduler, self.token, &event);
-        let actions = scheduler.handle(event, clock::mono());
+        let now = clock::mono();
+        let actions = scheduler.handle_received(event, received, now);
         self.perform(scheduler, actions).then_some("fenced")
     }
 }
