Executors are asked for their accounts in turn

What callers saw: accepted gangs were not run though most of the room was free, and ends were heard 8 to 10 s late.

Cause: of the executors to which something has happened, a turn of the leader looks at 64, those with the lowest numbers first. While turns are short all get their turn. Once more happens between two turns, the low ones come up again before the high ones were looked at once: these are asked for nothing, their ends stay unheard, and their room counts as taken. A queue that is bounded in each turn and not drained in the order of arrival starves its tail.

Found by the review, by reading.

The rest of urgent rounds counts microseconds, and that of patient steps is bounded by a second, so that they keep to their part of the time.

--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -15,7 +15,8 @@
 `domains` finds data centres that are out of reach, `cordons` knows those that
 take no new work, `admission` refuses what can't be done in time,
 `alarm` connections that have fallen silent, `behind` how late the leader's
-news are, `judge` executors that fail what they run, `suspects` tasks that crash the executors that start them, `due`
+news are, `judge` executors that fail what they run, `suspects` tasks that
+crash the executors that start them, `due`
 knows which executors to look at, `advise` spreads the calls for advice over
 all nodes, which `advisors` knows, `commit` groups what has to be written,
 `outage` refuses what would wait in vain for the store,
@@ -381,8 +382,10 @@
 
     /// When [`Scheduler::advance`] has something to do at the latest, if
     /// nothing happens before.
-    pub fn next_commit(&self) -> Option<Millis> {
-        self.commits.due(self.config.commit_gap)
+    pub fn next_advance(&self) -> Option<Millis> {
+        let commit = self.commits.due(self.config.commit_gap);
+        let holds = self.due_holds.is_left().then_some(0);
+        [commit, holds, self.rounds.next()].into_iter().flatten().min()
     }
 
     fn tick(&mut self, now: Millis) {
--- a/puffinknot-core/src/jobs/scheduler/rounds.rs
+++ b/puffinknot-core/src/jobs/scheduler/rounds.rs
@@ -17,30 +17,39 @@
 use crate::jobs::scheduler::Scheduler;
 
 /// After a round over all steps, those that may wait are left alone for so
-/// many times as long as it took: they get a quarter of the time at most.
+/// many times as long as it took.
 const REST_OF_ALL: u32 = 3;
-/// After any round, urgent steps are left alone for as long as it took, so
-/// that half of the time is left to what comes in.
-const REST_OF_URGENT: u32 = 1;
-/// No rest is longer than this, in milliseconds: a process that stood still in
-/// the midst of a round did not spend that time on it, and urgent callers
-/// wait for hardly more.
-const LONGEST_REST: u64 = 200;
+/// No such rest is longer than this, in milliseconds: a process that stood
+/// still in the midst of a round did not spend that time on it.
+const LONGEST_REST_OF_ALL: Millis = 1_000;
+/// After any round, urgent steps are left alone for as long as it took, but no
+/// longer than this, in milliseconds, which urgent callers bear.
+const LONGEST_REST_OF_URGENT: Millis = 200;
 
 /// When which steps may be looked at next.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Rounds {
     all_from: Millis,
     urgent_from: Millis,
+    /// What of the urgent steps' rest is less than a millisecond.
+    owed: Duration,
+    /// Whether a round was put off.
+    put_off: bool,
     /// Whether the last round was over all steps, until it is told how long
     /// it took.
     last: Option<bool>,
 }
 
 impl Rounds {
-    /// Whether any steps may be looked at.
-    pub fn may_begin(&self, now: Millis) -> bool {
-        now >= self.urgent_from
+    /// Whether any steps may be looked at; else the round is put off.
+    pub fn may_begin(&mut self, now: Millis) -> bool {
+        self.put_off = now < self.urgent_from;
+        !self.put_off
+    }
+
+    /// When a round that was put off may begin.
+    pub fn next(&self) -> Option<Millis> {
+        self.put_off.then_some(self.urgent_from)
     }
 
     /// Whether steps that may wait may be looked at as well.
@@ -52,21 +61,25 @@
     pub fn begin(&mut self, all: bool) {
         self.last = Some(all);
     }
+
+    fn end(&mut self, all: bool, took: Duration, now: Millis) {
+        let rest = took + self.owed;
+        let whole = rest.as_millis() as Millis;
+        self.owed = rest - Duration::from_millis(whole);
+        self.urgent_from = now + whole.min(LONGEST_REST_OF_URGENT);
+        if all {
+            let rest = took.saturating_mul(REST_OF_ALL).as_millis() as Millis;
+            self.all_from = now + rest.min(LONGEST_REST_OF_ALL);
+        }
+    }
 }
 
 impl Scheduler {
     /// Tells how long the last call of [`Scheduler::advance`] took, and when
     /// it was over. A driver that doesn't has steps placed each time.
     pub fn advance_took(&mut self, took: Duration, now: Millis) {
-        let Some(all) = self.rounds.last.take() else { return };
-        let longest = Duration::from_millis(LONGEST_REST);
-        let until = |times: u32| {
-            let rest = took.saturating_mul(times).min(longest);
-            now + rest.as_millis() as Millis
-        };
-        self.rounds.urgent_from = until(REST_OF_URGENT);
-        if all {
-            self.rounds.all_from = until(REST_OF_ALL);
+        if let Some(all) = self.rounds.last.take() {
+            self.rounds.end(all, took, now);
         }
     }
 }
--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -21,6 +21,7 @@
     RequestId, Scheduler, WaveInfo,
 };
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 use tracing::info;
 
@@ -362,11 +363,15 @@
                 return "not confirmed in time";
             }
             let next = last_tick + TICK;
-            let next = match scheduler.next_commit() {
-                Some(commit) => next.min(commit),
+            let next = match scheduler.next_advance() {
+                Some(advance) => next.min(advance),
                 None => next,
             };
             let pause = Duration::from_millis(next.saturating_sub(now));
+            if pause.is_zero() {
+                // Connections have their turn, too.
+                yield_now().await;
+            }
             let first = timeout(pause, inputs.recv()).await.ok().flatten();
             if self.is_unconfirmed() {
                 // The VM was suspended, or the process stood still, while it
--- /dev/null
+++ b/tests/jobs/holds.rs
@@ -0,0 +1,28 @@
+//! Which executors are asked for their accounts.
+
+use puffinknot_core::ids::Millis;
+use puffinknot_core::jobs::{Mechanism, Without};
+
+use super::world::{job, room, step, World};
+
+const EXECUTORS: usize = 320;
+/// The time between two turns of a leader that is busy.
+const TURN: Millis = 100;
+
+/// Those that were known first were asked over and over, others for seconds not.
+#[test]
+fn no_executor_is_passed_over_while_the_turns_of_a_leader_are_long() {
+    let mut world =
+        World::without(EXECUTORS, Without::new([Mechanism::Admission]));
+    world.run(500);
+    world.turn = TURN;
+    let mut short = step(40 * EXECUTORS as u32, room(4_000, 100));
+    short.estimate = TURN;
+    world.submit(job(1, "batch", vec![short]));
+    world.run(10_000);
+    let ends: Vec<u64> = world.executors.iter().map(|e| e.ends()).collect();
+    let (least, most) = (ends.iter().min(), ends.iter().max());
+    let (least, most) = (least.expect("some"), most.expect("some"));
+    assert!(2 * least >= *most, "{least} to {most} runs on an executor");
+    world.check();
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod displacing;
 mod faults;
 mod fuzz;
+mod holds;
 mod latest;
 mod leaving;
 mod lives;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -156,6 +156,11 @@
         self.running.clear();
     }
 
+    /// How many runs have ended there.
+    pub fn ends(&self) -> u64 {
+        self.numbers
+    }
+
     /// Whether a task runs there.
     pub fn runs(&self, task: &TaskKey) -> bool {
         self.running.contains_key(task)
@@ -287,6 +292,9 @@
     /// How long the leader takes to look at an executor, and the time that it
     /// has spent on that.
     pub look_takes: Duration,
+    /// The leader does what has become possible only so often; zero is at each
+    /// event.
+    pub turn: Millis,
     pub looking: Duration,
     pub most_down: usize,
     /// Holds that were sent so far.
@@ -492,6 +500,7 @@
             lost_advice: 0,
             advice_takes: 30,
             look_takes: Duration::ZERO,
+            turn: 0,
             looking: Duration::ZERO,
             most_down: 0,
             holds: 0,
@@ -668,7 +677,9 @@
         }
         let actions = self.scheduler.handle(event, self.now);
         self.perform(self.token, actions);
-        self.advance();
+        if self.turn == 0 {
+            self.advance();
+        }
     }
 
     /// The leader does what has become possible, and is told how long it took.
@@ -986,11 +997,15 @@
                 self.event(Event::Tick);
             } else if self
                 .scheduler
-                .next_commit()
+                .next_advance()
                 .is_some_and(|at| at <= self.now)
+                && self.turn == 0
             {
                 self.advance();
             }
+            if self.turn > 0 && self.now % self.turn == 0 {
+                self.advance();
+            }
         }
     }
 
