--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -45,6 +45,8 @@
     Crashes(Crash),
     Restarts(Restart),
     Cordon(usize, bool),
+    Behind(u64),
+    StandStill(u64),
 }
 
 /// What makes executors start again under their own names. They are named by
@@ -87,6 +89,17 @@
     ]
 }
 
+/// The leader is behind on its news by less than a lease bears, or stands still
+/// for less than its own lease.
+fn moves_with_a_late_leader() -> impl Strategy<Value = Move> {
+    prop_oneof![
+        6 => moves(),
+        1 => mistaken().prop_map(Move::Lives),
+        2 => prop_oneof![Just(0u64), 1u64..2_500].prop_map(Move::Behind),
+        1 => (200u64..5_000).prop_map(Move::StandStill),
+    ]
+}
+
 fn moves_with_cordons() -> impl Strategy<Value = Move> {
     prop_oneof![
         6 => moves(),
@@ -430,9 +443,12 @@
             Move::Lives(one) => mistake(&mut world, one, &mut lives),
             Move::Crashes(one) => crash(&mut world, one, jobs + 1),
             Move::Restarts(one) => restart(&mut world, one, &mut former),
+            Move::Behind(late) => world.behind = late,
+            Move::StandStill(time) => world.stand_still(time),
             Move::Cordon(at, on) => world.set_cordoned(dc_of(at), on),
         }
     }
+    world.behind = 0;
     // All faults end; then everything that was accepted has to end too.
     for executor in &mut world.executors {
         executor.cut = false;
@@ -545,6 +561,17 @@
     }
 }
 
+proptest! {
+    #![proptest_config(config(200))]
+
+    #[test]
+    fn no_rule_breaks_while_the_leader_is_behind(
+        sequence in prop::collection::vec(moves_with_a_late_leader(), 10..60),
+    ) {
+        keeps_all_rules(&sequence)?;
+    }
+}
+
 fn one_task(cpu: u32, door: Door, work: u64) -> Move {
     Move::Submit { tasks: 1, cpu, gang: false, steps: 1, door, work }
 }
