--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -20,6 +20,8 @@
 all nodes, which `advisors` knows, `commit` groups what has to be written,
 `outage` refuses what would wait in vain for the store,
 `leaving` moves what runs on executors that are about to go,
+`looked` counts what placing looks through, `rounds` bounds its part of the
+time,
 `records` knows what of it still matters, `pace` slows tasks that fill beside
 tasks that serve, `waves` takes machines down for their upkeep, and `restore`
 takes over from a predecessor.
@@ -65,6 +67,7 @@
 mod ledger;
 mod live;
 mod lives;
+mod looked;
 mod machines;
 mod order;
 mod outage;
@@ -74,6 +77,7 @@
 mod requests;
 mod restore;
 mod returns;
+mod rounds;
 mod runs;
 mod shares;
 mod speeds;
@@ -95,8 +99,10 @@
 use self::ledger::Ledger;
 pub use self::ledger::Usage;
 use self::live::Live;
+pub use self::looked::Looked;
 use self::order::LateTurns;
 use self::outage::Outages;
+use self::rounds::Rounds;
 use self::shares::Shares;
 use self::speeds::Guesses;
 use self::urgent::UrgentRoom;
@@ -190,6 +196,7 @@
     stale: bool,
     /// When steps that are not urgent were looked at last.
     placed_all: Millis,
+    rounds: Rounds,
     /// Steps that have room kept, and on which executors.
     reserved: BTreeMap<StepKey, Vec<ExecutorIndex>>,
     next_run: u64,
@@ -214,6 +221,7 @@
     confirmed: Millis,
     /// Wall time less monotonic time, in milliseconds.
     wall_offset: i64,
+    looked: Looked,
     counters: BTreeMap<&'static str, u64>,
     actions: Vec<Action>,
 }
@@ -258,6 +266,7 @@
             ready: BTreeSet::new(),
             stale: false,
             placed_all: 0,
+            rounds: Rounds::default(),
             reserved: BTreeMap::new(),
             arrivals: 0,
             advisors: Advisors::default(),
@@ -267,6 +276,7 @@
             unsettled: None,
             confirmed: 0,
             wall_offset: 0,
+            looked: Looked::default(),
             counters: BTreeMap::new(),
             actions: Vec::new(),
         };
@@ -287,6 +297,10 @@
         for live in self.jobs.values_mut() {
             if let Some(queue) = self.queues.get(&live.job.queue) {
                 live.queue = queue.clone();
+                // It may be of another service.
+                for run in live.steps.values_mut() {
+                    run.advice.all_asked = None;
+                }
             }
         }
         self.keys = KeyRing::new(&policy);
@@ -372,6 +386,7 @@
     }
 
     fn tick(&mut self, now: Millis) {
+        self.crash_rate.begin(now);
         self.ended.forget(now);
         self.forget_refused(now);
         self.give_up_lives(now);
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -29,10 +29,6 @@
 /// If more steps than this wait that are not urgent, they are looked at only
 /// so often.
 const FEW_WAIT: usize = 8;
-/// With each so many steps that wait, all of them, urgent or not, are looked at
-/// less often by [`PLACE_GAP`]: going over them takes a bounded share of the
-/// time however many there are, and a leader that is behind can catch up.
-const CROWD: usize = 256;
 /// The time between two looks at them, in milliseconds.
 const PLACE_GAP: Millis = 20;
 /// The most tickets that are asked for anew in one call.
@@ -55,12 +51,18 @@
 
 impl Scheduler {
     /// Starts what can be started. Urgent steps are looked at each time, unless
-    /// very many steps wait; while some others wait, those are looked at less
-    /// often.
+    /// placing rests, see [`super::rounds`]; while some others wait, those are
+    /// looked at less often.
     pub(super) fn place(&mut self, now: Millis) {
-        let crowds = (self.ready.len() / CROWD) as Millis;
-        if now < self.placed_all + PLACE_GAP * crowds {
+        self.looked.rounds += 1;
+        self.place_round(now);
+        self.count_looked();
+    }
+
+    fn place_round(&mut self, now: Millis) {
+        if !self.rounds.may_begin(now) {
             self.stale = true;
+            self.looked.put_off += 1;
             return;
         }
         self.weigh_shares(now);
@@ -70,7 +72,9 @@
         let mut order: Vec<(Rank, StepKey)> = ready.collect();
         self.give_turns(&mut order, now);
         let patient = order.iter().filter(|(rank, _)| !rank.urgent()).count();
-        let all = patient <= FEW_WAIT || now >= self.placed_all + PLACE_GAP;
+        let due = patient <= FEW_WAIT || now >= self.placed_all + PLACE_GAP;
+        let all = due && self.rounds.may_take_all(now);
+        self.rounds.begin(all);
         if all {
             self.placed_all = now;
         } else {
@@ -86,6 +90,7 @@
         let mut turns = Turns::default();
         let mut kept = Kept::new();
         let mut plans = 0;
+        self.looked.steps += order.len() as u64;
         for (rank, key) in order {
             let urgent = rank.urgent();
             if !self.may_place(key) || self.is_at_limit(key, &mut turns, now) {
@@ -208,6 +213,7 @@
             BTreeSet::new()
         };
         let candidates = self.candidates(key, now);
+        self.looked.add_executors(candidates.len());
         let account = live.account;
         Some(Opening { key, step, failed_on, candidates, account })
     }
@@ -230,7 +236,9 @@
             .iter()
             .partition(|index| state.suspected(**index).is_some());
         let open = self.open_to(&opening, kept, urgent, now);
-        let may_use = |at: ExecutorIndex| open.contains(&at);
+        let may_use = |at: ExecutorIndex| {
+            open.binary_search_by_key(&at, |(at, _)| *at).is_ok()
+        };
         let mut stale =
             self.place_suspects(key, &opening, suspects, may_use, now);
         let Opening { step, failed_on, candidates, account, .. } = opening;
@@ -246,13 +254,13 @@
             if !self.ledger.left(account).fits(&step.need) {
                 break;
             }
-            let fits = candidates.iter().filter(|(at, _)| {
+            self.looked.add_executors(open.len());
+            let fits = open.iter().filter(|(at, _)| {
                 let Some(executor) = self.executors.get(at) else {
                     return false;
                 };
                 let most = step.max_per_executor;
-                open.contains(at)
-                    && !executor.is_closed(now)
+                !executor.is_closed(now)
                     && executor.free_for(&key).fits(&step.room())
                     && executor.health.admits(now)
                     && (most == 0 || on.get(at).copied().unwrap_or(0) < most)
@@ -304,9 +312,9 @@
         self.note_full(key);
         let waiting = Waiting { key, step: &step, count };
         if urgent {
-            let fresh = candidates.iter().filter(|(at, holds)| {
-                *holds && open.contains(at) && !self.is_closed(*at, now)
-            });
+            let fresh = open
+                .iter()
+                .filter(|(at, holds)| *holds && !self.is_closed(*at, now));
             let fresh: Vec<ExecutorIndex> = fresh.map(|(at, _)| *at).collect();
             if self.make_way(&waiting, &fresh, now) {
                 return true;
