Be done early with a gang that surely has no room

For each gang that waits, in each placing, the executors that may run it were checked one by one, and listed, before it was found that all that is free there is too little. For one that may neither have room kept nor others give way, what is free on the executors of its tickets is added up first, whether they take work now or not: if that is too little, nothing of the rest can matter, and what a gang without room does is done at once.

--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -62,6 +62,13 @@
         urgent: bool,
         now: Millis,
     ) -> bool {
+        if self.lacks_advice(key, now) {
+            return true;
+        }
+        if !keep && !urgent && self.surely_lacks_room(key, now) {
+            self.wait_without_room(key, now);
+            return false;
+        }
         let Some(opening) = self.opening(key, now) else { return true };
         let open = self.open_to(&opening, kept, urgent, now);
         let Opening { step, failed_on, candidates, .. } = opening;
@@ -122,6 +129,57 @@
         false
     }
 
+    /// Whether all that is free on the executors that may run a gang is too
+    /// little, whether they take work now or not. Most gangs that wait in a
+    /// full cell are done with by this.
+    fn surely_lacks_room(&self, key: StepKey, now: Millis) -> bool {
+        let Some(live) = self.jobs.get(&key.job) else { return false };
+        let Some(state) = live.steps.get(&(key.time, key.step)) else {
+            return false;
+        };
+        let step = &live.job.steps[key.step as usize];
+        // Its own room is free to it, and a trial has others asked.
+        let special = self.reserved.contains_key(&key)
+            || now < state.tries_until
+            || state.waiting.len() as u32 != step.count;
+        if special || live.queue.advice.is_none() {
+            return false;
+        }
+        let room = step.room();
+        let mut left = u64::from(step.count);
+        let good = state.advice.good.keys();
+        for executor in good.filter_map(|at| self.executors.get(at)) {
+            if executor.free.fits(&room) {
+                let count = times(&executor.free, &room);
+                left = left.saturating_sub(u64::from(count));
+            }
+            if left == 0 {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// A gang has no room, and none is kept for it.
+    fn wait_without_room(&mut self, key: StepKey, now: Millis) {
+        if self.is_displacing(key, now) {
+            return;
+        }
+        self.note_full(key);
+        self.widen(key, now);
+        let scarce = self.advice_scarce();
+        if !scarce || !self.could_hold_all(key, now) {
+            self.ask_all(key, now);
+        }
+    }
+
+    fn could_hold_all(&self, key: StepKey, now: Millis) -> bool {
+        let candidates = self.candidates(key, now);
+        let all: Vec<ExecutorIndex> =
+            candidates.iter().map(|(at, _)| *at).collect();
+        self.step(key).is_some_and(|step| self.could_hold(step, &all))
+    }
+
     /// How many members of a gang have room on each of these executors, if
     /// all together have.
     fn rooms_for(
