Test that steps that wait make no search once all were asked about

The searches for executors to ask about are counted ('advice_searches'). Whether calls wait for nodes is known once so many do, without counting all.

--- a/puffinknot-core/src/jobs/scheduler/advise.rs
+++ b/puffinknot-core/src/jobs/scheduler/advise.rs
@@ -155,6 +155,7 @@
         {
             return;
         }
+        *self.counters.entry("advice_searches").or_default() += 1;
         let step = &live.job.steps[key.step as usize];
         let label = step.label.as_deref();
         let known = &state.advice.asked;
@@ -295,8 +296,8 @@
     /// Whether calls wait for nodes. Then nothing is asked that can do
     /// without.
     pub(super) fn advice_scarce(&self) -> bool {
-        let waiting = self.calls.values().filter(|c| c.advisor.is_none());
-        waiting.count() > self.advisors.len() / 2
+        let mut waiting = self.calls.values().filter(|c| c.advisor.is_none());
+        waiting.nth(self.advisors.len() / 2).is_some()
     }
 
     /// Hands calls to nodes, the most urgent first.
--- a/tests/jobs/size.rs
+++ b/tests/jobs/size.rs
@@ -3,10 +3,14 @@
 use std::collections::BTreeMap;
 
 use puffinknot_core::jobs::record::{self, Enrolled, Shard};
-use puffinknot_core::jobs::JobState;
+use puffinknot_core::jobs::{JobState, Step};
 
 use super::world::{job, room, step, World, LEASE, WORK};
 
+fn counted(world: &World, name: &str) -> u64 {
+    world.scheduler.counters().get(name).copied().unwrap_or(0)
+}
+
 const EXECUTORS: usize = 320;
 
 /// What the store keeps of executors.
@@ -80,3 +84,32 @@
     });
     assert_eq!(kept.sum::<usize>(), 8);
 }
+
+/// Each step that waited looked through all executors in each placing.
+#[test]
+fn steps_that_wait_do_not_search_executors_that_were_all_asked_about() {
+    let mut world = World::new(8);
+    world.run(200);
+    let mut full = step(8, room(4_000, 100));
+    full.lasting = true;
+    world.submit(job(1, "batch", vec![full]));
+    world.run(200);
+    for id in 2..42 {
+        let gang = step(4, room(4_000, 100));
+        let gang = Step { gang: true, ..gang };
+        world.submit(job(id, "advised", vec![gang]));
+    }
+    world.run(4_000);
+    let before = counted(&world, "advice_searches");
+    world.run(2_000);
+    assert_eq!(counted(&world, "advice_searches"), before);
+    // Those that come are found.
+    for number in 8..12 {
+        world.add_executor(&format!("comes-{number}"));
+        world.tell_entry(number);
+    }
+    world.run(4_000);
+    let states = (2..42).map(|id| world.state(id));
+    let done = states.filter(|s| *s == Some(JobState::Succeeded)).count();
+    assert!(done > 0, "executors that came were not asked about");
+}
