Look for a gang's slowest executor at its first end only

The first end of a gang makes all of its members done, and nothing is learnt from the others. Yet for each of them the slowest of all places of the step was looked for first: the square of the members. Now what is done already is seen before. Nothing is decided otherwise.

--- a/puffinknot-core/src/jobs/scheduler/speeds.rs
+++ b/puffinknot-core/src/jobs/scheduler/speeds.rs
@@ -17,6 +17,7 @@
 use crate::jobs::model::{Step, StepKey, TaskKey};
 use crate::jobs::record::SHARD_COUNT;
 use crate::jobs::scheduler::gangs::Room;
+use crate::jobs::scheduler::live::StepRun;
 use crate::jobs::scheduler::order::Class;
 use crate::jobs::scheduler::Scheduler;
 use crate::jobs::speed::{compare, GuessError, Speed};
@@ -116,6 +117,10 @@
         let tells = on.tells;
         let time = now.saturating_sub(on.since);
         let gang = self.step(key).is_some_and(|step| step.gang);
+        let done = |run: &StepRun| run.done.contains(&end.task.index);
+        if self.step_run(key).is_some_and(done) {
+            return;
+        }
         let slowness = match gang {
             true => self.slowest(key).unwrap_or(0.0),
             false => executor.speed.slowness(),
@@ -126,9 +131,6 @@
         let Some(state) = live.steps.get_mut(&(key.time, key.step)) else {
             return;
         };
-        if state.done.contains(&end.task.index) {
-            return;
-        }
         if tells {
             state.times.add(index, time, slowness);
         }
--- a/tests/jobs/speeds.rs
+++ b/tests/jobs/speeds.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use puffinknot_core::jobs::model::StepKey;
 use puffinknot_core::jobs::record::{self, Shard};
 use puffinknot_core::jobs::speed::{compare, GuessError, Speed, StepTimes};
-use puffinknot_core::jobs::{Job, JobState, Mechanism, Without};
+use puffinknot_core::jobs::{Job, JobId, JobState, Mechanism, Without};
 
 use super::world::{job, room, step, World, LEASE, WORK};
 
@@ -366,3 +367,31 @@
     }
     assert_eq!(Speed::from_kept(0, 0), Speed::default());
 }
+
+/// All members of a gang take the same time, and tell of one guess.
+#[test]
+fn a_gang_tells_once_how_far_its_guess_is_off() {
+    let mut world = uneven(8, 0, Without::default());
+    let expected = |world: &mut World, id: u64| {
+        let mut gang = step(32, room(1_000, 100));
+        gang.gang = true;
+        world.submit(job(id, "batch", vec![gang]));
+        for index in 0..32 {
+            let step = StepKey { job: JobId(id), time: 0, step: 0 };
+            world.takes.insert(step.task(index), 200);
+        }
+        world.run(100);
+        let known = world.scheduler.executor(0).expect("a known executor");
+        let run = known.runs.values().next().expect("a run");
+        let should = run.ends - run.since;
+        world.run(4 * WORK);
+        should
+    };
+    assert_eq!(expected(&mut world, 1), WORK);
+    assert_eq!(expected(&mut world, 2), WORK, "one gang is no habit");
+    for id in 3..12 {
+        expected(&mut world, id);
+    }
+    assert!(expected(&mut world, 12) > WORK + WORK / 2);
+    world.check();
+}
