Random sequences: leaders that change while tasks give way

A sixth kind of sequence: urgent work, executors that give notice and go, commits that are declined, and leaders that reach some executors before others, also just before a task fails.

--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -18,6 +18,7 @@
     Advised,
     Background,
     Owned(&'static str),
+    Urgent,
 }
 
 #[derive(Clone, Debug)]
@@ -45,6 +46,7 @@
     Crashes(Crash),
     Restarts(Restart),
     Cordon(usize, bool),
+    Full(Full),
 }
 
 /// What makes executors start again under their own names. They are named by
@@ -87,6 +89,51 @@
     ]
 }
 
+/// What makes tasks give way to others, and move, while leaders change.
+#[derive(Clone, Debug)]
+enum Full {
+    /// An executor gives notice, goes after so long, and is followed by
+    /// another after some time.
+    Leave(usize, u64, u64),
+    /// Commits are declined, or no more.
+    Declined(bool),
+    /// Another leader takes over. It reaches some executors for so long, then
+    /// the others only.
+    InTurn(Vec<bool>, u64, u64),
+    /// The same, so long before a task of a new job fails.
+    FailInTurn(u64, bool, Vec<bool>, u64, u64),
+}
+
+fn full() -> impl Strategy<Value = Full> {
+    let first = || prop::collection::vec(any::<bool>(), MACHINES);
+    prop_oneof![
+        2 => (0usize..12, 100u64..4_000, 0u64..1_000)
+            .prop_map(|(a, l, n)| Full::Leave(a, l, n)),
+        1 => any::<bool>().prop_map(Full::Declined),
+        2 => (first(), 1u64..60, 1u64..1_200)
+            .prop_map(|(f, a, b)| Full::InTurn(f, a, b)),
+        2 => (1u64..300, any::<bool>(), first(), 1u64..60, 600u64..1_200)
+            .prop_map(|(t, g, f, a, b)| Full::FailInTurn(t, g, f, a, b)),
+    ]
+}
+
+fn moves_in_a_full_cell() -> impl Strategy<Value = Move> {
+    let urgent = (1u32..4, 300u32..2_500, any::<bool>());
+    let urgent = urgent.prop_map(|(tasks, cpu, gang)| Move::Submit {
+        tasks,
+        cpu,
+        gang,
+        steps: 1,
+        door: Door::Urgent,
+        work: WORK,
+    });
+    prop_oneof![
+        6 => moves(),
+        3 => urgent,
+        3 => full().prop_map(Move::Full),
+    ]
+}
+
 fn moves_with_cordons() -> impl Strategy<Value = Move> {
     prop_oneof![
         6 => moves(),
@@ -347,6 +394,66 @@
     }
 }
 
+/// Plays what goes on in a full cell.
+fn fill(world: &mut World, one: Full, jobs: &mut u64, lives: &mut usize) {
+    let all = world.executors.len();
+    match one {
+        Full::Leave(at, stays, until_next) => {
+            let at = at % all;
+            if world.executors[at].dead {
+                return;
+            }
+            let info = &mut world.executors[at].info;
+            (info.draining, info.remaining) = (true, Some(stays));
+            world.tell_entry(at);
+            world.run(stays);
+            world.executors[at].leave();
+            world.run(until_next);
+            *lives += 1;
+            world.crash(at, &format!("y{lives}"));
+        }
+        Full::Declined(is_so) => world.store_declines = is_so,
+        Full::InTurn(first, some, others) => {
+            take_over_in_turn(world, &first, some, others);
+        }
+        Full::FailInTurn(before, gang, first, some, others) => {
+            *jobs += 1;
+            let work = 5 * WORK;
+            let mut failing = step(2, room(1_200, 100));
+            (failing.gang, failing.estimate) = (gang, work);
+            let step = StepKey { job: JobId(*jobs), time: 0, step: 0 };
+            world.failing.insert(step.task(0), 1);
+            world.submit(job(*jobs, "urgent", vec![failing]));
+            world.run(work - before);
+            take_over_in_turn(world, &first, some, others);
+        }
+    }
+}
+
+/// Another leader takes over, and reaches some executors before others.
+fn take_over_in_turn(
+    world: &mut World,
+    first: &[bool],
+    some: u64,
+    others: u64,
+) {
+    let next = Some(world.token + 1);
+    let cut_off = |world: &mut World, which: bool| {
+        let turns = first.iter().cycle();
+        for (executor, turn) in world.executors.iter_mut().zip(turns) {
+            executor.cut_from = next.filter(|_| *turn == which);
+        }
+    };
+    cut_off(world, false);
+    world.replace_leader();
+    world.run(some);
+    cut_off(world, true);
+    world.run(others);
+    for executor in &mut world.executors {
+        executor.cut_from = None;
+    }
+}
+
 /// No life can be mistaken for over any more, and all entries are told.
 fn no_more_mistakes(world: &mut World) {
     for at in 0..world.executors.len() {
@@ -395,6 +502,7 @@
                         world.submit(job(jobs, "background", steps))
                     }
                     Door::Advised => world.submit(job(jobs, "advised", steps)),
+                    Door::Urgent => world.submit(job(jobs, "urgent", steps)),
                     Door::Owned(account) => {
                         world.submit_as(account, job(jobs, "owned", steps))
                     }
@@ -402,7 +510,9 @@
             }
             Move::Limit(cpu) => world.set_limit(cpu),
             Move::Cancel(id) => {
-                for queue in ["batch", "advised", "owned", "background"] {
+                for queue in
+                    ["batch", "advised", "owned", "background", "urgent"]
+                {
                     let queue = queue.to_string();
                     let job = JobId(id);
                     world.request_as(LIMITED, Request::Cancel { queue, job });
@@ -431,6 +541,7 @@
             Move::Crashes(one) => crash(&mut world, one, jobs + 1),
             Move::Restarts(one) => restart(&mut world, one, &mut former),
             Move::Cordon(at, on) => world.set_cordoned(dc_of(at), on),
+            Move::Full(one) => fill(&mut world, one, &mut jobs, &mut lives),
         }
     }
     // All faults end; then everything that was accepted has to end too.
@@ -449,6 +560,7 @@
     if sequence.iter().any(|one| matches!(one, Move::Lives(_))) {
         no_more_mistakes(&mut world);
     }
+    world.store_declines = false;
     world.store_up();
     for at in 0..2 {
         world.set_cordoned(dc_of(at), false);
@@ -534,6 +646,17 @@
     }
 }
 
+proptest! {
+    #![proptest_config(config(200))]
+
+    #[test]
+    fn no_rule_breaks_while_tasks_give_way_and_leaders_change(
+        sequence in prop::collection::vec(moves_in_a_full_cell(), 10..60),
+    ) {
+        keeps_all_rules(&sequence)?;
+    }
+}
+
 proptest! {
     #![proptest_config(config(200))]
 
