Room for urgent work is kept within the shares of accounts only

What callers saw: while one account floods its urgent queue, no patient task of another one starts, though that one holds less than its share; the test that guards this failed.

Cause: what is kept free follows the peaks of all urgent demand and decays over 15 s. The peak of an account that was within its share when it came stays in the level when the account is over it, so that the others' patient tasks leave the slots alone, and the flood, which comes behind them in the order, takes them.

Levels are kept by account beside the one of all, and no more is kept than the accounts want that are over no share, neither of all room nor of what is urgent. Never more is kept than before.

--- a/puffinknot-core/src/jobs/headroom.rs
+++ b/puffinknot-core/src/jobs/headroom.rs
@@ -45,6 +45,15 @@
         self.room = self.room.plus(&need.times(count));
     }
 
+    /// The sum.
+    pub fn plus(self, other: &Demand) -> Demand {
+        Demand {
+            running: self.running + other.running,
+            waiting: self.waiting + other.waiting,
+            room: self.room.plus(&other.room),
+        }
+    }
+
     fn tasks(&self) -> u32 {
         self.running + self.waiting
     }
--- a/puffinknot-core/src/jobs/scheduler/urgent.rs
+++ b/puffinknot-core/src/jobs/scheduler/urgent.rs
@@ -12,12 +12,14 @@
 What still finds no room has others give way to it, see [`super::displace`].
 */
 
+use std::collections::BTreeMap;
+
 use crate::config::Resources;
 use crate::ids::Millis;
 use crate::jobs::executor::{Executor, RunOn};
-use crate::jobs::headroom::{Demand, Headroom};
+use crate::jobs::headroom::{Demand, Headroom, MOST_KEPT};
 use crate::jobs::mechanism::Mechanism;
-use crate::jobs::message::{Action, ExecutorIndex};
+use crate::jobs::message::{AccountIndex, Action, ExecutorIndex};
 use crate::jobs::model::StepKey;
 use crate::jobs::scheduler::fit::times;
 use crate::jobs::scheduler::order::{Class, Rank, Reach};
@@ -39,6 +41,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct UrgentRoom {
     headroom: Headroom,
+    /// The same by account: none is kept for one that is over its share.
+    by_account: BTreeMap<Option<AccountIndex>, Headroom>,
     /// The room for one urgent task.
     slot: Resources,
     /// The slots that may be taken still; none is no bound.
@@ -64,7 +68,8 @@
         if !self.has(Mechanism::UrgentRoom) || !self.has_both_kinds() {
             return;
         }
-        let demand = self.urgent_demand(order);
+        let demands = self.urgent_demands(order);
+        let demand = demands.values().fold(Demand::default(), Demand::plus);
         self.urgent.headroom.observe(&demand, now);
         let Some(slot) = self.urgent.headroom.slot() else { return };
         let usable = self.executors.values().filter(|e| e.usable());
@@ -74,6 +79,7 @@
             whole += u64::from(times(&executor.info.capacity, &slot));
         }
         let wanted = self.urgent.headroom.wanted(&demand, whole);
+        let wanted = wanted.min(self.wanted_within(&demands, whole, now));
         self.urgent.slot = slot;
         self.urgent.spare = Some(free.saturating_sub(wanted));
     }
@@ -84,13 +90,46 @@
         urgent.clone().any(|urgent| urgent) && !urgent.all(|urgent| urgent)
     }
 
-    fn urgent_demand(&self, order: &[(Rank, StepKey)]) -> Demand {
-        let mut demand = Demand::default();
+    /// How many slots accounts want that are within their shares.
+    fn wanted_within(
+        &mut self,
+        demands: &BTreeMap<Option<AccountIndex>, Demand>,
+        whole: u64,
+        now: Millis,
+    ) -> u64 {
+        for account in demands.keys() {
+            self.urgent.by_account.entry(*account).or_default();
+        }
+        let mut by_account = std::mem::take(&mut self.urgent.by_account);
+        let mut wanted = 0;
+        for (account, headroom) in &mut by_account {
+            let demand = demands.get(account).copied().unwrap_or_default();
+            headroom.observe(&demand, now);
+            if self.is_due_room(*account) {
+                wanted += headroom.wanted(&demand, whole);
+            }
+        }
+        self.urgent.by_account = by_account;
+        wanted.min(whole / MOST_KEPT)
+    }
+
+    /// Whether room may be kept for urgent work of an account.
+    fn is_due_room(&self, account: Option<AccountIndex>) -> bool {
+        !self.over_share(account) && !self.over_urgent_share(account)
+    }
+
+    /// What urgent tasks of each account hold and wait for.
+    fn urgent_demands(
+        &self,
+        order: &[(Rank, StepKey)],
+    ) -> BTreeMap<Option<AccountIndex>, Demand> {
+        let mut demands: BTreeMap<_, Demand> = BTreeMap::new();
         let runs = self.executors.values().flat_map(|e| e.runs.values());
         let within = |run: &&RunOn| {
             run.urgent && !self.over_urgent_share(run.charge.account)
         };
         for run in runs.filter(within) {
+            let demand = demands.entry(run.charge.account).or_default();
             demand.runs(&run.need);
         }
         let waiting = order.iter().filter(|(rank, _)| {
@@ -102,9 +141,12 @@
             else {
                 continue;
             };
+            let account =
+                self.jobs.get(&key.job).and_then(|live| live.account);
+            let demand = demands.entry(account).or_default();
             demand.wait(state.waiting.len() as u32, &step.room());
         }
-        demand
+        demands
     }
 
     /// Whether a step has to leave free what is kept for urgent tasks.
