--- a/puffinknot-core/src/jobs/losses.rs
+++ b/puffinknot-core/src/jobs/losses.rs
@@ -35,8 +35,7 @@
 /// The first crash makes suspects only of what may have been started so
 /// shortly before, in milliseconds. Executors that crash by themselves have
 /// seldom started anything within it, and each trial keeps others off an
-/// executor: with 1,000 ms a cell that loses a quarter of its executors every
-/// five seconds did 0.03 less of its work.
+/// executor.
 const SOON: Millis = 100;
 /// The weight at which a task is given up: by chance, one in 10,000 is. At the
 /// lowest rate two crashes have it of which each was seen to come within 30 ms
--- a/puffinknot-core/src/jobs/scheduler/behind.rs
+++ b/puffinknot-core/src/jobs/scheduler/behind.rs
@@ -38,8 +38,8 @@
     clock: Millis,
     /// When it was given at the latest.
     at: Millis,
-    /// For so long before it no hold may have waited there, in milliseconds: an
-    /// end that it tells of is at most so much older.
+    /// For so long before it no hold may have waited there, in milliseconds:
+    /// an end that it tells of is at most so much older.
     unwatched: Millis,
 }
 
--- a/puffinknot-core/src/jobs/scheduler/in_flight.rs
+++ b/puffinknot-core/src/jobs/scheduler/in_flight.rs
@@ -16,8 +16,7 @@
 use crate::jobs::scheduler::Scheduler;
 
 /// An order that was not answered is taken to come so much later at the most,
-/// in milliseconds. Nothing bounds it: random sequences let orders arrive up to
-/// seven seconds late, and a task waits for no more than this.
+/// in milliseconds. Nothing bounds it, and a task waits for no more than this.
 const LATEST: Millis = 8_000;
 
 /// An order to start that may be carried out yet.
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -50,9 +50,9 @@
 }
 
 impl Scheduler {
-    /// Starts what can be started. Urgent steps are looked at each time, unless
-    /// placing rests, see [`super::rounds`]; while some others wait, those are
-    /// looked at less often.
+    /// Starts what can be started. Urgent steps are looked at each time,
+    /// unless placing rests, see [`super::rounds`]; while some others wait,
+    /// those are looked at less often.
     pub(super) fn place(&mut self, now: Millis) {
         self.looked.rounds += 1;
         self.place_round(now);
--- a/puffinknot-core/src/jobs/scheduler/speeds.rs
+++ b/puffinknot-core/src/jobs/scheduler/speeds.rs
@@ -30,8 +30,8 @@
 /// taking this many times as long as it should: guesses are off by as much.
 /// Others do only if they would miss it by taking what they should.
 const TIGHT: Millis = 2;
-/// The time until a client is told of an end, in milliseconds: the end has to be
-/// reported, written and asked for. Short steps have little else to spare.
+/// The time until a client is told of an end, in milliseconds: the end has to
+/// be reported, written and asked for. Short steps have little else to spare.
 const TOLD: Millis = 500;
 /// For steps that need a quick executor, a logarithm of run time counts as so
 /// many thousandths of an executor left over: one that is quicker by a third
--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -94,8 +94,8 @@
     ]
 }
 
-/// The leader is behind on its news by less than a lease bears, or stands still
-/// for less than its own lease.
+/// The leader is behind on its news by less than a lease bears, or stands
+/// still for less than its own lease.
 fn moves_with_a_late_leader() -> impl Strategy<Value = Move> {
     prop_oneof![
         6 => moves(),
--- a/tests/jobs/holds.rs
+++ b/tests/jobs/holds.rs
@@ -9,7 +9,7 @@
 /// The time between two turns of a leader that is busy.
 const TURN: Millis = 100;
 
-/// Those that were known first were asked over and over, others for seconds not.
+/// Those that were known first were asked again and again, others never.
 #[test]
 fn no_executor_is_passed_over_while_the_turns_of_a_leader_are_long() {
     let mut world =
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -246,8 +246,8 @@
     unknowable: BTreeSet<String>,
     /// The executors on which a leader has suspected a task.
     suspected_on: BTreeSet<String>,
-    /// How many executors have crashed while each task ran there; a gang counts
-    /// as its first.
+    /// How many executors have crashed while each task ran there; a gang
+    /// counts as its first.
     crashed_under: BTreeMap<TaskKey, usize>,
     /// The starts of each of them after [`CRASHES`] such crashes.
     more_starts: BTreeMap<TaskKey, u32>,
