Many steps that wait are looked at less often again

It does more than bound the time: without it what gets free goes to urgent steps one by one, and patient work within its account's share finds no room in a flood of 300 urgent jobs (a_flood_of_urgent_work_goes_behind_what_may_wait_within_its_share: no patient task starts within its time; with the gap some do).

How well the end of a run is known is judged by how long it should take, not by how long it took, so that short runs are not left out where long ones count. A link in the documentation of losses pointed to a private constant.

--- a/puffinknot-core/src/jobs/losses.rs
+++ b/puffinknot-core/src/jobs/losses.rs
@@ -10,7 +10,7 @@
 
 What a crash weighs is how much likelier it is if the task did it than if the
 executor crashed by itself, in powers of ten, in tenths. A task that does it is
-taken to do so at any age up to [`LONGEST_WINDOW`], most likely at a low one,
+taken to do so at any age up to a second, most likely at a low one,
 and again at about the same; how often executors crash by themselves is
 reckoned from how many have lately. Weights add up. A task that harms nobody
 gets to a sum at most as often as that says, however often it is tried, since a
--- a/puffinknot-core/src/jobs/scheduler/behind.rs
+++ b/puffinknot-core/src/jobs/scheduler/behind.rs
@@ -28,7 +28,7 @@
 /// milliseconds: many times as long as it waits for anything.
 const STILL: Millis = 1_000;
 /// When a run has ended is known well enough if nobody waited there for that
-/// in one part of its time in so many.
+/// in one part in so many of the time that it should take.
 const WATCHED: Millis = 8;
 
 /// An account, as far as it tells when something happened.
@@ -74,11 +74,12 @@
     }
 
     /// How long a run took that it tells the end of, in milliseconds, if that
-    /// is known.
+    /// is known. It is by how long the run should take, so that short runs are
+    /// not left out where long ones count.
     pub fn took(&self, on: &RunOn) -> Option<Millis> {
-        let ran = self.ran(on);
-        let unwatched = self.unwatched.min(ran);
-        (ran >= WATCHED * unwatched).then_some(ran)
+        let should = on.ends.saturating_sub(on.since);
+        let known = should >= self.unwatched.saturating_mul(WATCHED);
+        known.then(|| self.ran(on))
     }
 }
 
--- a/puffinknot-core/src/jobs/scheduler/looked.rs
+++ b/puffinknot-core/src/jobs/scheduler/looked.rs
@@ -13,7 +13,7 @@
 pub struct Looked {
     /// Times that placing was due.
     pub rounds: u64,
-    /// Those of them that were put off while placing rested.
+    /// Those of them that were put off, while placing rested or for a crowd.
     pub put_off: u64,
     /// Steps.
     pub steps: u64,
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -29,6 +29,10 @@
 /// If more steps than this wait that are not urgent, they are looked at only
 /// so often.
 const FEW_WAIT: usize = 8;
+/// With each so many steps that wait, all of them, urgent or not, are looked
+/// at less often by [`PLACE_GAP`]: else what gets free goes to urgent steps
+/// one by one, before others within their share are looked at.
+const CROWD: usize = 256;
 /// The time between two looks at them, in milliseconds.
 const PLACE_GAP: Millis = 20;
 /// The most tickets that are asked for anew in one call.
@@ -60,7 +64,9 @@
     }
 
     fn place_round(&mut self, now: Millis) {
-        if !self.rounds.may_begin(now) {
+        let crowds = (self.ready.len() / CROWD) as Millis;
+        let gap = PLACE_GAP * crowds;
+        if !self.rounds.may_begin(now) || now < self.placed_all + gap {
             self.stale = true;
             self.looked.put_off += 1;
             return;
