--- a/src/cell/lead.rs
+++ b/src/cell/lead.rs
@@ -394,7 +394,7 @@
                 next = inputs.try_recv().ok();
             }
             let taken = clock::mono_micros();
-            turn.put_down(stats, taken);
+            turn.finish_input(stats, taken);
             let now = taken / 1_000;
             if self.is_unconfirmed() {
                 continue;
--- a/src/cell/turn.rs
+++ b/src/cell/turn.rs
@@ -121,8 +121,8 @@
     inputs: u64,
     /// The longest wait of an input, and of which kind that one was.
     oldest: (Micros, Kind),
-    /// The input that is dealt with, and since when.
-    in_hand: Option<(Kind, Micros)>,
+    /// The input that is being handled, and since when.
+    current: Option<(Kind, Micros)>,
     advance: Micros,
 }
 
@@ -153,7 +153,7 @@
             looked,
             inputs: 0,
             oldest: (0, Kind::Other),
-            in_hand: None,
+            current: None,
             advance: 0,
         }
     }
@@ -166,19 +166,19 @@
         sent_at: Micros,
         now: Micros,
     ) {
-        self.put_down(stats, now);
+        self.finish_input(stats, now);
         let waited = now.saturating_sub(sent_at);
         stats.took(kind.wait(), waited / 1_000);
         if waited >= self.oldest.0 {
             self.oldest = (waited, kind);
         }
         self.inputs += 1;
-        self.in_hand = Some((kind, now));
+        self.current = Some((kind, now));
     }
 
-    /// The input in hand, if there is one, has been dealt with.
-    pub fn put_down(&mut self, stats: &Stats, now: Micros) {
-        if let Some((kind, since)) = self.in_hand.take() {
+    /// The current input, if there is one, has been handled.
+    pub fn finish_input(&mut self, stats: &Stats, now: Micros) {
+        if let Some((kind, since)) = self.current.take() {
             stats.took_micros(kind.handling(), now.saturating_sub(since));
         }
     }
--- a/tests/turn.rs
+++ b/tests/turn.rs
@@ -49,7 +49,7 @@
 fn turn(stats: &Stats, began: u64, took: u64, waited: u64) -> Took {
     let mut turn = Turn::begin(clocks(began, 0), idle());
     turn.take(stats, Kind::Held, began - waited, began);
-    turn.put_down(stats, began);
+    turn.finish_input(stats, began);
     turn.end(stats, clocks(began + took, took), idle())
 }
 
@@ -64,8 +64,8 @@
             turn.take(&stats, kind, at - 20_000, at);
         }
         let at = BEGIN + 1_000 * KINDS.len() as u64;
-        turn.put_down(&stats, at);
-        turn.put_down(&stats, at + 1_000);
+        turn.finish_input(&stats, at);
+        turn.finish_input(&stats, at + 1_000);
         turn.end(&stats, clocks(at, 0), idle());
         for kind in KINDS {
             let wait = format!("wait_{}", kind.name());
@@ -90,7 +90,7 @@
     let mut turn = Turn::begin(clocks(BEGIN, 100), before);
     turn.take(&stats, Kind::Started, BEGIN - 9_000, BEGIN);
     turn.take(&stats, Kind::Stopped, BEGIN - 30_000, BEGIN + 500);
-    turn.put_down(&stats, BEGIN + 700);
+    turn.finish_input(&stats, BEGIN + 700);
     turn.advanced(&stats, BEGIN + 800, BEGIN + 40_800);
     let took = turn.end(&stats, clocks(BEGIN + 90_000, 12_100), after);
     let oldest = (30_500, Kind::Stopped);
