A flood of urgent work leaves others their share of the room

Callers: while one account's urgent jobs flooded a cell, the patient jobs of another account, which held nothing, did not start until the last of the flood had.

Cause, twice: (1) urgent steps went behind patient ones only if their account was over its share of all work and of urgent work. Where nobody else has urgent work, the flood's share of what is urgent is all of it, so it was never over. (2) Who is over was worked out once before steps were placed, by what was held at that moment. Runs that began together end together; their account then held nothing, counted as within its share, and all of the room went to it again.

Mend: an account's urgent work also counts alone against the account's share of all work. What is held is looked at whenever a step's turn comes, so that a step falls behind as soon as its account has got its share in the same placing; shares are of the room that was held after the last placing, and means go by that too. It works at any moment since nothing hangs on what is held between ends and starts any more.

--- a/puffinknot-core/src/jobs/fair.rs
+++ b/puffinknot-core/src/jobs/fair.rs
@@ -38,7 +38,11 @@
 /// What each account should hold of all that is held: its fair share, in the
 /// order of the claims.
 pub fn fair_shares(claims: &[Claim]) -> Vec<f64> {
-    let mut room: f64 = claims.iter().map(|claim| claim.held).sum();
+    fair_shares_of(claims.iter().map(|claim| claim.held).sum(), claims)
+}
+
+/// What each account should hold of so much room, in the order of the claims.
+pub fn fair_shares_of(mut room: f64, claims: &[Claim]) -> Vec<f64> {
     let mut weights: f64 = claims.iter().map(|claim| claim.weight).sum();
     // Who wants least for his weight is served first, so that what he leaves
     // is known when the others are.
--- a/puffinknot-core/src/jobs/scheduler/ledger.rs
+++ b/puffinknot-core/src/jobs/scheduler/ledger.rs
@@ -65,6 +65,17 @@
     unseen: Resources,
 }
 
+impl Entry {
+    fn holding(&self) -> Holding {
+        Holding {
+            weight: self.weight,
+            held: self.held,
+            urgent: self.urgent,
+            most: accounts::left(&self.limit, &Resources::default()),
+        }
+    }
+}
+
 /// What all accounts have running.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Ledger {
@@ -207,12 +218,12 @@
 
     /// What accounts hold, in the order of their numbers.
     pub fn holdings(&self) -> impl Iterator<Item = Holding> + '_ {
-        self.entries.iter().map(|entry| Holding {
-            weight: entry.weight,
-            held: entry.held,
-            urgent: entry.urgent,
-            most: accounts::left(&entry.limit, &Resources::default()),
-        })
+        self.entries.iter().map(Entry::holding)
+    }
+
+    /// What an account holds.
+    pub fn holding(&self, account: AccountIndex) -> Option<Holding> {
+        self.entries.get(account as usize).map(Entry::holding)
     }
 
     /// The name of an account.
--- a/puffinknot-core/src/jobs/scheduler/order.rs
+++ b/puffinknot-core/src/jobs/scheduler/order.rs
@@ -110,13 +110,21 @@
             return if beyond { Class::Beyond } else { Class::Patient };
         }
         let urgent = self.over_urgent_share(live.account);
-        match (live.beyond_due || (beyond && urgent), urgent) {
+        let floods = beyond && urgent || self.floods(live.account);
+        match (live.beyond_due || floods, urgent) {
             (true, _) => Class::Beyond,
             (false, true) => Class::UrgentBeyond,
             (false, false) => Class::Urgent,
         }
     }
 
+    /// The place of a step that has fallen behind since it was ranked: its
+    /// account has got more of the room meanwhile.
+    pub(super) fn behind(&self, key: StepKey, rank: &Rank) -> Option<Rank> {
+        let class = self.class(self.jobs.get(&key.job)?);
+        (class > rank.class).then_some(Rank { class, ..*rank })
+    }
+
     /// What use a step can be if it starts now, and its latest start.
     fn reach(
         &self,
--- a/puffinknot-core/src/jobs/scheduler/place.rs
+++ b/puffinknot-core/src/jobs/scheduler/place.rs
@@ -5,7 +5,8 @@
 see [`super::fit`], so that gangs, see [`super::gangs`], find room.
 */
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use crate::ids::Millis;
 use crate::jobs::executor::{Described, Executor};
@@ -87,7 +88,6 @@
             order.retain(|(rank, _)| rank.urgent());
         }
         self.begin_look(all);
-        order.sort_unstable();
         self.begin_looks();
         if all {
             self.count_slots(&order, now);
@@ -97,7 +97,15 @@
         let mut kept = Kept::new();
         let mut plans = 0;
         self.looked.steps += order.len() as u64;
-        for (rank, key) in order {
+        let mut order: BinaryHeap<Reverse<(Rank, StepKey)>> =
+            order.into_iter().map(Reverse).collect();
+        while let Some(Reverse((rank, key))) = order.pop() {
+            if let Some(behind) = self.behind(key, &rank) {
+                if all || behind.urgent() {
+                    order.push(Reverse((behind, key)));
+                }
+                continue;
+            }
             let urgent = rank.urgent();
             if !self.may_place(key) || self.is_at_limit(key, &mut turns, now) {
                 continue;
@@ -114,6 +122,7 @@
                 plans += 1;
             }
         }
+        self.note_held(now);
     }
 
     pub(super) fn step(&self, key: StepKey) -> Option<&Step> {
--- a/puffinknot-core/src/jobs/scheduler/shares.rs
+++ b/puffinknot-core/src/jobs/scheduler/shares.rs
@@ -6,25 +6,33 @@
 holds more than its fair share goes behind those that don't, so that what gets
 free returns to them. Nothing is stopped here.
 
-Urgent work counts twice: among all work, and among urgent work alone. An
-account's long patient runs so never put its urgent steps behind, and a flood of
-urgent steps gives way to those of others before it has taken the whole cell.
+Urgent work counts by itself as well. Against the urgent work of others, so that
+a flood of urgent steps gives way to theirs before it has taken the whole cell;
+and against the account's share of all work, so that such a flood also gives way
+to what may wait, where nobody else has urgent work. An account's long patient
+runs never put its urgent steps behind.
 
 An account is over its share only if it holds more than that now, and has held
 more in the mean for as long as callers can bear to wait: a short burst is no
 flood, and who has had much and holds nothing owes nothing. An account that
 holds nothing is never over its share, so that none is starved.
 
+What is held changes while steps are placed, and counts at once: when many runs
+of an account end together, it gets back its share of the room, not all of it.
+Shares are therefore of the room that was held when something last found none,
+and means go by what was held from one placing to the next.
+
 All this is kept by the leader alone. What accounts hold is the ledger's; a
 successor knows it when executors have answered, and begins the means at zero.
 */
 
 use crate::config::Resources;
 use crate::ids::Millis;
-use crate::jobs::fair::{dominant_share, fair_shares, Claim, RecentMean};
+use crate::jobs::fair::{dominant_share, fair_shares_of, Claim, RecentMean};
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{AccountIndex, Action};
 use crate::jobs::model::StepKey;
+use crate::jobs::scheduler::ledger::Holding;
 use crate::jobs::scheduler::Scheduler;
 
 /// Shares are worked out at most so often, in milliseconds: runs that take
@@ -39,27 +47,57 @@
 /// Shares that differ by less are the same.
 const ROUNDING: f64 = 1e-9;
 
-/// What counts for a share.
-#[derive(Clone, Copy, Debug)]
+/// What counts for a share, and of what it is one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
+    /// All work, of all.
     All,
+    /// Urgent work, of what is urgent.
     Urgent,
+    /// Urgent work, of all.
+    UrgentOfAll,
 }
 
-const KINDS: [Kind; 2] = [Kind::All, Kind::Urgent];
+const KINDS: [Kind; 3] = [Kind::All, Kind::Urgent, Kind::UrgentOfAll];
+
+impl Kind {
+    /// Which of all claims compete for the same room.
+    fn of_urgent(self) -> bool {
+        self == Kind::Urgent
+    }
+
+    /// What of an account's holding counts.
+    fn counts(self, holding: &Holding) -> Resources {
+        match self {
+            Kind::All => holding.held,
+            Kind::Urgent | Kind::UrgentOfAll => holding.urgent,
+        }
+    }
+}
 
 /// How much of the cell's room an account holds and should hold.
 #[derive(Clone, Copy, Debug, Default)]
 struct Standing {
+    /// What it held after the last placing.
+    held: f64,
     mean: RecentMean,
-    over: bool,
+    /// Its fair share, if there is not room for all.
+    fair: Option<f64>,
+}
+
+impl Standing {
+    /// Whether it is over its share if it holds so much now.
+    fn is_over(&self, held: f64) -> bool {
+        let least = held.min(self.mean.get());
+        self.fair.is_some_and(|fair| least > fair + ROUNDING)
+    }
 }
 
 /// What is known of the shares of one account.
 #[derive(Clone, Copy, Debug, Default)]
 struct AccountShare {
     /// By [`Kind`].
-    standings: [Standing; 2],
+    standings: [Standing; 3],
     told: Option<Millis>,
 }
 
@@ -74,7 +112,8 @@
     measured: Millis,
     /// When shares were worked out last.
     weighed: Millis,
-    /// Whether something waited for room at the last look, by [`Kind`].
+    /// Whether something waited for room at the last look: anything, or
+    /// something urgent.
     full: [bool; 2],
 }
 
@@ -84,36 +123,46 @@
         &self.whole
     }
 
-    fn is_over(&self, account: Option<AccountIndex>, kind: Kind) -> bool {
-        let share = account.and_then(|at| self.accounts.get(at as usize));
-        share.is_some_and(|share| share.standings[kind as usize].over)
+    fn is_over(&self, at: AccountIndex, kind: Kind, held: f64) -> bool {
+        let share = self.accounts.get(at as usize);
+        share.is_some_and(|s| s.standings[kind as usize].is_over(held))
     }
 
-    /// Takes in what accounts hold and want, in the order of the ledger; those
-    /// without a weight have no share to be over.
-    fn weigh(
-        &mut self,
-        claims: &[Claim],
-        kind: Kind,
-        period: Millis,
-        now: Millis,
-    ) {
-        let weighed = |claim: &&Claim| claim.weight > 0.0;
-        let competing: Vec<Claim> = match self.full[kind as usize] {
-            true => claims.iter().filter(weighed).copied().collect(),
-            false => Vec::new(),
-        };
-        let mut fair = fair_shares(&competing).into_iter();
-        self.accounts.resize(claims.len(), AccountShare::default());
+    /// Takes in what accounts hold and want of the same room, in the order of
+    /// the ledger. Those without a weight have no share to be over.
+    fn weigh(&mut self, claims: &[Claim], kind: Kind) {
+        let weighed = |claim: &Claim| claim.weight > 0.0;
+        let full = self.full[usize::from(kind.of_urgent())];
+        let mut room = [0.0; 2];
+        for (claim, share) in claims.iter().zip(&self.accounts) {
+            if weighed(claim) {
+                room[0] += claim.held;
+                room[1] += share.standings[kind as usize].held;
+            }
+        }
+        let competing = claims.iter().copied().filter(weighed);
+        let competing: Vec<Claim> = competing.collect();
+        let room = room[0].max(room[1]);
+        let mut fair = fair_shares_of(room, &competing).into_iter();
         for (claim, share) in claims.iter().zip(&mut self.accounts) {
-            let standing = &mut share.standings[kind as usize];
-            standing.mean.update(claim.held, period, now);
-            let fair = match claim.weight > 0.0 {
-                true => fair.next(),
-                false => None,
-            };
-            let least = claim.held.min(standing.mean.get());
-            standing.over = fair.is_some_and(|fair| least > fair + ROUNDING);
+            let fair = if weighed(claim) { fair.next() } else { None };
+            let fair = fair.filter(|_| full);
+            share.standings[kind as usize].fair = fair;
+            if kind == Kind::All {
+                share.standings[Kind::UrgentOfAll as usize].fair = fair;
+            }
+        }
+    }
+
+    /// Takes in what has been held since the last time.
+    fn pass(&mut self, accounts: usize, periods: [Millis; 2], now: Millis) {
+        self.accounts.resize(accounts, AccountShare::default());
+        for share in &mut self.accounts {
+            for kind in KINDS {
+                let period = periods[usize::from(kind.of_urgent())];
+                let standing = &mut share.standings[kind as usize];
+                standing.mean.update(standing.held, period, now);
+            }
         }
     }
 }
@@ -121,7 +170,7 @@
 impl Scheduler {
     /// Whether an account holds more than its share of a full cell.
     pub(super) fn over_share(&self, account: Option<AccountIndex>) -> bool {
-        self.shares_of_accounts.is_over(account, Kind::All)
+        self.is_over(account, Kind::All)
     }
 
     /// Whether an account's urgent work holds more than its share of what
@@ -130,14 +179,28 @@
         &self,
         account: Option<AccountIndex>,
     ) -> bool {
-        self.shares_of_accounts.is_over(account, Kind::Urgent)
+        self.is_over(account, Kind::Urgent)
+    }
+
+    /// Whether an account's urgent work alone holds more than the account's
+    /// share of a full cell.
+    pub(super) fn floods(&self, account: Option<AccountIndex>) -> bool {
+        self.is_over(account, Kind::UrgentOfAll)
+    }
+
+    fn is_over(&self, account: Option<AccountIndex>, kind: Kind) -> bool {
+        let Some(at) = account else { return false };
+        let Some(holding) = self.ledger.holding(at) else { return false };
+        let shares = &self.shares_of_accounts;
+        let held = dominant_share(&kind.counts(&holding), &shares.whole);
+        shares.is_over(at, kind, held)
     }
 
     /// Steps are about to be looked at: all of them, or the urgent ones.
     pub(super) fn begin_look(&mut self, all: bool) {
         let full = &mut self.shares_of_accounts.full;
-        full[Kind::All as usize] &= !all;
-        full[Kind::Urgent as usize] = false;
+        full[0] &= !all;
+        full[1] = false;
     }
 
     /// A step has tasks that find no room.
@@ -145,8 +208,8 @@
         let live = self.jobs.get(&key.job);
         let urgent = live.is_some_and(|live| live.queue.priority == 0);
         let full = &mut self.shares_of_accounts.full;
-        full[Kind::All as usize] = true;
-        full[Kind::Urgent as usize] |= urgent;
+        full[0] = true;
+        full[1] |= urgent;
     }
 
     /// Works out which accounts are over their shares, before steps are
@@ -161,13 +224,29 @@
             return;
         }
         let periods = self.bearable();
-        let claims = self.claims();
-        for kind in KINDS {
-            let at = kind as usize;
-            let period = periods[at];
-            self.shares_of_accounts.weigh(&claims[at], kind, period, now);
+        let accounts = self.ledger.accounts();
+        self.shares_of_accounts.pass(accounts, periods, now);
+        let [all, urgent] = self.claims();
+        self.shares_of_accounts.weigh(&all, Kind::All);
+        self.shares_of_accounts.weigh(&urgent, Kind::Urgent);
+        self.tell_over_shares(&all, now);
+    }
+
+    /// Takes down what accounts hold after shares were worked out and steps
+    /// were placed.
+    pub(super) fn note_held(&mut self, now: Millis) {
+        let shares = &mut self.shares_of_accounts;
+        if shares.weighed != now {
+            return;
+        }
+        let holdings = self.ledger.holdings();
+        for (holding, share) in holdings.zip(&mut shares.accounts) {
+            for kind in KINDS {
+                let held = kind.counts(&holding);
+                let held = dominant_share(&held, &shares.whole);
+                share.standings[kind as usize].held = held;
+            }
         }
-        self.tell_over_shares(&claims[Kind::All as usize], now);
     }
 
     /// Adds up the room of all executors, if others are known than before, and
@@ -185,8 +264,8 @@
         });
     }
 
-    /// How long callers can bear to wait, by [`Kind`]: what the strictest
-    /// queue adds to the work itself.
+    /// How long callers can bear to wait, of patient and of urgent queues: what
+    /// the strictest adds to the work itself.
     fn bearable(&self) -> [Millis; 2] {
         let strictest = |urgent: bool| {
             let queues = self.queues.values();
@@ -196,7 +275,8 @@
         [strictest(false), strictest(true)]
     }
 
-    /// What accounts hold and want, by [`Kind`], in the order of the ledger.
+    /// What accounts hold and want, of all and of what is urgent, in the order
+    /// of the ledger.
     fn claims(&self) -> [Vec<Claim>; 2] {
         let nothing = [Resources::default(); 2];
         let mut waiting = vec![nothing; self.ledger.accounts()];
@@ -215,14 +295,11 @@
             }
         }
         let whole = &self.shares_of_accounts.whole;
-        KINDS.map(|kind| {
+        [Kind::All, Kind::Urgent].map(|kind| {
             let holdings = self.ledger.holdings().zip(&waiting);
             let claims = holdings.map(|(holding, waiting)| {
-                let waiting = &waiting[kind as usize];
-                let held = match kind {
-                    Kind::All => holding.held,
-                    Kind::Urgent => holding.urgent,
-                };
+                let waiting = &waiting[usize::from(kind.of_urgent())];
+                let held = kind.counts(&holding);
                 let wants = held.plus(waiting).least(&holding.most);
                 let held = dominant_share(&held, whole);
                 Claim {
@@ -239,7 +316,8 @@
         let mut told = Vec::new();
         let shares = &mut self.shares_of_accounts.accounts;
         for (at, share) in shares.iter_mut().enumerate() {
-            let over = share.standings[Kind::All as usize].over;
+            let standing = share.standings[Kind::All as usize];
+            let over = standing.is_over(claims[at].held);
             if over && share.told.is_none_or(|at| now >= at + TELL_GAP) {
                 share.told = Some(now);
                 told.push(at as AccountIndex);
--- a/puffinknot-core/src/jobs/scheduler/urgent.rs
+++ b/puffinknot-core/src/jobs/scheduler/urgent.rs
@@ -115,7 +115,12 @@
 
     /// Whether room may be kept for urgent work of an account.
     fn is_due_room(&self, account: Option<AccountIndex>) -> bool {
-        !self.over_share(account) && !self.over_urgent_share(account)
+        !self.over_share(account) && self.is_urgent_due(account)
+    }
+
+    /// Whether an account's urgent work is within its shares.
+    fn is_urgent_due(&self, account: Option<AccountIndex>) -> bool {
+        !self.over_urgent_share(account) && !self.floods(account)
     }
 
     /// What urgent tasks of each account hold and wait for.
@@ -126,7 +131,7 @@
         let mut demands: BTreeMap<_, Demand> = BTreeMap::new();
         let runs = self.executors.values().flat_map(|e| e.runs.values());
         let within = |run: &&RunOn| {
-            run.urgent && !self.over_urgent_share(run.charge.account)
+            run.urgent && self.is_urgent_due(run.charge.account)
         };
         for run in runs.filter(within) {
             let demand = demands.entry(run.charge.account).or_default();
--- a/tests/jobs/shares.rs
+++ b/tests/jobs/shares.rs
@@ -2,6 +2,7 @@
 //! others get: played against the decisions, in virtual time.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use puffinknot_core::ids::Millis;
 use puffinknot_core::jobs::{
@@ -333,6 +334,74 @@
     }
 }
 
+/// Two accounts of one weight, the first of which hands in so many urgent jobs
+/// at one moment; returned as the first of them would have ended twice.
+fn flooded(executors: usize, jobs: u64, begun: Millis) -> World {
+    let mut world = two(executors, 0);
+    world.run(begun);
+    for id in 1..=jobs {
+        world.submit_as(&name(0), of(id, "preview", 1, SHORT));
+    }
+    world.run(2 * SHORT);
+    world
+}
+
+/// How many of these jobs have started.
+fn started(world: &World, jobs: Range<u64>) -> usize {
+    let started = |id: &u64| world.starts.contains_key(&first_task(*id));
+    jobs.filter(started).count()
+}
+
+/// Guards against a flood that keeps the whole cell until it has ended: its
+/// tasks ended together, so that its account held nothing whenever starts
+/// were decided.
+#[test]
+fn patient_work_starts_in_a_flood_of_any_size_at_any_moment() {
+    let mut late = Vec::new();
+    for executors in [3, 4, 6, 10] {
+        for jobs in [150, 300, 400, 600] {
+            for begun in (0..50).step_by(10) {
+                let mut world = flooded(executors, jobs, begun);
+                for id in 5_000..5_010 {
+                    world.submit_as(&name(1), of(id, "patient", 1, LONG));
+                }
+                world.run(3 * SHORT);
+                if started(&world, 5_000..5_010) == 0 {
+                    late.push((executors, jobs, begun));
+                }
+            }
+        }
+    }
+    assert!(late.is_empty(), "{} floods: {late:?}", late.len());
+}
+
+/// Guards against an account within its share that is let into a flood, but
+/// gets less than its share: half, give or take a task.
+#[test]
+fn an_account_gets_its_share_of_the_room_in_a_flood() {
+    let mut short = Vec::new();
+    for executors in [4, 10] {
+        for begun in (0..50).step_by(10) {
+            let mut world = flooded(executors, 1_500, begun);
+            for id in 5_000..5_100 {
+                world.submit_as(&name(1), of(id, "patient", 1, LONG));
+            }
+            world.run(3 * SHORT);
+            let mut sum = 0;
+            let looks = 2 * LONG / LOOK;
+            for _ in 0..looks {
+                world.run(LOOK);
+                sum += held(&world, 5_000..5_100);
+            }
+            let part = sum as f64 / looks as f64 / (4_000 * executors) as f64;
+            if !(0.4..=0.6).contains(&part) {
+                short.push((executors, begun, part));
+            }
+        }
+    }
+    assert!(short.is_empty(), "{short:?}");
+}
+
 /// What an account may not use of its share for its limit is lent.
 #[test]
 fn a_share_beyond_a_limit_is_lent() {
