Harmless tasks are no longer given up as a cell begins to crash

Elsewhere, gangs that do crash executors were started a sixth time.

Cause: a crash weighs by how much likelier it is than chance, and chance was taken far too low. Only crashes of executors on which nothing was under suspicion were counted, and in a busy cell something always is. In a trace of a play whose executors crashed every 450 ms on the few that lived, the rate reckoned with was the assumed least, 0.05 a second, from the first crash to the last; with it two losses make one in 10,000. `task_suspected` now says the rate. Also, crashes under runs that a successor had taken over counted as chance for these very runs, and what a task had done that was given up later went on to count as chance for others.

Mend: `jobs::crash_rate` counts a crash for every task that could not have done it, over the time for which executors really lived; what is given up explains its crashes, and those of the last 40 s are weighed anew. At first the rate is taken to be higher. Whose run was lost twice, once alone, waits for up to 20 s until executors crash less often: in a storm one more loss tells nothing, and a harmless task would most likely meet it. A gang waits longer with each loss for executors where its crash would tell something. Ages that are alike weigh as densities, which is what lets a task that does harm be found within its five starts at the higher rate.

--- a/puffinknot-core/src/jobs/losses.rs
+++ b/puffinknot-core/src/jobs/losses.rs
@@ -11,14 +11,14 @@
 What a crash weighs is how much likelier it is if the task did it than if the
 executor crashed by itself, in powers of ten, in tenths. A task that does it is
 taken to do so at any age up to a second, most likely at a low one,
-and again at about the same; how often executors crash by themselves is
-reckoned from how many have lately. Weights add up. A task that harms nobody
-gets to a sum at most as often as that says, however often it is tried, since a
+and again at about the same; how often executors crash by something else is
+reckoned from how many have lately, see [`crate::jobs::crash_rate`]. Weights
+add up. A task that harms nobody gets to a sum at most as often as that says, however often it is tried, since a
 run that survives takes back what was counted before. The product of the mere
 chances of its crashes would be small more often: the more they are, the more.
 */
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +46,12 @@
 const ENOUGH: u32 = 40;
 /// The least runs that a task has to be lost with to be given up.
 const LEAST_RUNS: u32 = 2;
+/// Executors that crash no more often than this, in crashes a second and
+/// executor, leave nineteen in twenty trials alone.
+const CALM_RATE: f64 = 0.06;
+/// A trial is put off for so long at the most, in milliseconds: by then
+/// crashes of before are no longer counted.
+const LONGEST_PUT_OFF: Millis = 20_000;
 /// So many crashes under a gang that was alone are enough, whatever they
 /// weigh: with one more beside others, the next start would be the sixth. It
 /// meets more crashes the wider it is, and each weighs less.
@@ -57,54 +63,8 @@
 const SEEN_WITHIN: Millis = 50;
 /// Ages that differ by less than this part of a doubling are alike.
 const ALIKE: f64 = 0.3;
-/// Executors are taken to crash at least so often, in crashes a second and
-/// executor: a quarter of them every five seconds. Trouble that begins is not
-/// known from what was before.
-const LEAST_RATE: f64 = 0.05;
-/// The rate is counted over each of these times, in milliseconds, and the
-/// highest counts: trouble that has just begun is diluted in a long one, and
-/// a short one misses what comes in turns.
-const COUNTED_OVER: [Millis; 2] = [5_000, 20_000];
-
-/// How often executors crash, by whatever it is.
-#[derive(Clone, Debug, Default)]
-pub struct CrashRate {
-    /// Since when they are counted.
-    since: Option<Millis>,
-    /// When they did lately.
-    at: VecDeque<Millis>,
-}
-
-impl CrashRate {
-    /// Crashes are counted from now on.
-    pub fn begin(&mut self, now: Millis) {
-        self.since.get_or_insert(now);
-    }
-
-    /// An executor has crashed.
-    pub fn crashed(&mut self, now: Millis) {
-        self.begin(now);
-        self.at.push_back(now);
-        let longest = COUNTED_OVER.into_iter().max().unwrap_or(0);
-        while self.at.front().is_some_and(|at| at + longest < now) {
-            self.at.pop_front();
-        }
-    }
-
-    /// Crashes a second and executor, while so many executors live. As if one
-    /// more had been seen at the lowest rate: a few executors watched for a
-    /// short time tell little.
-    pub fn of(&self, living: usize, now: Millis) -> f64 {
-        let known = now.saturating_sub(self.since.unwrap_or(now));
-        let rates = COUNTED_OVER.into_iter().map(|over| {
-            let lately = self.at.iter().filter(|at| **at + over >= now);
-            let seconds = over.min(known) as f64 / 1_000.0;
-            let watched = 1.0 / LEAST_RATE + seconds * living as f64;
-            (1 + lately.count()) as f64 / watched
-        });
-        rates.fold(LEAST_RATE, f64::max)
-    }
-}
+/// So are ages that differ by no more than this, in milliseconds.
+const GRAIN: f64 = 5.0;
 
 /// How a run was lost with an executor that has crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -132,6 +92,11 @@
 }
 
 impl Loss {
+    /// Whether the run was there for too long to have crashed the executor.
+    pub fn clears(&self) -> bool {
+        self.survived > LONGEST_WINDOW / 2
+    }
+
     /// Whether the executor may have crashed shortly after the start.
     fn may_be_soon(&self) -> bool {
         let least = if self.seen { self.ran } else { self.survived };
@@ -156,28 +121,47 @@
 }
 
 /// How likely a task that crashes its executors does so between two ages, if
-/// it did it before at about this one.
+/// it did it before at about this one. The later age is what was seen.
 fn by_task(from: Millis, until: Millis, former: Option<Millis>) -> f64 {
     let doublings = |age: Millis| {
         let age = age.min(LONGEST_WINDOW);
         (1.0 + age as f64 / EARLY).log2()
     };
-    let (from, until) = (doublings(from), doublings(until));
-    let at_any = (until - from) / doublings(LONGEST_WINDOW);
+    let at_any = doublings(until) - doublings(from);
+    let at_any = at_any / doublings(LONGEST_WINDOW);
     let Some(former) = former else { return at_any };
-    let former = doublings(former);
-    let alike = until.min(former + ALIKE) - from.max(former - ALIKE);
-    (at_any + alike.max(0.0) / (2.0 * ALIKE)) / 2.0
+    let beyond = former as f64 + EARLY;
+    let least = (beyond * (-ALIKE).exp2() - EARLY).min(former as f64 - GRAIN);
+    let most = (beyond * ALIKE.exp2() - EARLY).max(former as f64 + GRAIN);
+    let alike = if (least..=most).contains(&(until as f64)) {
+        (until - from) as f64 / (most - least.max(0.0))
+    } else {
+        0.0
+    };
+    (at_any + alike) / 2.0
+}
+
+/// A crash of an executor on which nothing else was under suspicion.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Evidence {
+    at: Millis,
+    loss: Loss,
+    /// The age at which the run before was seen to be lost.
+    former: Option<Millis>,
+    /// What a predecessor has counted of the same run.
+    counted: u32,
+    weight: u32,
 }
 
-/// What was counted of the last run that was lost: a gang's may be lost with
-/// several executors, and counts once.
+/// The last run that was lost: a gang's may be lost with several executors,
+/// and counts once.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Last {
     run: u64,
     /// It was on several executors.
     gang: bool,
     alone: bool,
+    /// What its loss weighs.
     weight: u32,
 }
 
@@ -198,47 +182,104 @@
     /// The addresses of the executors.
     pub addresses: BTreeSet<String>,
     last: Last,
+    /// What is weighed of these crashes. To a successor only its weight is
+    /// known.
+    #[serde(skip)]
+    evidence: Vec<Evidence>,
+    /// What the evidence weighed last.
+    #[serde(skip)]
+    weighed: u32,
     /// The age of the last run that was seen to be lost, in milliseconds. A
     /// successor does without.
     #[serde(skip)]
     seen_at: Option<Millis>,
+    /// Since when the next trial is put off.
+    #[serde(skip)]
+    put_off: Option<Millis>,
 }
 
 impl Losses {
-    /// Takes in another one, while executors crash so often. Returns whether
-    /// the task may have done it; if it has been there for too long, it is
-    /// cleared of the former as well.
-    pub fn add(&mut self, loss: &Loss, rate: f64) -> bool {
-        if loss.survived > LONGEST_WINDOW / 2 {
+    /// Takes in another one. Returns whether the task may have done it; if it
+    /// has been there for too long, it is cleared of the former as well.
+    pub fn add(&mut self, loss: &Loss, now: Millis) -> bool {
+        if loss.clears() {
             *self = Losses::default();
             return false;
         }
         if loss.confirmed {
             if loss.survived >= self.window() {
-                self.weight = 0;
+                self.evidence.clear();
+                (self.weight, self.weighed) = (0, 0);
                 self.last.weight = 0;
             }
-            self.count(loss, loss.weight(rate, self.seen_at));
+            self.count(loss, now);
             self.seen_at = loss.seen.then_some(loss.ran).or(self.seen_at);
         }
+        self.put_off = None;
         self.ran = self.ran.max(loss.ran);
         self.soon |= loss.may_be_soon();
         self.addresses.insert(loss.address.clone());
         true
     }
 
-    fn count(&mut self, loss: &Loss, weight: u32) {
+    fn count(&mut self, loss: &Loss, now: Millis) {
         if self.last.run != loss.run {
             self.runs += 1;
             let (run, gang) = (loss.run, loss.executors > 1);
             self.last = Last { run, gang, ..Last::default() };
         }
-        let more = weight.saturating_sub(self.last.weight);
-        self.last.weight += more;
-        self.weight += more;
-        if loss.alone && !std::mem::replace(&mut self.last.alone, true) {
+        if !loss.alone {
+            return;
+        }
+        if !std::mem::replace(&mut self.last.alone, true) {
             self.alone += 1;
         }
+        let mut same = self.evidence.iter().filter(|e| e.loss.run == loss.run);
+        let counted = same.next().map_or(self.last.weight, |e| e.counted);
+        self.evidence.push(Evidence {
+            at: now,
+            loss: loss.clone(),
+            former: self.seen_at,
+            counted,
+            weight: 0,
+        });
+    }
+
+    /// Weighs the crashes anew, if executors crashed so often at some moment
+    /// by something else: what others have done may be known only later. What
+    /// the rate is not known of keeps its weight.
+    pub fn weigh(&mut self, rate: impl Fn(Millis) -> Option<f64>) {
+        let mut by_run: BTreeMap<u64, u32> = BTreeMap::new();
+        for evidence in &mut self.evidence {
+            if let Some(rate) = rate(evidence.at) {
+                let weight = evidence.loss.weight(rate, evidence.former);
+                evidence.weight = weight.saturating_sub(evidence.counted);
+            }
+            let weight = by_run.entry(evidence.loss.run).or_default();
+            *weight = evidence.weight.max(*weight);
+            if evidence.loss.run == self.last.run {
+                self.last.weight = evidence.counted + *weight;
+            }
+        }
+        let weighed = by_run.values().sum();
+        self.weight += weighed;
+        self.weight -= std::mem::replace(&mut self.weighed, weighed);
+    }
+
+    /// Whether one more run that is lost may tell that the task did it.
+    pub fn is_near_the_end(&self) -> bool {
+        self.alone > 0 && self.runs >= LEAST_RUNS
+    }
+
+    /// Whether a trial should wait until executors crash less often: now a
+    /// task that harms nobody might be lost once more, and that would count
+    /// against it.
+    pub fn puts_off(&mut self, rate: f64, now: Millis) -> bool {
+        if rate <= CALM_RATE {
+            return false;
+        }
+        let since = *self.put_off.get_or_insert(now);
+        now < since + LONGEST_PUT_OFF
     }
 
     /// How long a run has to be there until it is known to be harmless, in
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -618,6 +618,9 @@
         runs: u32,
         /// What that weighs, see [`crate::jobs::losses`].
         weight: u32,
+        /// How often executors were taken to crash whatever they run, in
+        /// crashes a second and executor.
+        rate: f64,
     },
     /// An executor has survived a task that may have crashed others; for the
     /// logs.
--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -23,6 +23,7 @@
 pub mod age;
 pub mod backlog;
 pub mod cordon;
+pub mod crash_rate;
 pub mod executor;
 mod executors;
 pub mod fair;
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -69,6 +69,11 @@
             self.wait_without_room(key, now);
             return false;
         }
+        if self.puts_off_trial(key.task(0), now) {
+            self.count("trials_put_off");
+            self.unreserve(key);
+            return true;
+        }
         let Some(opening) = self.opening(key, now) else { return true };
         let open = self.open_to(&opening, kept, urgent, now);
         let Opening { step, failed_on, candidates, .. } = opening;
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -34,9 +34,9 @@
 use crate::ids::Millis;
 use crate::jobs::accounts::KeyRing;
 use crate::jobs::cordon::Cordons;
+use crate::jobs::crash_rate::CrashRate;
 use crate::jobs::executor::Executor;
 use crate::jobs::executors::Executors;
-use crate::jobs::losses::CrashRate;
 use crate::jobs::mechanism::{Mechanism, Without};
 use crate::jobs::message::{
     Action, CallId, Event, ExecutorIndex, Outcome, RequestId,
@@ -389,7 +389,7 @@
     }
 
     fn tick(&mut self, now: Millis) {
-        self.crash_rate.begin(now);
+        self.watch_for_crashes(now);
         self.ended.forget(now);
         self.forget_refused(now);
         self.give_up_lives(now);
--- a/puffinknot-core/src/jobs/scheduler/suspects.rs
+++ b/puffinknot-core/src/jobs/scheduler/suspects.rs
@@ -11,7 +11,7 @@
 that a client who hands many in does not take the cell from the others.
 */
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::Millis;
 use crate::jobs::executor::{Contact, Executor, RunOn, Trial};
@@ -36,10 +36,12 @@
 /// time, in milliseconds, and again after twice the time until the trial is
 /// over: what crashes it in silence is missed sooner.
 const FIRST_LOOK: Millis = 100;
-/// For so long after a crash, in milliseconds, a gang that may have done it
-/// waits for executors on which nothing else is under suspicion. It is on
-/// several, and might not find them on a full cell.
+/// After a crash, a gang that may have done it waits so long for executors on
+/// which nothing else is under suspicion, in milliseconds, and after each more
+/// twice as long: it is on several, and might not find them on a full cell.
 const GANG_WAITS: Millis = 1_500;
+/// The most often that this time is doubled.
+const MOST_DOUBLED: u32 = 4;
 
 /// Where a task may be tried. The least is best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -59,8 +61,8 @@
 
 /// An executor has crashed.
 pub(super) struct Crash {
-    /// No run that was there may have done it.
-    by_itself: bool,
+    /// The tasks that may have done it, each as it is counted.
+    suspects: BTreeSet<TaskKey>,
     /// The runs that were there.
     suspicions: Vec<Suspicion>,
 }
@@ -110,8 +112,18 @@
                 address: executor.info.address.clone(),
             },
         });
-        let suspicions = suspicions.collect();
-        Some(Crash { by_itself: possible == 0, suspicions })
+        let suspicions: Vec<Suspicion> = suspicions.collect();
+        // How old a run is that a predecessor has started is not known.
+        let suspects = suspicions.iter().filter(|s| !s.loss.clears());
+        let suspects = suspects.map(|s| self.counted(s.task)).collect();
+        Some(Crash { suspects, suspicions })
+    }
+
+    /// The task that stands for another in what is counted of crashes.
+    fn counted(&self, task: TaskKey) -> TaskKey {
+        let step = self.step(task.step);
+        let index = step.map_or(task.index, |step| step.counted(task.index));
+        task.step.task(index)
     }
 
     /// The number of executors that a run of a step is on.
@@ -126,12 +138,10 @@
     /// Takes down what a crash tells, and gives up those tasks of which it
     /// leaves no doubt.
     pub(super) fn suspect(&mut self, crash: Crash, now: Millis) {
-        let rate = self.rate_of_crashes(now);
-        if crash.by_itself {
-            self.crash_rate.crashed(now);
-        }
+        self.crash_rate.crashed(crash.suspects, now);
         for Suspicion { task, executor, loss } in crash.suspicions {
-            let Some(losses) = self.record_loss(task, &loss, rate, now) else {
+            let rate = self.crash_rate.beside(self.counted(task), now);
+            let Some(losses) = self.record_loss(task, &loss, now) else {
                 continue;
             };
             self.count("tasks_suspected");
@@ -141,6 +151,7 @@
                 loss,
                 runs: losses.runs,
                 weight: losses.weight,
+                rate,
             });
             if losses.rules_out_chance() {
                 self.give_up_task(task, losses);
@@ -148,13 +159,15 @@
         }
     }
 
-    /// How often executors crash by themselves, in crashes a second and
-    /// executor: those on which nothing is under suspicion.
-    fn rate_of_crashes(&self, now: Millis) -> f64 {
-        let innocent = self.executors.values().filter(|executor| {
-            executor.contact == Contact::Ready && executor.all_harmless()
-        });
-        self.crash_rate.of(innocent.count(), now)
+    /// Counts the executors that may crash, now and then.
+    pub(super) fn watch_for_crashes(&mut self, now: Millis) {
+        if self.crash_rate.is_due(now) {
+            let executors = self.executors.values();
+            let living = executors.filter(|e| {
+                e.contact == Contact::Ready && e.missed_at.is_none()
+            });
+            self.crash_rate.count(living.count(), now);
+        }
     }
 
     /// Takes down how a run was lost. Returns what is known of its task by
@@ -163,19 +176,22 @@
         &mut self,
         task: TaskKey,
         loss: &Loss,
-        rate: f64,
         now: Millis,
     ) -> Option<Losses> {
-        let counted = self.step(task.step)?.counted(task.index);
+        let key = self.counted(task);
+        let counted = key.index;
         let live = self.jobs.get_mut(&task.step.job)?;
         let state = live.step_run(task.step.time, task.step.step)?;
         if state.done.contains(&task.index) {
             return None;
         }
-        state.tries_until = now + GANG_WAITS;
         let losses = state.losses.entry(counted).or_default();
         let known = losses.runs > 0;
-        let recorded = losses.add(loss, rate).then(|| losses.clone());
+        let suspected = losses.add(loss, now);
+        losses.weigh(|at| self.crash_rate.was_beside(key, at, now));
+        let recorded = suspected.then(|| losses.clone());
+        let waits = GANG_WAITS << losses.runs.min(MOST_DOUBLED);
+        state.tries_until = now + waits;
         if recorded.is_none() {
             state.losses.remove(&counted);
         }
@@ -199,6 +215,7 @@
             addresses: losses.addresses.into_iter().collect(),
         });
         self.count("tasks_given_up");
+        self.crash_rate.explain(self.counted(task));
         self.finish(task.step.job, JobState::Failed);
     }
 
@@ -225,7 +242,9 @@
             if !self.ledger.left(opening.account).fits(&opening.step.need) {
                 break;
             }
-            if losses.weight > 0 && self.risks_enough(key, now) {
+            if losses.weight > 0 && self.risks_enough(key, now)
+                || self.puts_off_trial(task, now)
+            {
                 self.count("trials_put_off");
                 continue;
             }
@@ -250,6 +269,25 @@
         stale
     }
 
+    /// Whether a task that was alone with a crash waits for its next trial,
+    /// since executors crash too often for it to tell anything.
+    pub(super) fn puts_off_trial(
+        &mut self,
+        task: TaskKey,
+        now: Millis,
+    ) -> bool {
+        if !self.suspected(task).is_some_and(Losses::is_near_the_end) {
+            return false;
+        }
+        let counted = self.counted(task);
+        let rate = self.crash_rate.beside(counted, now);
+        let live = self.jobs.get_mut(&task.step.job);
+        let state = live
+            .and_then(|live| live.step_run(task.step.time, task.step.step));
+        let losses = state.and_then(|s| s.losses.get_mut(&counted.index));
+        losses.is_some_and(|losses| losses.puts_off(rate, now))
+    }
+
     /// Whether a task has room on an executor that no other trial keeps.
     fn may_try(
         &self,
--- a/src/cell/decisions.rs
+++ b/src/cell/decisions.rs
@@ -203,7 +203,7 @@
                 "run_given_up"
             );
         }
-        Action::TaskSuspected { task, executor, loss, runs, weight } => {
+        Action::TaskSuspected { task, executor, loss, runs, weight, rate } => {
             warn!(
                 %task,
                 run = loss.run,
@@ -213,6 +213,7 @@
                 survived = loss.survived,
                 runs,
                 weight,
+                rate,
                 token,
                 "task_suspected"
             );
--- /dev/null
+++ b/tests/crash_rate.rs
@@ -0,0 +1,62 @@
+//! How often executors crash by something else than a task.
+
+use std::collections::BTreeSet;
+
+use puffinknot_core::jobs::crash_rate::{CrashRate, LEAST_RATE};
+use puffinknot_core::jobs::TaskKey;
+
+fn task(job: u64) -> TaskKey {
+    format!("{job:016x}.0.0.0").parse().expect("a task")
+}
+
+fn suspects(jobs: &[u64]) -> BTreeSet<TaskKey> {
+    jobs.iter().map(|job| task(*job)).collect()
+}
+
+/// Ten executors that have lived for so long.
+fn watched(rate: &mut CrashRate, until: u64) {
+    for now in (0..=until).step_by(200) {
+        rate.count(10, now);
+    }
+}
+
+#[test]
+fn at_first_executors_may_crash_often() {
+    let mut rate = CrashRate::default();
+    watched(&mut rate, 200);
+    assert!(rate.beside(task(1), 200) > 1.5 * LEAST_RATE);
+    watched(&mut rate, 20_000);
+    assert_eq!(rate.beside(task(1), 20_000), LEAST_RATE);
+}
+
+#[test]
+fn a_crash_under_suspicion_counts_for_all_other_tasks() {
+    let mut rate = CrashRate::default();
+    watched(&mut rate, 5_000);
+    for _ in 0..5 {
+        rate.crashed(suspects(&[1, 2]), 5_000);
+    }
+    assert_eq!(rate.beside(task(1), 5_000), LEAST_RATE);
+    assert_eq!(rate.beside(task(2), 5_000), LEAST_RATE);
+    let other = rate.beside(task(3), 5_000);
+    assert!((0.1..0.15).contains(&other), "{other}");
+}
+
+#[test]
+fn what_a_task_has_done_counts_for_nobody() {
+    let mut rate = CrashRate::default();
+    watched(&mut rate, 5_000);
+    for _ in 0..5 {
+        rate.crashed(suspects(&[1]), 5_000);
+    }
+    rate.explain(task(1));
+    assert_eq!(rate.beside(task(2), 5_000), LEAST_RATE);
+    assert_eq!(rate.was_beside(task(2), 5_000, 6_000), Some(LEAST_RATE));
+}
+
+#[test]
+fn a_rate_of_long_ago_is_not_known() {
+    let mut rate = CrashRate::default();
+    watched(&mut rate, 100_000);
+    assert_eq!(rate.was_beside(task(1), 10_000, 100_000), None);
+}
--- a/tests/jobs/crashing.rs
+++ b/tests/jobs/crashing.rs
@@ -222,6 +222,74 @@
     all_succeed(world, 160);
 }
 
+/// How executors crash by themselves, one after the other.
+#[derive(Clone, Copy, Debug)]
+struct Storm {
+    executors: usize,
+    /// The time between two jobs.
+    round: Millis,
+    /// One executor crashes with each so many jobs.
+    each: u64,
+    /// One crash of so many is silent.
+    silent: u64,
+    /// When it begins within a round, in 25ths of it.
+    offset: u64,
+}
+
+impl Storm {
+    /// Plays so many jobs, and returns which of them were given up.
+    fn play(self, jobs: u64) -> Vec<u64> {
+        let mut world = World::new(self.executors);
+        world.run(self.round + self.offset * self.round / OFFSETS);
+        for at in 0..jobs {
+            submit_harmless(&mut world, at + 1);
+            world.run(self.round);
+            if at % self.each == 0 {
+                let crash = at / self.each;
+                let next = crash as usize % self.executors;
+                crash_next(&mut world, next, crash % self.silent == 0);
+            }
+        }
+        world.run(LONG_ENOUGH);
+        world.check_states();
+        let failed = |id: &u64| world.state(*id) == Some(JobState::Failed);
+        (1..=jobs).filter(failed).collect()
+    }
+}
+
+/// Whatever lives at the next address in turn crashes.
+fn crash_next(world: &mut World, at: usize, dark: bool) {
+    let address = format!("x{at}");
+    let mut lives = world.executors.iter();
+    let life = lives.position(|e| !e.dead && e.info.address == address);
+    if let Some(life) = life {
+        world.crash_by_itself(life, dark);
+    }
+}
+
+/// Guards against harmless tasks that are given up as executors begin to crash
+/// in a cell of which nothing is known yet.
+#[test]
+fn the_first_tasks_of_a_small_cell_are_not_given_up() {
+    let mut given_up = Vec::new();
+    for round in [50, 100, 230] {
+        for each in [2, 4, 7] {
+            for silent in [1, 2, 8] {
+                for offset in (0..OFFSETS).step_by(6) {
+                    let executors = 6;
+                    let storm =
+                        Storm { executors, round, each, silent, offset };
+                    let failed = storm.play(160);
+                    if !failed.is_empty() {
+                        given_up.push((storm, failed));
+                    }
+                }
+            }
+        }
+    }
+    assert!(given_up.is_empty(), "{}: {given_up:#?}", given_up.len());
+}
+
 /// Half of the cell loses power, again and again, each time just after the
 /// lost tasks were started anew.
 #[test]
--- a/tests/jobs/fuzz.rs
+++ b/tests/jobs/fuzz.rs
@@ -837,3 +837,70 @@
     ];
     keeps_all_rules(&sequence).expect("all rules are kept");
 }
+
+/// Guards against a gang that is started a sixth time: it was beside other
+/// suspects, which said nothing of it, or executors crashed by themselves
+/// meanwhile, and each leader begins with a rate of crashes that is not known.
+#[test]
+fn a_gang_that_crashes_executors_is_not_started_a_sixth_time() {
+    use Crash::{ByItself, ByTask, Room};
+    let sub = |tasks, cpu, gang, door, work| Move::Submit {
+        tasks,
+        cpu,
+        gang,
+        steps: 1,
+        door,
+        work,
+    };
+    let small = || one_task(300, Door::Open, 500);
+    let by_itself = |at, dark| Move::Crashes(ByItself(at, dark));
+    let crash = |at| Move::Lives(Mistaken::Crash(at, false));
+    let silence =
+        |at, until, rest| Move::Lives(Mistaken::Silence(at, 1, until, rest));
+    let sequences = [
+        vec![
+            Move::Crashes(ByTask(0, 90)),
+            Move::Run(2),
+            sub(2, 836, true, Door::Open, 500),
+            crash(0),
+            small(),
+            silence(5, 1_422, 826),
+            by_itself(4, true),
+            small(),
+            crash(4),
+            Move::HeldUp(2, Some(1)),
+            sub(3, 1_851, false, Door::Open, 500),
+            Move::Cut(0, false),
+            Move::Run(400),
+            silence(3, 600, 0),
+            Move::Limit(3_000),
+            small(),
+        ],
+        vec![
+            Move::Cut(1, true),
+            Move::Cut(0, true),
+            sub(4, 2_321, false, Door::Owned(FREE), 500),
+            Move::Run(50),
+            Move::Replace,
+            Move::Crash(2),
+            Move::Crashes(ByTask(1, 90)),
+            Move::Run(490),
+            by_itself(0, false),
+            sub(2, 305, true, Door::Open, 6_000),
+            by_itself(11, false),
+            sub(3, 840, false, Door::Background, 2_500),
+            Move::Run(214),
+            Move::Run(671),
+            crash(0),
+            Move::Crashes(Room(6, 500)),
+            Move::Lives(Mistaken::Cut(0, false)),
+            Move::Run(314),
+            sub(2, 300, false, Door::Open, 6_000),
+            silence(0, 706, 3_301),
+            Move::Replace,
+        ],
+    ];
+    for sequence in sequences {
+        keeps_all_rules(&sequence).expect("all rules are kept");
+    }
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod cell;
+mod crash_rate;
 mod explain;
 mod failures;
 mod fair;
