A gang that loses power with its executors is no likelier to have done it

Callers: none seen; found by reading. A gang's run that is lost with two executors at once was weighed as if two runs had been lost at the same age, which speaks against the task, so that a harmless gang was nearer to being given up by one loss of power.

Cause: the age of the run before was that of the same run. Evidence: `a_run_that_is_lost_with_two_executors_weighs_as_one` fails without the change. Mend: the second loss of a run is compared with the run before it.

Trials that wait for calm have a counter of their own, and the names in `jobs::crash_rate` say what they are.

--- a/puffinknot-core/src/jobs/crash_rate.rs
+++ b/puffinknot-core/src/jobs/crash_rate.rs
@@ -17,10 +17,10 @@
 /// executor: a quarter of them every five seconds. Trouble that begins is not
 /// known from what was before.
 pub const LEAST_RATE: f64 = 0.05;
-/// As if executors had been watched for so long, in executor-seconds, and one
-/// had crashed: while hardly anything is known, they may crash so often that a
-/// loss says little.
-const UNKNOWN_FOR: f64 = 10.0;
+/// The prior: as if executors had been watched for so long, in
+/// executor-seconds, and one had crashed. While hardly anything is known,
+/// they may crash so often that a loss says little.
+const PRIOR_TIME: f64 = 10.0;
 /// The rate is counted over each of these times, in milliseconds, and the
 /// highest counts: trouble that has just begun is diluted in a long one, and
 /// a short one misses what comes in turns.
@@ -83,7 +83,7 @@
 
     /// How often executors crashed around some moment by something else than
     /// this task, in crashes a second and executor.
-    pub fn beside(&self, task: TaskKey, at: Millis) -> f64 {
+    pub fn without(&self, task: TaskKey, at: Millis) -> f64 {
         let rates = COUNTED_OVER.into_iter().map(|over| {
             let within = |when: Millis| when.abs_diff(at) <= over;
             let lived = self.lived.iter().filter(|(when, _)| within(*when));
@@ -92,19 +92,19 @@
             let others = self.crashes.iter().filter(|crash| {
                 within(crash.at) && !crash.suspects.contains(&task)
             });
-            (1 + others.count()) as f64 / (UNKNOWN_FOR + seconds)
+            (1 + others.count()) as f64 / (PRIOR_TIME + seconds)
         });
         rates.fold(LEAST_RATE, f64::max)
     }
 
-    /// The same of a moment of before, if crashes of then are remembered.
-    pub fn was_beside(
+    /// The same, unless what happened around that moment is forgotten by now.
+    pub fn known_without(
         &self,
         task: TaskKey,
         at: Millis,
         now: Millis,
     ) -> Option<f64> {
         let remembered = at + EXPLAINED_WITHIN >= now;
-        remembered.then(|| self.beside(task, at))
+        remembered.then(|| self.without(task, at))
     }
 }
--- a/puffinknot-core/src/jobs/losses.rs
+++ b/puffinknot-core/src/jobs/losses.rs
@@ -9,13 +9,18 @@
 again, no other explanation is left than chance, and that is weighed here.
 
 What a crash weighs is how much likelier it is if the task did it than if the
-executor crashed by itself, in powers of ten, in tenths. A task that does it is
-taken to do so at any age up to a second, most likely at a low one,
+executor crashed by something else, in powers of ten, in tenths. A task that
+does it is taken to do so at any age up to a second, most likely at a low one,
 and again at about the same; how often executors crash by something else is
 reckoned from how many have lately, see [`crate::jobs::crash_rate`]. Weights
-add up. A task that harms nobody gets to a sum at most as often as that says, however often it is tried, since a
-run that survives takes back what was counted before. The product of the mere
-chances of its crashes would be small more often: the more they are, the more.
+add up. A task that harms nobody gets to a sum at most as often as that says,
+however often it is tried, since a run that survives takes back what was
+counted before. The product of the mere chances of its crashes would be small
+more often: the more they are, the more.
+
+While executors crash often, a loss tells little, and a harmless task is likely
+to be lost once more. A task that has been lost again is therefore tried when
+they crash less, if that is soon.
 */
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -195,7 +200,7 @@
     seen_at: Option<Millis>,
     /// Since when the next trial is put off.
     #[serde(skip)]
-    put_off: Option<Millis>,
+    put_off_since: Option<Millis>,
 }
 
 impl Losses {
@@ -215,7 +220,7 @@
             self.count(loss, now);
             self.seen_at = loss.seen.then_some(loss.ran).or(self.seen_at);
         }
-        self.put_off = None;
+        self.put_off_since = None;
         self.ran = self.ran.max(loss.ran);
         self.soon |= loss.may_be_soon();
         self.addresses.insert(loss.address.clone());
@@ -234,12 +239,17 @@
         if !std::mem::replace(&mut self.last.alone, true) {
             self.alone += 1;
         }
+        // The members of a gang are lost with the same run: that their ages
+        // are alike tells nothing.
         let mut same = self.evidence.iter().filter(|e| e.loss.run == loss.run);
-        let counted = same.next().map_or(self.last.weight, |e| e.counted);
+        let (former, counted) =
+            same.next().map_or((self.seen_at, self.last.weight), |evidence| {
+                (evidence.former, evidence.counted)
+            });
         self.evidence.push(Evidence {
             at: now,
             loss: loss.clone(),
-            former: self.seen_at,
+            former,
             counted,
             weight: 0,
         });
@@ -266,8 +276,8 @@
         self.weight -= std::mem::replace(&mut self.weighed, weighed);
     }
 
-    /// Whether one more run that is lost may tell that the task did it.
-    pub fn is_near_the_end(&self) -> bool {
+    /// Whether the next trial may be the one that settles it.
+    pub fn may_settle(&self) -> bool {
         self.alone > 0 && self.runs >= LEAST_RUNS
     }
 
@@ -278,7 +288,7 @@
         if rate <= CALM_RATE {
             return false;
         }
-        let since = *self.put_off.get_or_insert(now);
+        let since = *self.put_off_since.get_or_insert(now);
         now < since + LONGEST_PUT_OFF
     }
 
--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -486,8 +486,8 @@
         /// Whether that is within its objective.
         in_time: bool,
     },
-    /// A client account holds more than its share of a full cell; for the logs,
-    /// at most once a second.
+    /// A client account holds more than its share of a full cell; for the
+    /// logs, at most once a second.
     OverShare {
         /// The account.
         account: String,
@@ -618,7 +618,7 @@
         runs: u32,
         /// What that weighs, see [`crate::jobs::losses`].
         weight: u32,
-        /// How often executors were taken to crash whatever they run, in
+        /// How often executors were taken to crash by something else, in
         /// crashes a second and executor.
         rate: f64,
     },
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -69,8 +69,7 @@
             self.wait_without_room(key, now);
             return false;
         }
-        if self.puts_off_trial(key.task(0), now) {
-            self.count("trials_put_off");
+        if self.awaits_calm(key.task(0), now) {
             self.unreserve(key);
             return true;
         }
--- a/puffinknot-core/src/jobs/scheduler/suspects.rs
+++ b/puffinknot-core/src/jobs/scheduler/suspects.rs
@@ -140,7 +140,7 @@
     pub(super) fn suspect(&mut self, crash: Crash, now: Millis) {
         self.crash_rate.crashed(crash.suspects, now);
         for Suspicion { task, executor, loss } in crash.suspicions {
-            let rate = self.crash_rate.beside(self.counted(task), now);
+            let rate = self.crash_rate.without(self.counted(task), now);
             let Some(losses) = self.record_loss(task, &loss, now) else {
                 continue;
             };
@@ -188,7 +188,7 @@
         let losses = state.losses.entry(counted).or_default();
         let known = losses.runs > 0;
         let suspected = losses.add(loss, now);
-        losses.weigh(|at| self.crash_rate.was_beside(key, at, now));
+        losses.weigh(|at| self.crash_rate.known_without(key, at, now));
         let recorded = suspected.then(|| losses.clone());
         let waits = GANG_WAITS << losses.runs.min(MOST_DOUBLED);
         state.tries_until = now + waits;
@@ -242,12 +242,13 @@
             if !self.ledger.left(opening.account).fits(&opening.step.need) {
                 break;
             }
-            if losses.weight > 0 && self.risks_enough(key, now)
-                || self.puts_off_trial(task, now)
-            {
+            if losses.weight > 0 && self.risks_enough(key, now) {
                 self.count("trials_put_off");
                 continue;
             }
+            if self.awaits_calm(task, now) {
+                continue;
+            }
             let fits = opening.candidates.iter().copied().filter(|(at, _)| {
                 may_use(*at) && self.may_try(task, &opening.step, *at, now)
             });
@@ -269,23 +270,24 @@
         stale
     }
 
-    /// Whether a task that was alone with a crash waits for its next trial,
-    /// since executors crash too often for it to tell anything.
-    pub(super) fn puts_off_trial(
-        &mut self,
-        task: TaskKey,
-        now: Millis,
-    ) -> bool {
-        if !self.suspected(task).is_some_and(Losses::is_near_the_end) {
+    /// Whether the next trial of a task is put off, since executors crash too
+    /// often for it to tell anything.
+    pub(super) fn awaits_calm(&mut self, task: TaskKey, now: Millis) -> bool {
+        if !self.suspected(task).is_some_and(Losses::may_settle) {
             return false;
         }
         let counted = self.counted(task);
-        let rate = self.crash_rate.beside(counted, now);
-        let live = self.jobs.get_mut(&task.step.job);
-        let state = live
-            .and_then(|live| live.step_run(task.step.time, task.step.step));
+        let rate = self.crash_rate.without(counted, now);
+        let Some(live) = self.jobs.get_mut(&task.step.job) else {
+            return false;
+        };
+        let state = live.step_run(task.step.time, task.step.step);
         let losses = state.and_then(|s| s.losses.get_mut(&counted.index));
-        losses.is_some_and(|losses| losses.puts_off(rate, now))
+        let awaits = losses.is_some_and(|l| l.puts_off(rate, now));
+        if awaits {
+            self.count("trials_awaiting_calm");
+        }
+        awaits
     }
 
     /// Whether a task has room on an executor that no other trial keeps.
--- a/tests/crash_rate.rs
+++ b/tests/crash_rate.rs
@@ -24,9 +24,9 @@
 fn at_first_executors_may_crash_often() {
     let mut rate = CrashRate::default();
     watched(&mut rate, 200);
-    assert!(rate.beside(task(1), 200) > 1.5 * LEAST_RATE);
+    assert!(rate.without(task(1), 200) > 1.5 * LEAST_RATE);
     watched(&mut rate, 20_000);
-    assert_eq!(rate.beside(task(1), 20_000), LEAST_RATE);
+    assert_eq!(rate.without(task(1), 20_000), LEAST_RATE);
 }
 
 #[test]
@@ -36,9 +36,9 @@
     for _ in 0..5 {
         rate.crashed(suspects(&[1, 2]), 5_000);
     }
-    assert_eq!(rate.beside(task(1), 5_000), LEAST_RATE);
-    assert_eq!(rate.beside(task(2), 5_000), LEAST_RATE);
-    let other = rate.beside(task(3), 5_000);
+    assert_eq!(rate.without(task(1), 5_000), LEAST_RATE);
+    assert_eq!(rate.without(task(2), 5_000), LEAST_RATE);
+    let other = rate.without(task(3), 5_000);
     assert!((0.1..0.15).contains(&other), "{other}");
 }
 
@@ -50,13 +50,13 @@
         rate.crashed(suspects(&[1]), 5_000);
     }
     rate.explain(task(1));
-    assert_eq!(rate.beside(task(2), 5_000), LEAST_RATE);
-    assert_eq!(rate.was_beside(task(2), 5_000, 6_000), Some(LEAST_RATE));
+    assert_eq!(rate.without(task(2), 5_000), LEAST_RATE);
+    assert_eq!(rate.known_without(task(2), 5_000, 6_000), Some(LEAST_RATE));
 }
 
 #[test]
 fn a_rate_of_long_ago_is_not_known() {
     let mut rate = CrashRate::default();
     watched(&mut rate, 100_000);
-    assert_eq!(rate.was_beside(task(1), 10_000, 100_000), None);
+    assert_eq!(rate.known_without(task(1), 10_000, 100_000), None);
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -11,6 +11,7 @@
 mod health;
 mod input;
 mod jobs;
+mod losses;
 mod model;
 mod order;
 mod patience;
--- /dev/null
+++ b/tests/losses.rs
@@ -0,0 +1,56 @@
+//! What the crashes under a task weigh.
+
+use puffinknot_core::jobs::losses::Losses;
+use puffinknot_core::jobs::Loss;
+
+/// A run that was lost alone with an executor, so long after its start.
+fn loss(run: u64, address: &str, ran: u64, executors: u32) -> Loss {
+    Loss {
+        run,
+        alone: true,
+        confirmed: true,
+        seen: true,
+        executors,
+        ran,
+        survived: 0,
+        address: address.to_string(),
+    }
+}
+
+fn weight(losses: &[Loss]) -> u32 {
+    let mut sum = Losses::default();
+    for loss in losses {
+        assert!(sum.add(loss, 1_000));
+        sum.weigh(|_| Some(0.05));
+    }
+    sum.weight
+}
+
+/// Guards against a gang that is given up for one loss of power: its members
+/// are lost at one age, which tells nothing.
+#[test]
+fn a_run_that_is_lost_with_two_executors_weighs_as_one() {
+    let one = weight(&[loss(1, "x0", 20, 2)]);
+    let two = weight(&[loss(1, "x0", 20, 2), loss(1, "x1", 20, 2)]);
+    assert_eq!(one, two);
+}
+
+#[test]
+fn losses_at_one_age_weigh_more_than_at_others() {
+    let alike = weight(&[loss(1, "x0", 20, 1), loss(2, "x1", 21, 1)]);
+    let other = weight(&[loss(1, "x0", 20, 1), loss(2, "x1", 90, 1)]);
+    assert!(alike > other, "{alike}, {other}");
+}
+
+#[test]
+fn losses_weigh_less_once_more_crashes_are_known_of_then() {
+    let mut losses = Losses::default();
+    losses.add(&loss(1, "x0", 20, 1), 1_000);
+    losses.weigh(|_| Some(0.05));
+    let before = losses.weight;
+    losses.weigh(|_| Some(0.5));
+    assert!(losses.weight < before);
+    let known = losses.weight;
+    losses.weigh(|_| None);
+    assert_eq!(losses.weight, known, "what is forgotten keeps its weight");
+}
