--- a/puffinknot-core/src/jobs/fair.rs
+++ b/puffinknot-core/src/jobs/fair.rs
@@ -5,8 +5,8 @@
 any one resource: two accounts that hold different things, one processor time
 and one memory, are comparable by it. Room is *fair* if nobody could be given
 more without taking from an account that holds less for its weight (max-min
-fairness). So who wants little gets all of it, and what he leaves of his part is
-lent to the others by their weights.
+fairness). So who wants little gets all of it, and what he leaves of his part
+is lent to the others by their weights.
 */
 
 use crate::config::Resources;
--- a/puffinknot-core/src/jobs/scheduler/admission.rs
+++ b/puffinknot-core/src/jobs/scheduler/admission.rs
@@ -35,8 +35,8 @@
 /// How old the known backlog may be, in milliseconds: a small part of the
 /// shortest objective. What was accepted since is added to it.
 const BACKLOG_AGE: Millis = 50;
-/// With each so many live jobs or executors the backlog may be older by [`BACKLOG_AGE`], so
-/// that reckoning it takes a bounded share of the time.
+/// With each so many live jobs or executors the backlog may be older by
+/// [`BACKLOG_AGE`], so that reckoning it takes a bounded share of the time.
 const CROWD: usize = 512;
 /// Work whose objectives end within so many milliseconds counts as one.
 const GRAIN: Millis = 100;
@@ -321,9 +321,9 @@
     }
 
     /// Since when a job counts that is handed in now: since its first attempt.
-    /// One that was refused for another reason than want of room and can't meet
-    /// its objective any more counts as new: it is late whenever it ends, but
-    /// would be behind all that is new.
+    /// One that was refused for another reason than want of room and can't
+    /// meet its objective any more counts as new: it is late whenever it ends,
+    /// but would be behind all that is new.
     pub(super) fn counts_since(
         &self,
         job: &Job,
--- a/puffinknot-core/src/jobs/scheduler/leaving.rs
+++ b/puffinknot-core/src/jobs/scheduler/leaving.rs
@@ -27,8 +27,8 @@
 /// a second at most.
 const STOPPED_WITHIN: Millis = 1_300;
 /// What should take half as long again as the executor stays, or more, won't
-/// end there: its guess would have to be off by that much, and if it does, less
-/// is saved than is lost otherwise.
+/// end there: its guess would have to be off by that much, and if it does,
+/// less is saved than is lost otherwise.
 const HOPELESS: f64 = 1.5;
 
 /// The executors that have given notice, and until when they surely stay.
--- a/puffinknot-core/src/jobs/scheduler/order.rs
+++ b/puffinknot-core/src/jobs/scheduler/order.rs
@@ -110,8 +110,8 @@
             return if beyond { Class::Beyond } else { Class::Patient };
         }
         let urgent = self.over_urgent_share(live.account);
-        let floods = beyond && urgent || self.floods(live.account);
-        match (live.beyond_due || floods, urgent) {
+        let beyond = beyond && urgent || self.floods(live.account);
+        match (live.beyond_due || beyond, urgent) {
             (true, _) => Class::Beyond,
             (false, true) => Class::UrgentBeyond,
             (false, false) => Class::Urgent,
--- a/puffinknot-core/src/jobs/scheduler/returns.rs
+++ b/puffinknot-core/src/jobs/scheduler/returns.rs
@@ -4,8 +4,8 @@
 Each is told a time of its own: when the backlog should have room for it, after
 those that were refused before it. One that is refused again keeps its turn.
 What comes back is as old as its first attempt, so that it goes before what is
-new of its like while its objective can be met. Later it counts as new if it was
-not for want of room that it was refused: its client can't help it.
+new of its like while its objective can be met. Later it counts as new if it
+was not for want of room that it was refused: its client can't help it.
 
 A takeover forgets this. Clients then count as new, once.
 */
--- a/puffinknot-core/src/jobs/scheduler/shares.rs
+++ b/puffinknot-core/src/jobs/scheduler/shares.rs
@@ -6,11 +6,11 @@
 holds more than its fair share goes behind those that don't, so that what gets
 free returns to them. Nothing is stopped here.
 
-Urgent work counts by itself as well. Against the urgent work of others, so that
-a flood of urgent steps gives way to theirs before it has taken the whole cell;
-and against the account's share of all work, so that such a flood also gives way
-to what may wait, where nobody else has urgent work. An account's long patient
-runs never put its urgent steps behind.
+Urgent work counts by itself as well: against the urgent work of others, so
+that a flood of urgent steps gives way to theirs before it has taken the whole
+cell; and against the account's share of all work, so that such a flood also
+gives way to what may wait, where nobody else has urgent work. An account's
+long patient runs never put its urgent steps behind.
 
 An account is over its share only if it holds more than that now, and has held
 more in the mean for as long as callers can bear to wait: a short burst is no
@@ -61,13 +61,13 @@
 const KINDS: [Kind; 3] = [Kind::All, Kind::Urgent, Kind::UrgentOfAll];
 
 impl Kind {
-    /// Which of all claims compete for the same room.
-    fn of_urgent(self) -> bool {
+    /// Whether it is a share of what urgent work holds.
+    fn is_among_urgent(self) -> bool {
         self == Kind::Urgent
     }
 
     /// What of an account's holding counts.
-    fn counts(self, holding: &Holding) -> Resources {
+    fn of(self, holding: &Holding) -> Resources {
         match self {
             Kind::All => holding.held,
             Kind::Urgent | Kind::UrgentOfAll => holding.urgent,
@@ -112,9 +112,10 @@
     measured: Millis,
     /// When shares were worked out last.
     weighed: Millis,
-    /// Whether something waited for room at the last look: anything, or
-    /// something urgent.
-    full: [bool; 2],
+    /// Whether something waited for room at the last look.
+    full: bool,
+    /// Whether something urgent did.
+    full_of_urgent: bool,
 }
 
 impl Shares {
@@ -132,17 +133,17 @@
     /// the ledger. Those without a weight have no share to be over.
     fn weigh(&mut self, claims: &[Claim], kind: Kind) {
         let weighed = |claim: &Claim| claim.weight > 0.0;
-        let full = self.full[usize::from(kind.of_urgent())];
-        let mut room = [0.0; 2];
-        for (claim, share) in claims.iter().zip(&self.accounts) {
-            if weighed(claim) {
-                room[0] += claim.held;
-                room[1] += share.standings[kind as usize].held;
-            }
-        }
+        let full = match kind.is_among_urgent() {
+            true => self.full_of_urgent,
+            false => self.full,
+        };
         let competing = claims.iter().copied().filter(weighed);
         let competing: Vec<Claim> = competing.collect();
-        let room = room[0].max(room[1]);
+        let now: f64 = competing.iter().map(|claim| claim.held).sum();
+        let both = claims.iter().zip(&self.accounts);
+        let both = both.filter(|(claim, _)| weighed(claim));
+        let before = both.map(|(_, s)| s.standings[kind as usize].held);
+        let room = now.max(before.sum());
         let mut fair = fair_shares_of(room, &competing).into_iter();
         for (claim, share) in claims.iter().zip(&mut self.accounts) {
             let fair = if weighed(claim) { fair.next() } else { None };
@@ -159,7 +160,7 @@
         self.accounts.resize(accounts, AccountShare::default());
         for share in &mut self.accounts {
             for kind in KINDS {
-                let period = periods[usize::from(kind.of_urgent())];
+                let period = periods[usize::from(kind.is_among_urgent())];
                 let standing = &mut share.standings[kind as usize];
                 standing.mean.update(standing.held, period, now);
             }
@@ -192,24 +193,24 @@
         let Some(at) = account else { return false };
         let Some(holding) = self.ledger.holding(at) else { return false };
         let shares = &self.shares_of_accounts;
-        let held = dominant_share(&kind.counts(&holding), &shares.whole);
+        let held = dominant_share(&kind.of(&holding), &shares.whole);
         shares.is_over(at, kind, held)
     }
 
     /// Steps are about to be looked at: all of them, or the urgent ones.
     pub(super) fn begin_look(&mut self, all: bool) {
-        let full = &mut self.shares_of_accounts.full;
-        full[0] &= !all;
-        full[1] = false;
+        let shares = &mut self.shares_of_accounts;
+        shares.full &= !all;
+        shares.full_of_urgent = false;
     }
 
     /// A step has tasks that find no room.
     pub(super) fn note_full(&mut self, key: StepKey) {
         let live = self.jobs.get(&key.job);
         let urgent = live.is_some_and(|live| live.queue.priority == 0);
-        let full = &mut self.shares_of_accounts.full;
-        full[0] = true;
-        full[1] |= urgent;
+        let shares = &mut self.shares_of_accounts;
+        shares.full = true;
+        shares.full_of_urgent |= urgent;
     }
 
     /// Works out which accounts are over their shares, before steps are
@@ -242,7 +243,7 @@
         let holdings = self.ledger.holdings();
         for (holding, share) in holdings.zip(&mut shares.accounts) {
             for kind in KINDS {
-                let held = kind.counts(&holding);
+                let held = kind.of(&holding);
                 let held = dominant_share(&held, &shares.whole);
                 share.standings[kind as usize].held = held;
             }
@@ -264,8 +265,8 @@
         });
     }
 
-    /// How long callers can bear to wait, of patient and of urgent queues: what
-    /// the strictest adds to the work itself.
+    /// How long callers can bear to wait, of patient and of urgent queues:
+    /// what the strictest adds to the work itself.
     fn bearable(&self) -> [Millis; 2] {
         let strictest = |urgent: bool| {
             let queues = self.queues.values();
@@ -275,8 +276,8 @@
         [strictest(false), strictest(true)]
     }
 
-    /// What accounts hold and want, of all and of what is urgent, in the order
-    /// of the ledger.
+    /// What accounts hold and want, of all and of what is urgent, in the
+    /// order of the ledger.
     fn claims(&self) -> [Vec<Claim>; 2] {
         let nothing = [Resources::default(); 2];
         let mut waiting = vec![nothing; self.ledger.accounts()];
@@ -298,8 +299,8 @@
         [Kind::All, Kind::Urgent].map(|kind| {
             let holdings = self.ledger.holdings().zip(&waiting);
             let claims = holdings.map(|(holding, waiting)| {
-                let waiting = &waiting[usize::from(kind.of_urgent())];
-                let held = kind.counts(&holding);
+                let waiting = &waiting[usize::from(kind.is_among_urgent())];
+                let held = kind.of(&holding);
                 let wants = held.plus(waiting).least(&holding.most);
                 let held = dominant_share(&held, whole);
                 Claim {
--- a/tests/jobs/latest.rs
+++ b/tests/jobs/latest.rs
@@ -30,8 +30,8 @@
     job(id, queue, steps.collect())
 }
 
-/// Twice what the cell can do, for some seconds: short jobs, and chains. Returns
-/// how many were done in time.
+/// Twice what the cell can do, for some seconds: short jobs, and chains.
+/// Returns how many were done in time.
 fn in_time(queue: &str, without: Without) -> usize {
     let mut world = World::without(EXECUTORS, without);
     world.run(100);
--- a/tests/jobs/reborn.rs
+++ b/tests/jobs/reborn.rs
@@ -402,8 +402,8 @@
     assert_eq!(world.scheduler.executors(), 1);
 }
 
-/// An executor whose lives are not told apart, and of which an entry by another
-/// writer was read first, is used once its own entry is read.
+/// An executor whose lives are not told apart, and of which an entry by
+/// another writer was read first, is used once its own entry is read.
 #[test]
 fn an_entry_of_another_writer_keeps_no_executor_from_use() {
     let mut world = World::new(0);
@@ -575,8 +575,8 @@
 
 /// An executor has crashed with an order that it had left unanswered, and the
 /// list of machines tells so after its follower, under another name, was
-/// heard: the task starts again at once. It had waited for as long as any order
-/// may be late, and gangs with it, though most of the room was free.
+/// heard: the task starts again at once. It had waited for as long as any
+/// order may be late, and gangs with it, though most of the room was free.
 #[test]
 fn an_order_that_the_follower_refuses_holds_no_task() {
     let mut world = World::new(1);
--- a/tests/jobs/shares.rs
+++ b/tests/jobs/shares.rs
@@ -172,8 +172,8 @@
     Without::new([Mechanism::RoomShares, Mechanism::AccountShares])
 }
 
-/// Whether urgent jobs of the others wait no longer than on a calm day and what
-/// their objective adds to the work, and patient ones not so much longer.
+/// Whether urgent jobs of the others wait no longer than on a calm day and
+/// what their objective adds to the work, and patient ones not so much longer.
 fn served(day: &mut Day, calm: (Millis, Millis), longer: Millis) -> bool {
     let (urgent, patient) =
         (day.others_waited(true), day.others_waited(false));
