Log and count how old a node's policy is, and watches that fail

Change: a node keeps the last time at which its policy is known to have been the newest (jobs::policy_age). No decision depends on them.

--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -37,6 +37,7 @@
 pub mod message;
 pub mod model;
 pub mod policy;
+pub mod policy_age;
 pub mod record;
 pub mod report_age;
 pub mod scheduler;
@@ -55,4 +56,5 @@
 };
 pub use self::model::{Job, JobId, JobState, Repeats, Step, TaskKey};
 pub use self::policy::{AdviceCost, Policy, Queue, Service};
+pub use self::policy_age::{PolicyAge, PolicyLimits};
 pub use self::scheduler::{Scheduler, SchedulerConfig};
--- /dev/null
+++ b/puffinknot-core/src/jobs/policy_age.rs
@@ -0,0 +1,97 @@
+/*!
+How old a node's knowledge of the policy is.
+
+A node learns of a new version from the store or from the leader. If neither
+reaches it, it hears of none, which looks the same to it as if there were none.
+So it keeps track of the last time at which its version is known to have been
+the newest. What it decides by the policy later is only as good as the time
+that has passed since.
+
+Times are of the node's own monotonic clock, and on the safe side: an answer
+shows what the store held when the call was made, not when the answer came. A
+node that was suspended therefore finds its knowledge old when it goes on.
+*/
+
+use crate::ids::Millis;
+
+/// The newest policy version that existed at a known time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PolicyAge {
+    newest: Option<(u64, Millis)>,
+}
+
+impl PolicyAge {
+    /// Records that no version above `version` existed at the time `at`, in
+    /// milliseconds.
+    pub fn observe(&mut self, version: u64, at: Millis) {
+        if self.newest.is_none_or(|(_, known_at)| known_at <= at) {
+            self.newest = Some((version, at));
+        }
+    }
+
+    /// Returns for how many milliseconds before `now` it has been unknown
+    /// whether there is a newer version than `version`. `None` if that was
+    /// never known, or if there is one.
+    pub fn of(&self, version: u64, now: Millis) -> Option<Millis> {
+        let (newest, at) = self.newest?;
+        (newest <= version).then(|| now.saturating_sub(at))
+    }
+}
+
+/// The time limits by which nodes follow the policy. All are parts of the time
+/// within which a version that the store has confirmed must be in effect on
+/// every node, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PolicyLimits {
+    bound: Millis,
+}
+
+impl PolicyLimits {
+    /// Returns the limits for a version that must be in effect everywhere
+    /// `bound` milliseconds after the store has confirmed it.
+    pub fn new(bound: Millis) -> PolicyLimits {
+        PolicyLimits { bound }
+    }
+
+    /// The age up to which a policy counts as current.
+    pub fn max_age(self) -> Millis {
+        self.bound
+    }
+
+    /// The age at which a node gives up a pending watch and asks the store
+    /// anew. Leaves time for one call that is not answered.
+    pub fn recheck_age(self) -> Millis {
+        self.bound / 4 * 3
+    }
+
+    /// The age up to which a leader confirms its policy to other nodes. Leaves
+    /// time for a heartbeat before they recheck.
+    pub fn max_confirmed_age(self) -> Millis {
+        self.bound / 2
+    }
+
+    /// How long a watch of the leader waits for changes.
+    pub fn leader_watch(self) -> Millis {
+        self.bound / 4
+    }
+}
+
+/// Returns the last time for which the answer to a watch shows that it holds
+/// all changes. The watch was sent at `sent_at` and was to wait for `wait`; the
+/// answer arrived at `answered_at`; all are milliseconds. `changed` tells
+/// whether it holds changes.
+pub fn watched_until(
+    sent_at: Millis,
+    wait: Millis,
+    answered_at: Millis,
+    changed: bool,
+) -> Millis {
+    let waited = sent_at + wait;
+    // The store answers without changes once it has waited. An earlier answer
+    // does not tell when the store gave it.
+    if changed || answered_at < waited {
+        sent_at
+    } else {
+        waited
+    }
+}
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -17,7 +17,7 @@
 use puffinknot_core::jobs::policy::Router;
 use puffinknot_core::jobs::{
     CallCredentials, Cordon, Cordons, KeyRing, MaintenanceWave, Mechanism,
-    Mechanisms, Outcome, Policy, Request,
+    Mechanisms, Outcome, Policy, PolicyAge, PolicyLimits, Request,
 };
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
@@ -61,6 +61,9 @@
     pub leader_lease: Millis,
     /// How long ended jobs are retained, in milliseconds.
     pub ended_retention: Millis,
+    /// Within which time every node must follow a policy that the store has
+    /// confirmed, in milliseconds.
+    pub policy_bound: Millis,
     /// The timeout for a graceful shutdown, in milliseconds.
     pub shutdown_timeout: Millis,
     /// The processor time that the machine provides, in thousandths of a core.
@@ -114,6 +117,7 @@
     router: RefCell<Rc<Router>>,
     keys: RefCell<Rc<KeyRing>>,
     raw_policy: RefCell<Option<Rc<Vec<u8>>>>,
+    policy_age: Cell<PolicyAge>,
     leader: RefCell<Option<Leader>>,
     cordons: RefCell<Cordons>,
     /// The maintenance waves that operators have requested, by number.
@@ -159,6 +163,7 @@
             router: RefCell::default(),
             keys: RefCell::default(),
             raw_policy: RefCell::default(),
+            policy_age: Cell::default(),
             leader: RefCell::default(),
             cordons: RefCell::default(),
             waves: RefCell::default(),
@@ -246,6 +251,41 @@
         }
     }
 
+    /// Records that the store had no newer policy than the one in effect at
+    /// the monotonic time `at`.
+    pub fn confirm_policy(&self, at: Millis) {
+        let version = self.policy().map_or(0, |policy| policy.version);
+        self.observe_policy(version, at);
+    }
+
+    /// Records that the store had no newer policy than `version` at the
+    /// monotonic time `at`.
+    pub fn observe_policy(&self, version: u64, at: Millis) {
+        let mut age = self.policy_age.get();
+        age.observe(version, at);
+        self.policy_age.set(age);
+    }
+
+    /// For how many milliseconds it has been unknown whether the policy in
+    /// effect is still the newest. `None` if that was never known, or if there
+    /// is a newer one.
+    pub fn policy_age(&self) -> Option<Millis> {
+        let version = self.policy().map_or(0, |policy| policy.version);
+        self.policy_age.get().of(version, clock::mono())
+    }
+
+    /// The time limits by which this node follows the policy.
+    pub fn policy_limits(&self) -> PolicyLimits {
+        PolicyLimits::new(self.settings.borrow().policy_bound)
+    }
+
+    /// Whether the policy in effect was the newest so lately that what it
+    /// rules out may be refused for good.
+    pub fn is_policy_current(&self) -> bool {
+        let max_age = self.policy_limits().max_age();
+        self.policy_age().is_some_and(|age| age <= max_age)
+    }
+
     /// Remembers a maintenance wave, and passes it to the leader on this node
     /// if it is new or has changed.
     pub fn learn_wave(&self, value: &[u8]) {
@@ -552,6 +592,7 @@
         settings.executor_lease = new_settings.executor_lease;
         settings.leader_lease = new_settings.leader_lease;
         settings.ended_retention = new_settings.ended_retention;
+        settings.policy_bound = new_settings.policy_bound;
         settings.shutdown_timeout = new_settings.shutdown_timeout;
         settings.cpu_millis = new_settings.cpu_millis;
         settings.link_bytes_per_ms = new_settings.link_bytes_per_ms;
--- a/src/cell/reachability.rs
+++ b/src/cell/reachability.rs
@@ -150,6 +150,7 @@
 /// noticed, too, if another call of this node is answered first.
 pub async fn watch<P: Platform>(shared: Rc<NodeState<P>>) {
     let notices_recovery = shared.is_enabled(Mechanism::AfterOutage);
+    let mut policy_current = false;
     loop {
         tokio::select! {
             () = sleep(CHECK_INTERVAL) => {}
@@ -158,6 +159,7 @@
                 continue;
             }
         }
+        log_policy_age(&shared, &mut policy_current);
         let valid_until =
             shared.store.last_answered_at() + STORE_ANSWER_TTL_MS;
         let store_answers = clock::mono() <= valid_until
@@ -171,6 +173,21 @@
     }
 }
 
+/// Logs when the policy in effect becomes current, and when it no longer is.
+fn log_policy_age<P: Platform>(shared: &NodeState<P>, current: &mut bool) {
+    let is_current = shared.is_policy_current();
+    if std::mem::replace(current, is_current) == is_current {
+        return;
+    }
+    let version = shared.policy().map(|policy| policy.version);
+    if is_current {
+        info!(version, "policy_current");
+    } else {
+        shared.count("policy_outdated");
+        warn!(version, age = shared.policy_age(), "policy_outdated");
+    }
+}
+
 async fn probe_store<P: Platform>(shared: Rc<NodeState<P>>) {
     let sent_at = clock::mono();
     let answer = shared.store.get(shared.platform.leader_key()).await;
--- a/src/cell/stats.rs
+++ b/src/cell/stats.rs
@@ -43,6 +43,8 @@
     /// The usage of client accounts, set while this node leads.
     accounts: RefCell<Vec<AccountUsage>>,
     cordons: RefCell<Cordons>,
+    /// The policy version in effect, and the age of that knowledge.
+    policy: Cell<(Option<u64>, Option<Millis>)>,
 }
 
 /// Distributions of values in one unit, by name.
@@ -130,6 +132,12 @@
         self.cordons.borrow_mut().clone_from(cordons);
     }
 
+    /// Sets the policy version in effect, and for how long it has been unknown
+    /// whether there is a newer one.
+    pub fn set_policy(&self, version: Option<u64>, age: Option<Millis>) {
+        self.policy.set((version, age));
+    }
+
     /// Adds a value to a histogram of latencies, in milliseconds.
     pub fn record_latency(&self, name: &'static str, latency: Millis) {
         record(&self.latencies, name, latency, MAX_LATENCY_MS);
@@ -182,6 +190,12 @@
                  {revision}"
             );
         }
+        let (version, age) = self.policy.get();
+        for (name, value) in [("version", version), ("age_ms", age)] {
+            if let Some(value) = value {
+                let _ = writeln!(text, "puffinknot_policy_{name} {value}");
+            }
+        }
         let _ = writeln!(
             text,
             "puffinknot_busy_us_total {}",
--- a/src/cell/store_watch.rs
+++ b/src/cell/store_watch.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use puffinknot_core::ids::{Millis, Revision};
+use puffinknot_core::jobs::policy_age::watched_until;
 use puffinknot_core::jobs::Mechanism;
 use serde::{Deserialize, Serialize};
 use tracing::{info, warn};
@@ -24,6 +25,7 @@
     Changes, Item, Leader, Listing, Platform, ReadError, Transaction,
     WriteError,
 };
+use crate::clock;
 
 /// How long one watch waits for changes.
 const WATCH_TIMEOUT: Millis = 4_000;
@@ -116,6 +118,7 @@
             let prefix = platform.watched_prefix();
             let key_state = self.key_state.clone();
             let store = self.shared.store.clone();
+            let sent_at = clock::mono();
             let changes = tokio::select! {
                 biased;
                 changes = store.watch(prefix, revision, wait) => changes,
@@ -127,6 +130,9 @@
                     self.apply_cordons(&changes);
                     let Changes { written, removed, revision: at } = changes;
                     revision = at;
+                    let changed = !written.is_empty() || !removed.is_empty();
+                    let now = clock::mono();
+                    let until = watched_until(sent_at, wait, now, changed);
                     for key in &removed {
                         if key == platform.leader_key() {
                             info!(revision, "leader_key_gone");
@@ -137,8 +143,15 @@
                     for item in &written {
                         self.apply(item);
                     }
+                    self.shared.confirm_policy(until);
+                }
+                Err(error) => {
+                    let waited = clock::mono() - sent_at;
+                    let policy_age = self.shared.policy_age();
+                    self.shared.count("watches_failed");
+                    info!(?error, wait, waited, policy_age, "watch_failed");
+                    return;
                 }
-                Err(_) => return,
             }
             if self.key_state == key_state && self.may_claim() {
                 self.claim().await;
@@ -264,10 +277,12 @@
     shared: &NodeState<P>,
 ) -> Result<Listing, ReadError> {
     let platform = &shared.platform;
+    let sent_at = clock::mono();
     let listing = shared.store.read(platform.watched_prefix()).await?;
     for item in &listing.items {
         apply_operator_request(shared, item);
     }
+    shared.confirm_policy(sent_at);
     let cordons = listing
         .items
         .iter()
@@ -357,7 +372,7 @@
 ) -> Claimed {
     let store = shared.store.clone();
     let ttl = shared.settings.borrow().leader_key_ttl();
-    let sent_at = crate::clock::mono();
+    let sent_at = clock::mono();
     let Ok(lease) = store.grant(ttl).await else { return Claimed::Unknown };
     let transaction =
         claim_transaction(shared, expected, lease, head_value(0, 0));
