Tests that fail: nodes answer by a policy that may be outdated

The stand-in's proxy silenced open connections up to 10 ms late, so that a change written at once still passed; now nothing passes from the call on.

--- a/puffinknot-standin/src/proxy.rs
+++ b/puffinknot-standin/src/proxy.rs
@@ -227,10 +227,11 @@
     let silences = shared.silences();
     let (client_in, client_out) = client.into_split();
     let (server_in, server_out) = server.into_split();
-    let up =
-        forward(client_in, server_out, Direction::Request, shared.clone());
-    let down =
-        forward(server_in, client_out, Direction::Answer, shared.clone());
+    let forwarded = |from, to, direction| {
+        forward(from, to, direction, shared.clone(), silences)
+    };
+    let up = forwarded(client_in, server_out, Direction::Request);
+    let down = forwarded(server_in, client_out, Direction::Answer);
     // Pinned outside of `select!`, so that a silenced connection keeps its
     // sockets open.
     let (mut up, mut down) = (std::pin::pin!(up), std::pin::pin!(down));
@@ -263,6 +264,7 @@
     mut to: OwnedWriteHalf,
     direction: Direction,
     shared: Shared,
+    silences: u64,
 ) {
     let mut bytes = vec![0; MAX_CHUNK_BYTES];
     loop {
@@ -279,6 +281,10 @@
         if let Some(link) = shared.link() {
             sleep_until(link.queue(count, direction).into()).await;
         }
+        if shared.silences() != silences {
+            // Nothing passes any more, even before the caller notices it.
+            std::future::pending::<()>().await;
+        }
         if to.write_all(&bytes[..count]).await.is_err() {
             return;
         }
