Give up a watch of the store that may be on a dead connection

What callers saw: 404 for a queue for seconds after it was added, 401 for a new key, and no leader all the while, after all connections had fallen silent and the leader with them.

Cause: a node's watch of the store waits for up to 4 s, and hangs for as long on a connection that has fallen silent. Nothing else told the node that it heard of no change any more: neither the lost connection to the leader, nor a claim that was refused since the leader's key had long expired. So nodes did not see that the leader's key was gone, either.

Change: a pending watch is given up, and the store asked for the changes so far, when the connection to the leader is lost, when a claim is refused, and when the policy has not been known to be the newest for three quarters of the time within which it has to be in effect. The leader's own watch waits for a quarter of it.

Why it works: the new call either gets an answer, or exceeds the usual time of an answer, which replaces the other connections to the store. The time that passes before that is bounded, whatever falls silent.

--- a/puffinknot-core/src/jobs/policy_age.rs
+++ b/puffinknot-core/src/jobs/policy_age.rs
@@ -14,27 +14,34 @@
 
 use crate::ids::Millis;
 
-/// The newest policy version that existed at a known time.
+/// The newest policy version that is known to exist, and when it was the
+/// newest.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PolicyAge {
-    newest: Option<(u64, Millis)>,
+    newest: u64,
+    known_at: Option<Millis>,
 }
 
 impl PolicyAge {
-    /// Records that no version above `version` existed at the time `at`, in
-    /// milliseconds.
+    /// Records that `version` exists, and that none above it did at the time
+    /// `at`, in milliseconds.
     pub fn observe(&mut self, version: u64, at: Millis) {
-        if self.newest.is_none_or(|(_, known_at)| known_at <= at) {
-            self.newest = Some((version, at));
-        }
+        self.newest = self.newest.max(version);
+        self.known_at = self.known_at.max(Some(at));
+    }
+
+    /// Returns the last time at which it was known which version was the
+    /// newest, in milliseconds.
+    pub fn known_at(&self) -> Option<Millis> {
+        self.known_at
     }
 
     /// Returns for how many milliseconds before `now` it has been unknown
     /// whether there is a newer version than `version`. `None` if that was
     /// never known, or if there is one.
     pub fn of(&self, version: u64, now: Millis) -> Option<Millis> {
-        let (newest, at) = self.newest?;
-        (newest <= version).then(|| now.saturating_sub(at))
+        let at = self.known_at.filter(|_| self.newest <= version)?;
+        Some(now.saturating_sub(at))
     }
 }
 
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -286,6 +286,7 @@
             serve_link(shared, &link, receiver).await;
             *shared.link.borrow_mut() = None;
             shared.reachability.clear_leader();
+            shared.watch_doubted.notify_one();
             link.sender.close();
             link.give_up();
             shared.count("links_lost");
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -21,7 +21,7 @@
 };
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 use tracing::{info, warn};
 
 use crate::cell::leader::{self, LeaderHandle};
@@ -124,6 +124,9 @@
     waves: RefCell<BTreeMap<u64, MaintenanceWave>>,
     /// Notified when the leader, or the connection to it, changes.
     pub leader_changed: Notify,
+    /// Notified when a pending watch of the store may be on a dead connection:
+    /// another source has fallen silent, or knows of changes.
+    pub watch_doubted: Notify,
     /// Whether this node is claiming the leadership.
     pub claiming: Cell<bool>,
     /// When this node may next ask another node for its policy.
@@ -168,6 +171,7 @@
             cordons: RefCell::default(),
             waves: RefCell::default(),
             leader_changed: Notify::new(),
+            watch_doubted: Notify::new(),
             claiming: Cell::new(false),
             policy_request_allowed_at: Cell::new(0),
             replacement_allowed_at: Cell::new(0),
@@ -274,6 +278,19 @@
         self.policy_age.get().of(version, clock::mono())
     }
 
+    /// Waits until the policy is so old that the store has to be asked anew.
+    pub async fn wait_until_policy_recheck(&self) {
+        loop {
+            let known_at = self.policy_age.get().known_at().unwrap_or(0);
+            let due = known_at + self.policy_limits().recheck_age();
+            let pause = due.saturating_sub(clock::mono());
+            if pause == 0 {
+                return;
+            }
+            sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
     /// The time limits by which this node follows the policy.
     pub fn policy_limits(&self) -> PolicyLimits {
         PolicyLimits::new(self.settings.borrow().policy_bound)
@@ -471,7 +488,7 @@
                 Err(_) => return self.give_up(true),
             }
             self.count("asked_again");
-            tokio::time::sleep(RETRY_DELAY).await;
+            sleep(RETRY_DELAY).await;
         }
     }
 
--- a/src/cell/store_watch.rs
+++ b/src/cell/store_watch.rs
@@ -29,10 +29,12 @@
 
 /// How long one watch waits for changes.
 const WATCH_TIMEOUT: Millis = 4_000;
-/// How long one watch waits for changes while this node leads. This is also
-/// how long a silent connection goes unnoticed, and the leader has to follow
-/// the operators' requests about executors within seconds.
-const WATCH_TIMEOUT_LEADING: Millis = 1_500;
+/// How long one watch waits for changes while this node leads, at most. This
+/// is also how long a silent connection goes unnoticed, and the leader has to
+/// follow the operators' requests about executors within seconds.
+const MAX_WATCH_TIMEOUT_LEADING: Millis = 1_500;
+/// How long a watch waits that only asks for the changes so far.
+const NO_WAIT: Millis = 1;
 /// The shortest time for which the leadership must be vacant before a node
 /// claims it.
 const MIN_VACANCY: Millis = 60;
@@ -109,12 +111,18 @@
     }
 
     /// Watches until a call fails, and claims the leadership while it is
-    /// vacant.
+    /// vacant. A watch that may be on a dead connection is given up, and the
+    /// store is asked for the changes so far.
     async fn watch(&mut self, from: Revision) {
         let platform = self.shared.platform.clone();
         let mut revision = from;
+        let mut doubted = false;
         loop {
-            let wait = self.watch_timeout();
+            let wait = if std::mem::take(&mut doubted) {
+                NO_WAIT
+            } else {
+                self.watch_timeout()
+            };
             let prefix = platform.watched_prefix();
             let key_state = self.key_state.clone();
             let store = self.shared.store.clone();
@@ -124,6 +132,14 @@
                 changes = store.watch(prefix, revision, wait) => changes,
                 // A watch from before the outage may never be answered.
                 () = store.wait_until_recovered() => return,
+                () = self.wait_until_doubted(), if wait > NO_WAIT => {
+                    let waited = clock::mono() - sent_at;
+                    let policy_age = self.shared.policy_age();
+                    self.shared.count("watches_doubted");
+                    info!(wait, waited, policy_age, "watch_doubted");
+                    doubted = true;
+                    continue;
+                }
             };
             match changes {
                 Ok(changes) => {
@@ -159,17 +175,28 @@
         }
     }
 
+    /// Waits until a pending watch may be on a dead connection.
+    async fn wait_until_doubted(&self) {
+        tokio::select! {
+            () = self.shared.watch_doubted.notified() => {}
+            () = self.shared.wait_until_policy_recheck() => {}
+        }
+    }
+
     /// Returns how long the next watch waits for changes.
     fn watch_timeout(&self) -> Millis {
         match self.key_state {
-            KeyState::Stale(_) => 1,
+            KeyState::Stale(_) => NO_WAIT,
             _ if self.may_claim() => {
                 let claim_delay = claim_delay(&self.shared);
                 MIN_VACANCY
                     + claim_delay
                     + rand::random_range(0..MAX_CLAIM_JITTER)
             }
-            _ if self.shared.lead.borrow().is_some() => WATCH_TIMEOUT_LEADING,
+            _ if self.shared.lead.borrow().is_some() => {
+                let limits = self.shared.policy_limits();
+                limits.leader_watch().min(MAX_WATCH_TIMEOUT_LEADING)
+            }
             _ => WATCH_TIMEOUT,
         }
     }
@@ -328,7 +355,7 @@
         return;
     }
     shared.count("invitations");
-    claim(&shared, expected).await;
+    claim_or_doubt(&shared, expected).await;
 }
 
 /// Claims the leadership of a leader whose process is gone while its lease has
@@ -349,7 +376,18 @@
         return;
     }
     shared.count("leaders_replaced");
-    claim(&shared, expected).await;
+    claim_or_doubt(&shared, expected).await;
+}
+
+/// Claims the leadership. If the leader's key is not as this node knows it,
+/// the pending watch has missed a change.
+async fn claim_or_doubt<P: Platform>(
+    shared: &Rc<NodeState<P>>,
+    expected: Revision,
+) {
+    if matches!(claim(shared, expected).await, Claimed::Lost(_)) {
+        shared.watch_doubted.notify_one();
+    }
 }
 
 /// Claims the leadership, and starts to lead if the claim succeeds. The
