Refuse for good only what a current policy rules out

What callers saw: 404 for a queue, or 401 for a key, that had been added more than the promised time before, from nodes that could not know it: while the store answered neither them nor their leader, and right after a node had been suspended.

Cause: a node compared its policy with the leader's and not with the time, so that knowledge of any age counted, and a leader without the store vouched for its own. For a missing queue nothing was asked at all.

Change: 404, 405, 413, 401 and 403 are given only by a node, or a leader, whose policy was known to be the newest within the time in which a version has to be in effect; otherwise the answer is 503 with when to come back. A leader's heartbeat answers name its policy version only while it is known to be current, and count as of the time at which the heartbeat was sent less the age that the leader's may have. Counter refused_policy_outdated.

Why it works: the age is counted from when a call was sent, on the node's own clock, so that neither a late answer nor a suspension makes it look younger.

--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -87,6 +87,22 @@
 }
 
 impl Outcome {
+    /// Whether it refuses a request for good that a newer policy might allow.
+    pub fn depends_on_policy(&self) -> bool {
+        match self {
+            Outcome::NoSuchQueue | Outcome::NoSuchKey | Outcome::OverLimit => {
+                true
+            }
+            Outcome::Accepted
+            | Outcome::State(_)
+            | Outcome::Cancelled
+            | Outcome::NoSuchJob
+            | Outcome::Pending(_)
+            | Outcome::Refused(_)
+            | Outcome::Unknown => false,
+        }
+    }
+
     /// Whether it says that nothing was done. This applies to the latest call
     /// only: the same request may have been made before.
     pub fn is_refusal(&self) -> bool {
--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -180,7 +180,7 @@
 ) -> bool {
     let keys = shared.key_ring();
     let known = key.as_ref().is_some_and(|key| keys.find(key).is_some());
-    !known && reachability::knows_policy(shared)
+    !known && reachability::can_serve(shared) && shared.is_policy_current()
 }
 
 async fn handle_request<P: Platform>(
@@ -188,7 +188,14 @@
     mut request: Request,
 ) -> ClientAnswer {
     let platform = &shared.platform;
-    let refuse = |refusal, detail: &str| {
+    let refuse = |refusal: Refusal, detail: &str| {
+        let (refusal, detail) =
+            if refusal.depends_on_policy() && !shared.is_policy_current() {
+                shared.count("refused_policy_outdated");
+                (Refusal::NotReady, "the policy may be outdated; come back")
+            } else {
+                (refusal, detail)
+            };
         shared.count(match refusal {
             Refusal::Malformed => "refused_malformed",
             Refusal::NoQueue => "refused_no_queue",
--- a/src/cell/leader/replies.rs
+++ b/src/cell/leader/replies.rs
@@ -15,18 +15,24 @@
 
 impl<P: Platform> LeaderTerm<P> {
     /// Returns whether a request reads state that may be outdated, since
-    /// another node may lead.
+    /// another node may lead, or since its queue may have been removed.
     pub(super) fn is_unconfirmed_read(&self, request: &Request) -> bool {
         let lease = self.shared.settings.borrow().leader_lease;
         let read =
             matches!(request, Request::State { .. } | Request::Pending { .. });
-        read && clock::mono() > self.confirmed.get() + lease
+        let unconfirmed = clock::mono() > self.confirmed.get() + lease;
+        read && (unconfirmed || !self.shared.is_policy_current())
     }
 
     /// Answers a request. [`Outcome::NoSuchJob`] is sent only after the store
     /// has confirmed that no other node leads: a successor may have accepted
-    /// the job.
+    /// the job. What the policy rules out is refused for good only if the
+    /// policy is current.
     pub(super) fn answer(&mut self, id: RequestId, outcome: Outcome) {
+        if outcome.depends_on_policy() && !self.shared.is_policy_current() {
+            self.shared.count("refused_policy_outdated");
+            return self.reply(id, Outcome::Refused(RETRY_AFTER));
+        }
         if outcome != Outcome::NoSuchJob {
             return self.reply(id, outcome);
         }
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -9,7 +9,7 @@
 */
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -117,7 +117,11 @@
     Pong {
         /// Whether the store has confirmed the leader recently.
         sure: bool,
-        /// The policy version of the leader.
+        /// The policy version of the leader, unless it is older than
+        /// [`PolicyLimits::max_confirmed_age`].
+        ///
+        /// [`PolicyLimits::max_confirmed_age`]:
+        /// puffinknot_core::jobs::PolicyLimits::max_confirmed_age
         policy: Option<u64>,
     },
     /// The leader requests the policy of the node, which is newer.
@@ -130,6 +134,9 @@
     sender: Sender,
     open_requests: Rc<RefCell<HashMap<RequestId, oneshot::Sender<Outcome>>>>,
     last_id: Rc<Cell<RequestId>>,
+    /// When the heartbeats were sent that the leader has not answered. It
+    /// answers them in turn.
+    open_pings: Rc<RefCell<VecDeque<Millis>>>,
 }
 
 impl LinkHandle {
@@ -138,6 +145,7 @@
             sender,
             open_requests: Rc::default(),
             last_id: Rc::default(),
+            open_pings: Rc::default(),
         }
     }
 
@@ -334,6 +342,7 @@
                 let store_silent =
                     now.saturating_sub(shared.store.last_answered_at());
                 let ping = ToLeader::Ping { policy, store_silent };
+                link.open_pings.borrow_mut().push_back(now);
                 let sent = link.sender.send(&ping);
                 if !sent || last_heard_at.elapsed() > leader_timeout {
                     return;
@@ -396,8 +405,12 @@
         }
         ToNode::Pong { sure, policy } => {
             shared.reachability.record_leader_message(sure);
-            if sure {
-                shared.reachability.set_leader_policy(policy);
+            let sent_at = link.open_pings.borrow_mut().pop_front();
+            if let (true, Some(version), Some(sent_at)) =
+                (sure, policy, sent_at)
+            {
+                let age = shared.policy_limits().max_confirmed_age();
+                shared.observe_policy(version, sent_at.saturating_sub(age));
             }
         }
         ToNode::Welcome(..) | ToNode::NotLeading(_) => {}
@@ -477,7 +490,9 @@
                 lead.set_store_silence(peer, store_silent);
                 let sure = reachability::is_confirmed(lead.confirmed_at());
                 let own_version = shared.policy().map(|policy| policy.version);
-                sender.send(&ToNode::Pong { sure, policy: own_version });
+                let confirmed =
+                    own_version.filter(|_| confirms_policy(&shared));
+                sender.send(&ToNode::Pong { sure, policy: confirmed });
                 if version > own_version && shared.take_policy_request_permit()
                 {
                     sender.send(&ToNode::PolicyWanted);
@@ -501,5 +516,11 @@
     lead.remove_peer(peer, &relay);
 }
 
+/// Whether this leader may tell other nodes that its policy is the newest.
+fn confirms_policy<P: Platform>(shared: &NodeState<P>) -> bool {
+    let max_age = shared.policy_limits().max_confirmed_age();
+    shared.policy_age().is_some_and(|age| age <= max_age)
+}
+
 /// How long a leader waits for advice that a node obtains.
 pub const ADVICE_TIMEOUT_MS: Millis = ADVICE_TIMEOUT.as_millis() as Millis;
--- a/src/cell/ports.rs
+++ b/src/cell/ports.rs
@@ -170,12 +170,29 @@
     TooLarge,
     /// The body did not arrive in time, or was cut off.
     Incomplete,
-    /// This node has no policy yet.
+    /// This node has no policy yet, or can't know whether a newer one allows
+    /// the request.
     NotReady,
     /// The key is missing, or no client account has it.
     NoKey,
 }
 
+impl Refusal {
+    /// Whether a newer policy might allow the request. Such a refusal is final
+    /// for the client, so that only a node with the newest policy may give it.
+    pub fn depends_on_policy(self) -> bool {
+        match self {
+            Refusal::NoQueue
+            | Refusal::Method
+            | Refusal::TooLarge
+            | Refusal::NoKey => true,
+            Refusal::Malformed | Refusal::Incomplete | Refusal::NotReady => {
+                false
+            }
+        }
+    }
+}
+
 /// A platform: translates between the cell and the store, executors, machines
 /// and clients.
 #[allow(async_fn_in_trait)]
--- a/src/cell/reachability.rs
+++ b/src/cell/reachability.rs
@@ -41,8 +41,6 @@
 pub struct Reachability {
     /// When the last message from a confirmed leader arrived.
     last_heard_at: Cell<Option<Millis>>,
-    /// The policy version that a confirmed leader reported last.
-    leader_policy: Cell<Option<u64>>,
     isolated: Cell<bool>,
     changed: Notify,
 }
@@ -57,15 +55,9 @@
         }
     }
 
-    /// Records the policy version of a confirmed leader.
-    pub fn set_leader_policy(&self, version: Option<u64>) {
-        self.leader_policy.set(version);
-    }
-
     /// Records that the connection to the leader is lost.
     pub fn clear_leader(&self) {
         self.last_heard_at.set(None);
-        self.leader_policy.set(None);
     }
 
     /// Whether a confirmed leader has sent a message recently.
@@ -127,17 +119,8 @@
     can_serve(shared) || !shared.is_enabled(Mechanism::Readiness)
 }
 
-/// Whether the policy of this node is at least as new as the leader's. If it
-/// is not, a key that the node does not know may be a new one.
-pub fn knows_policy<P: Platform>(shared: &NodeState<P>) -> bool {
-    let Some(policy) = shared.policy() else { return false };
-    let leader = shared.reachability.leader_policy.get();
-    let up_to_date = leader.is_some_and(|leader| leader <= policy.version);
-    can_serve(shared) && (up_to_date || shared.lead.borrow().is_some())
-}
-
 /// Whether this node can serve client requests.
-fn can_serve<P: Platform>(shared: &NodeState<P>) -> bool {
+pub fn can_serve<P: Platform>(shared: &NodeState<P>) -> bool {
     match shared.lead.borrow().as_ref() {
         Some(lead) => is_confirmed(lead.confirmed_at()),
         None => shared.reachability.heard_recently(),
