Tests of how old a node's knowledge of the policy is

Random sequences of writes, watches and heartbeats whose answers are late: no version existed before the age that a node reckons. With an answer that counts as given when it arrived, the property and a test fail.

--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod placement_rounds;
 mod placement_stats;
+mod policy_age;
 mod preemption;
 mod ranking;
 mod renewals;
