Entry VMs reject for good only what a current operators' file rules out

An entry VM answers 401, 403, 404 or 413 by the operators' file that it has, however long the platform has not answered it.

The VM compares revisions with its peers, which are as outdated as itself if the platform answers none of them, and a watch on a silent connection was noticed by a check after 8 s.

Change: what a file rules out is rejected for good for 6 s after the platform has shown that there is no newer one, and else with no-config (503) and when to come back. The check runs every 2 s. What the file allows goes on as before.

Evidence: with the platform silent to all VMs, a class that was added was rejected with 404 and no Retry-After 6 s later; now the answer is no-config. The test failed before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -16,12 +16,14 @@
 use puffinknot_core::calls::CallId;
 use puffinknot_core::config::Config;
 use puffinknot_core::contract::Scope;
-use puffinknot_core::ids::{CallerId, Epoch, Revision};
+use puffinknot_core::ids::{CallerId, Epoch, Millis, Revision};
 use puffinknot_core::node::{Call, Event, NodeStatus, Summary};
 use puffinknot_core::outcome::Outcome;
 use puffinknot_core::store::StoredEntry;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::clock;
+
 /// An instruction to a traffic thread about a call.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -75,8 +77,17 @@
     Halt,
     /// A new VM list.
     VmList(crate::vm_list::VmList),
+    /// The platform had no newer operators' file at this monotonic time than
+    /// the inputs before this one contain.
+    ConfigConfirmed(Millis),
 }
 
+/// For how long the operators' file of a VM may be unconfirmed before the VM
+/// no longer rejects for good what the file rules out, in milliseconds. Within
+/// this time a file that was applied is in force on every VM that can reach
+/// the platform: two checks of the platform, of which one gets no answer.
+pub const MAX_CONFIG_AGE: Millis = 6_000;
+
 /// The configuration that traffic threads read for every request.
 #[derive(Debug, Default)]
 pub struct TrafficConfig {
@@ -109,6 +120,9 @@
 pub struct Control {
     inputs: mpsc::UnboundedSender<Input>,
     traffic_config: Arc<ArcSwap<TrafficConfig>>,
+    /// When the active file was last known to be the newest, on the monotonic
+    /// clock in milliseconds; zero if it never was.
+    config_confirmed_at: Arc<AtomicU64>,
     next_call: Arc<AtomicU64>,
     in_progress: Arc<AtomicUsize>,
     max_calls: usize,
@@ -126,6 +140,7 @@
         let control = Control {
             inputs,
             traffic_config: Arc::default(),
+            config_confirmed_at: Arc::default(),
             next_call: Arc::default(),
             in_progress: Arc::default(),
             max_calls,
@@ -143,6 +158,19 @@
         self.traffic_config.store(Arc::new(traffic_config));
     }
 
+    /// Records that the active operators' file was the newest at a monotonic
+    /// time, in milliseconds.
+    pub fn confirm_config(&self, at: Millis) {
+        self.config_confirmed_at.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Whether the active operators' file was the newest so lately that what
+    /// it rules out may be rejected for good.
+    pub fn is_config_current(&self) -> bool {
+        let confirmed_at = self.config_confirmed_at.load(Ordering::Relaxed);
+        clock::mono() <= confirmed_at + MAX_CONFIG_AGE
+    }
+
     /// Sends an input to the control thread.
     pub fn send(&self, input: Input) {
         // An error means that the control thread has ended; the process is
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -369,6 +369,7 @@
             Input::Drain => self.drain(),
             Input::Halt => self.halted = true,
             Input::VmList(list) => self.apply_vm_list(list),
+            Input::ConfigConfirmed(at) => self.control.confirm_config(at),
         }
     }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -107,6 +107,22 @@
         }
     }
 
+    /// Whether a newer operators' file might allow the call.
+    fn depends_on_file(self) -> bool {
+        match self {
+            InvalidCall::WrongToken
+            | InvalidCall::NoSuchClass
+            | InvalidCall::ClassNotAllowed
+            | InvalidCall::NoKey
+            | InvalidCall::TooLarge => true,
+            InvalidCall::NoToken
+            | InvalidCall::BadKey
+            | InvalidCall::BadDeadline
+            | InvalidCall::TooSlow
+            | InvalidCall::Broken => false,
+        }
+    }
+
     fn reply(self) -> Reply {
         let body = format!("{}: {}\n", self.name(), self.remedy());
         Response::build(self.status())
@@ -139,13 +155,15 @@
     }
     let call = match parse_call(&traffic, class, request.headers()) {
         Ok(call) => call,
-        Err(invalid) => return invalid.reply(),
+        Err(invalid) => return reject(&traffic, &request, invalid),
     };
     let limit = traffic.control().traffic_config().config.policy.body_bytes;
     let payload = request.take_payload();
     let body = match read_body(payload, limit, BODY_TIMEOUT).await {
         Ok(body) => body,
-        Err(BodyError::TooLarge) => return InvalidCall::TooLarge.reply(),
+        Err(BodyError::TooLarge) => {
+            return reject(&traffic, &request, InvalidCall::TooLarge);
+        }
         Err(BodyError::TooSlow) => return InvalidCall::TooSlow.reply(),
         Err(BodyError::Broken) => return InvalidCall::Broken.reply(),
     };
@@ -162,6 +180,15 @@
     text(StatusCode::OK, "ready")
 }
 
+/// The response to an invalid call. A file that may be outdated rules nothing
+/// out for good.
+fn reject(traffic: &Traffic, request: &Request, why: InvalidCall) -> Reply {
+    if why.depends_on_file() && !traffic.control().is_config_current() {
+        return no_config_reply(request.headers());
+    }
+    why.reply()
+}
+
 fn no_config_reply(headers: &HeaderMap) -> Reply {
     let keyed = headers.contains_key(crate::target::KEY);
     let outcome = Outcome::not_run(Reason::NoConfig, 1_000);
--- a/src/platform_watch.rs
+++ b/src/platform_watch.rs
@@ -18,14 +18,15 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::control::Control;
+use crate::control::{Control, Input};
 use crate::platform::{Lease, Platform};
 
 /// The shortest and the longest delay before a retry, without jitter.
 const BACK_OFF: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(2_000));
-/// The interval between checks for changes that the watch has missed.
-const WATCH_CHECK_INTERVAL: Duration = Duration::from_secs(8);
+/// The interval between checks for changes that the watch has missed, since a
+/// connection may fall silent without an error.
+const WATCH_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// How long the watch may take to deliver a change that a check has found.
 const WATCH_GRACE: Duration = Duration::from_millis(1_000);
 
@@ -52,6 +53,7 @@
 ) -> Revision {
     let mut back_off = BackOff::new();
     loop {
+        let sent_at = clock::mono();
         match platform.read(0).await {
             Ok(read) => {
                 for problem in &read.undecodable {
@@ -59,6 +61,7 @@
                 }
                 let (revision, stored) = (read.revision, read.stored);
                 control.event(Event::Snapshot { revision, stored });
+                control.send(Input::ConfigConfirmed(sent_at));
                 return revision;
             }
             Err(err) => debug!("platform: {err}."),
@@ -97,10 +100,15 @@
     let check = async {
         loop {
             sleep(WATCH_CHECK_INTERVAL).await;
+            let sent_at = clock::mono();
             let Ok(read) = platform.read(newest_seen.get() + 1).await else {
                 continue;
             };
             let changed = read.stored.iter().map(|s| s.revision).max();
+            if changed.is_none_or(|changed| changed <= newest_seen.get()) {
+                control.send(Input::ConfigConfirmed(sent_at));
+                continue;
+            }
             sleep(WATCH_GRACE).await;
             if changed.is_some_and(|changed| changed > newest_seen.get()) {
                 return;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -11,12 +11,14 @@
 
 use awc::Client;
 use puffinknot::client::{self, Cli};
+use puffinknot::control::MAX_CONFIG_AGE;
 use puffinknot::wire::Hello;
 use puffinknot_core::config::Resources;
 use puffinknot_core::node::NodeStatus;
 use puffinknot_core::tasks::WorkerInfo;
 use puffinknot_standin::executor::{Executor, ExecutorConfig};
 use puffinknot_standin::platform::{Platform, Vm};
+use puffinknot_standin::proxy::{Proxy, ProxyFault};
 use puffinknot_standin::record::overlapping;
 use puffinknot_standin::server::Running;
 use puffinknot_standin::worker::Worker;
@@ -55,7 +57,10 @@
 /// test adds more.
 struct World {
     platform: Platform,
+    /// The URL of the platform for operators.
     base: String,
+    /// The URL of the platform for daemons.
+    daemons_base: String,
     executors: Vec<Executor>,
     workers: Vec<Worker>,
     daemons: Vec<Daemon>,
@@ -72,6 +77,7 @@
         let base = format!("http://{}", server.addr());
         World {
             platform,
+            daemons_base: base.clone(),
             base,
             executors: Vec::new(),
             workers: Vec::new(),
@@ -117,14 +123,14 @@
     /// Starts a daemon on its own loopback address.
     fn start(&mut self, dc: &str, name: &str, host: u8) {
         let ip = format!("127.9.{}.{host}", self.net);
-        let list = format!("{}/vms", self.base);
+        let list = format!("{}/vms", self.daemons_base);
         let peer = format!("127.9.{}.1:8081", self.net);
         let child = Command::new(env!("CARGO_BIN_EXE_puffinknotd"))
             .args(["--cell", "local", "--dc", dc, "--vm", name])
             .args(["--listen", &format!("{ip}:8080")])
             .args(["--link", &format!("{ip}:8081")])
             .args(["--admin", &format!("{ip}:8082")])
-            .args(["--platform", &self.base, "--vm-list", &list])
+            .args(["--platform", &self.daemons_base, "--vm-list", &list])
             .args(["--peer", &peer, "--ttl", "1", "--drain-ms", "100"])
             .args(["--log", "warn"])
             .env("PUFFINKNOT_SECRET", SECRET)
@@ -296,7 +302,18 @@
 
 /// Creates a cell of three daemons that serves calls and runs tasks.
 fn running_cell(net: u8) -> World {
+    running_cell_in(World::new(net))
+}
+
+/// Like [`running_cell`], with a proxy between the daemons and the platform.
+fn running_cell_behind_proxy(net: u8) -> (World, Proxy) {
     let mut world = World::new(net);
+    let proxy = Proxy::start(world.servers[0].addr()).expect("a proxy");
+    world.daemons_base = format!("http://{}", proxy.addr());
+    (running_cell_in(world), proxy)
+}
+
+fn running_cell_in(mut world: World) -> World {
     for _ in 0..2 {
         world.add_executor("goya");
         world.add_worker("goya");
@@ -561,6 +578,52 @@
     world.check();
 }
 
+/// Guards against entry VMs that reject a class for good by an operators' file
+/// which may be outdated, since the platform does not answer them.
+#[test]
+fn an_added_class_is_not_rejected_by_vms_that_cannot_know_it() {
+    let (world, proxy) = running_cell_behind_proxy(14);
+    proxy.set_fault(ProxyFault::Silent);
+    let file = FILE.replace("\"invitation\"", "\"reminder\"");
+    let (code, text) = world.apply(&file);
+    assert_eq!(code, client::DONE, "{text}");
+    std::thread::sleep(Duration::from_millis(MAX_CONFIG_AGE));
+    for daemon in 0..world.daemons.len() {
+        let answer = world.call(daemon, "reminder", Some(&new_key()));
+        assert_eq!(answer.reason, "no-config", "{answer:?}");
+        assert!(answer.retry, "{answer:?}");
+        // What the file allows goes on.
+        let answer = world.call(daemon, "overnight", None);
+        assert_eq!(answer.outcome, "answered", "{answer:?}");
+    }
+    proxy.set_fault(ProxyFault::None);
+    wait("the class is known", || {
+        let answer = world.call(0, "reminder", Some(&new_key()));
+        !["no-config", "no-such-class"].contains(&answer.reason.as_str())
+    });
+}
+
+/// Guards against a watch of the platform on a connection that has fallen
+/// silent: a new file is in force within the promised time all the same.
+#[test]
+fn a_file_is_in_force_in_time_though_all_connections_fell_silent() {
+    let (world, proxy) = running_cell_behind_proxy(15);
+    let revision =
+        |daemon| world.status(daemon).map_or(0, |status| status.config);
+    let before = revision(0);
+    proxy.silence_open();
+    let file = FILE.replace("\"invitation\"", "\"reminder\"");
+    let (code, text) = world.apply(&file);
+    assert_eq!(code, client::DONE, "{text}");
+    let applied = Instant::now();
+    let limit = Duration::from_millis(MAX_CONFIG_AGE);
+    for daemon in 0..world.daemons.len() {
+        wait("the file is in force", || revision(daemon) > before);
+    }
+    let passed = applied.elapsed();
+    assert!(passed < limit, "{passed:?}");
+}
+
 #[test]
 fn a_leaving_executor_gets_no_new_calls() {
     let world = running_cell(9);
