--- a/puffinknot-core/src/jobs/policy_age.rs
+++ b/puffinknot-core/src/jobs/policy_age.rs
@@ -14,6 +14,10 @@
 
 use crate::ids::Millis;
 
+/// The shortest time within which a policy can be required to be in effect, in
+/// milliseconds. Calls to the store take about half as long to fail.
+const MIN_BOUND: Millis = 1_000;
+
 /// The newest policy version that is known to exist, and when it was the
 /// newest.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -55,9 +59,10 @@
 
 impl PolicyLimits {
     /// Returns the limits for a version that must be in effect everywhere
-    /// `bound` milliseconds after the store has confirmed it.
+    /// `bound` milliseconds after the store has confirmed it. A bound of less
+    /// than a second counts as one second.
     pub fn new(bound: Millis) -> PolicyLimits {
-        PolicyLimits { bound }
+        PolicyLimits { bound: bound.max(MIN_BOUND) }
     }
 
     /// The age up to which a policy counts as current.
--- a/tests/jobs/policy_age.rs
+++ b/tests/jobs/policy_age.rs
@@ -173,3 +173,12 @@
     assert!(limits.recheck_age() < limits.max_age());
     assert_eq!(limits.max_age(), BOUND);
 }
+
+/// Guards against a node that asks the store without a pause, since the
+/// settings give no time for an answer.
+#[test]
+fn a_bound_of_zero_leaves_time_between_two_watches() {
+    let limits = PolicyLimits::new(0);
+    assert!(limits.leader_watch() > 0);
+    assert!(limits.recheck_age() > limits.leader_watch());
+}
