--- a/puffinknot-core/src/jobs/policy_age.rs
+++ b/puffinknot-core/src/jobs/policy_age.rs
@@ -88,22 +88,29 @@
     }
 }
 
+/// No store leaves changes out of an answer with fewer changes than this.
+pub const MIN_TRUNCATED_CHANGES: usize = 5;
+
 /// Returns the last time for which the answer to a watch shows that it holds
-/// all changes. The watch was sent at `sent_at` and was to wait for `wait`; the
-/// answer arrived at `answered_at`; all are milliseconds. `changed` tells
-/// whether it holds changes.
+/// all changes, in milliseconds. `None` if the store may have left some out.
+///
+/// The watch was sent at `sent_at` and was to wait for `wait` milliseconds; the
+/// answer arrived at `answered_at` and holds this number of changes.
 pub fn watched_until(
     sent_at: Millis,
     wait: Millis,
     answered_at: Millis,
-    changed: bool,
-) -> Millis {
+    changes: usize,
+) -> Option<Millis> {
+    if changes >= MIN_TRUNCATED_CHANGES {
+        return None;
+    }
     let waited = sent_at + wait;
     // The store answers without changes once it has waited. An earlier answer
     // does not tell when the store gave it.
-    if changed || answered_at < waited {
-        sent_at
+    if changes == 0 && answered_at >= waited {
+        Some(waited)
     } else {
-        waited
+        Some(sent_at)
     }
 }
--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -207,7 +207,7 @@
         });
         let version = shared.policy().map(|policy| policy.version);
         let policy_age = shared.policy_age();
-        info!(?refusal, version, policy_age, "refused_here");
+        info!(?refusal, version, policy_age, "refused_at_ingress");
         platform.refusal(refusal, detail)
     };
     let Some(policy) = shared.policy() else {
--- a/src/cell/ports.rs
+++ b/src/cell/ports.rs
@@ -59,6 +59,9 @@
     pub written: Vec<Item>,
     /// The keys that were removed.
     pub removed: Vec<String>,
+    /// The number of changes in the answer, including those that later ones in
+    /// it replace.
+    pub count: usize,
     /// The revision to continue the watch from.
     pub revision: Revision,
 }
--- a/src/cell/store_watch.rs
+++ b/src/cell/store_watch.rs
@@ -144,11 +144,11 @@
             match changes {
                 Ok(changes) => {
                     self.apply_cordons(&changes);
-                    let Changes { written, removed, revision: at } = changes;
+                    let Changes { written, removed, count, revision: at } =
+                        changes;
                     revision = at;
-                    let changed = !written.is_empty() || !removed.is_empty();
                     let now = clock::mono();
-                    let until = watched_until(sent_at, wait, now, changed);
+                    let until = watched_until(sent_at, wait, now, count);
                     for key in &removed {
                         if key == platform.leader_key() {
                             info!(revision, "leader_key_gone");
@@ -159,7 +159,11 @@
                     for item in &written {
                         self.apply(item);
                     }
-                    self.shared.confirm_policy(until);
+                    match until {
+                        Some(until) => self.shared.confirm_policy(until),
+                        // There may be more changes.
+                        None => doubted = true,
+                    }
                 }
                 Err(error) => {
                     let waited = clock::mono() - sent_at;
--- a/src/cell/watch_limit.rs
+++ b/src/cell/watch_limit.rs
@@ -8,8 +8,8 @@
 large as any before are followed by such a probe.
 */
 
-/// No store truncates answers with fewer changes than this.
-const MIN_LIMIT: usize = 5;
+use puffinknot_core::jobs::policy_age::MIN_TRUNCATED_CHANGES;
+
 /// A probe follows one in this many answers of the largest size.
 const PROBE_ONE_IN: u32 = 5;
 
@@ -31,7 +31,7 @@
     /// store again at once, since there may be more.
     pub fn observe(&mut self, changes: usize) -> bool {
         let probed = std::mem::take(&mut self.probing);
-        if changes < MIN_LIMIT {
+        if changes < MIN_TRUNCATED_CHANGES {
             return false;
         }
         if changes > self.largest {
--- a/tests/jobs/policy_age.rs
+++ b/tests/jobs/policy_age.rs
@@ -2,7 +2,9 @@
 
 use proptest::prelude::*;
 use puffinknot_core::ids::Millis;
-use puffinknot_core::jobs::policy_age::watched_until;
+use puffinknot_core::jobs::policy_age::{
+    watched_until, MIN_TRUNCATED_CHANGES,
+};
 use puffinknot_core::jobs::{PolicyAge, PolicyLimits};
 
 /// The time within which a version must be in effect.
@@ -70,8 +72,9 @@
     let change = writes.iter().find(|write| in_time.contains(write));
     let given_at = change.copied().unwrap_or(sent_at + wait);
     let at = given_at + late;
-    let changed = change.is_some();
-    let until = watched_until(sent_at, wait, at, changed);
+    let changes = usize::from(change.is_some());
+    let until = watched_until(sent_at, wait, at, changes);
+    let until = until.expect("the answer is complete");
     let version = version_at(writes, given_at);
     (at, Lesson::Watched { leader, version, until })
 }
@@ -158,11 +161,18 @@
 /// given when it arrived.
 #[test]
 fn a_watch_without_changes_shows_that_there_were_none_while_it_waited() {
-    assert_eq!(watched_until(100, 500, 605, false), 600);
-    assert_eq!(watched_until(100, 500, 9_000, false), 600);
-    assert_eq!(watched_until(100, 500, 400, false), 100);
-    assert_eq!(watched_until(100, 500, 400, true), 100);
-    assert_eq!(watched_until(100, 500, 9_000, true), 100);
+    assert_eq!(watched_until(100, 500, 605, 0), Some(600));
+    assert_eq!(watched_until(100, 500, 9_000, 0), Some(600));
+    assert_eq!(watched_until(100, 500, 400, 0), Some(100));
+    assert_eq!(watched_until(100, 500, 400, 1), Some(100));
+    assert_eq!(watched_until(100, 500, 9_000, 1), Some(100));
+}
+
+/// Guards against an answer that holds only the first of many changes and that
+/// counts as showing all.
+#[test]
+fn a_watch_with_many_changes_does_not_show_that_there_are_no_more() {
+    assert_eq!(watched_until(100, 500, 400, MIN_TRUNCATED_CHANGES), None);
 }
 
 #[test]
