A test that fails: executors left out of a shortened advice call

A step's call for advice on 48 executors was lost with the node that made it; the call was made again, shortened to 20, since many calls waited. The other 28 counted as asked, so that nobody asked about them any more, and the step never started.

--- a/tests/jobs/faults.rs
+++ b/tests/jobs/faults.rs
@@ -220,6 +220,28 @@
     world.assert_no_violations();
 }
 
+/// Guards against executors that count as asked about since a lost call named
+/// them, although the call that is made again is shortened and leaves them out:
+/// the step would never start if none of the others permits it.
+#[test]
+fn executors_left_out_of_a_shortened_advice_call_are_asked_about_later() {
+    let mut world = World::new(40);
+    world.run(50);
+    let ids = world.executors.iter().map(|e| e.info.id.clone());
+    world.not_permitted = ids.take(30).collect();
+    world.lost_advice = 1;
+    let one_task = || vec![step(1, resources(500, 100))];
+    world.submit(job(1, "advised", one_task()));
+    world.run(20);
+    assert_eq!(world.advice_sizes, [40], "the call that is lost");
+    for id in 2..=12 {
+        world.submit(job(id, "advised", one_task()));
+    }
+    world.run(20_000);
+    assert!(world.unfinished().is_empty(), "{:?}", world.unfinished());
+    world.assert_no_violations();
+}
+
 /// Guards against a commit that the store refuses forever: a burst of large
 /// jobs in one commit exceeds the megabyte that the store accepts.
 #[test]
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -295,6 +295,8 @@
     pub late_maintenance_calls: u32,
     /// The number of advice calls that will never be answered.
     pub lost_advice: u32,
+    /// Executors on which advice permits no step.
+    pub not_permitted: BTreeSet<String>,
     /// How long an advice call takes.
     pub advice_takes: Millis,
     /// How long the leader takes to examine an executor, and the time that it
@@ -505,6 +507,7 @@
             lost_maintenance_calls: 0,
             late_maintenance_calls: 0,
             lost_advice: 0,
+            not_permitted: BTreeSet::new(),
             advice_takes: 30,
             examination_time: Duration::ZERO,
             advance_interval: 0,
@@ -831,6 +834,7 @@
                         let bytes = machine.unwrap_or(id).bytes();
                         let sum: usize = bytes.map(usize::from).sum();
                         (sum + step.job.0 as usize) % 4 != 0
+                            && !self.not_permitted.contains(*id)
                     });
                     let rows = rows.map(|id| AdvisedExecutor {
                         executor: id.clone(),
