--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -101,7 +101,7 @@
         // Everything but the writing of logs runs on this one thread.
         let busy = Handle::current().metrics().worker_total_busy_duration(0);
         shared.stats.set_busy(busy.as_micros() as Micros);
-        let version = shared.policy().map(|policy| policy.version);
+        let version = shared.policy_version();
         shared.stats.set_policy(version, shared.policy_age());
         let text = shared.stats.render();
         async move {
@@ -205,7 +205,7 @@
             Refusal::NotReady => "refused_not_ready",
             Refusal::NoKey => "refused_no_key",
         });
-        let version = shared.policy().map(|policy| policy.version);
+        let version = shared.policy_version();
         let policy_age = shared.policy_age();
         info!(?refusal, version, policy_age, "refused_at_ingress");
         platform.refusal(refusal, detail)
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -337,7 +337,7 @@
                 }
             }
             _ = ping.tick() => {
-                let policy = shared.policy().map(|policy| policy.version);
+                let policy = shared.policy_version();
                 let now = crate::clock::mono();
                 let store_silent =
                     now.saturating_sub(shared.store.last_answered_at());
@@ -489,9 +489,9 @@
             ToLeader::Ping { policy: version, store_silent } => {
                 lead.set_store_silence(peer, store_silent);
                 let sure = reachability::is_confirmed(lead.confirmed_at());
-                let own_version = shared.policy().map(|policy| policy.version);
+                let own_version = shared.policy_version();
                 let confirmed =
-                    own_version.filter(|_| confirms_policy(&shared));
+                    own_version.filter(|_| shared.may_confirm_policy());
                 sender.send(&ToNode::Pong { sure, policy: confirmed });
                 if version > own_version && shared.take_policy_request_permit()
                 {
@@ -516,11 +516,5 @@
     lead.remove_peer(peer, &relay);
 }
 
-/// Whether this leader may tell other nodes that its policy is the newest.
-fn confirms_policy<P: Platform>(shared: &NodeState<P>) -> bool {
-    let max_age = shared.policy_limits().max_confirmed_age();
-    shared.policy_age().is_some_and(|age| age <= max_age)
-}
-
 /// How long a leader waits for advice that a node obtains.
 pub const ADVICE_TIMEOUT_MS: Millis = ADVICE_TIMEOUT.as_millis() as Millis;
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -202,6 +202,11 @@
         self.policy.borrow().clone()
     }
 
+    /// The version of the policy in effect.
+    pub fn policy_version(&self) -> Option<u64> {
+        self.policy.borrow().as_ref().map(|policy| policy.version)
+    }
+
     /// The encoded policy, as it is in the store.
     pub fn raw_policy(&self) -> Option<Rc<Vec<u8>>> {
         self.raw_policy.borrow().clone()
@@ -233,7 +238,7 @@
                 return;
             }
         };
-        let before = self.policy().map(|p| p.version);
+        let before = self.policy_version();
         if before.is_some_and(|before| before >= policy.version) {
             return;
         }
@@ -258,7 +263,7 @@
     /// Records that the store had no newer policy than the one in effect at
     /// the monotonic time `at`.
     pub fn confirm_policy(&self, at: Millis) {
-        let version = self.policy().map_or(0, |policy| policy.version);
+        let version = self.policy_version().unwrap_or(0);
         self.observe_policy(version, at);
     }
 
@@ -274,7 +279,7 @@
     /// effect is still the newest. `None` if that was never known, or if there
     /// is a newer one.
     pub fn policy_age(&self) -> Option<Millis> {
-        let version = self.policy().map_or(0, |policy| policy.version);
+        let version = self.policy_version().unwrap_or(0);
         self.policy_age.get().of(version, clock::mono())
     }
 
@@ -299,7 +304,16 @@
     /// Whether the policy in effect was the newest so lately that what it
     /// rules out may be refused for good.
     pub fn is_policy_current(&self) -> bool {
-        let max_age = self.policy_limits().max_age();
+        self.is_policy_within(self.policy_limits().max_age())
+    }
+
+    /// Whether the policy in effect was the newest so lately that this node
+    /// may confirm it to other nodes while it leads.
+    pub fn may_confirm_policy(&self) -> bool {
+        self.is_policy_within(self.policy_limits().max_confirmed_age())
+    }
+
+    fn is_policy_within(&self, max_age: Millis) -> bool {
         self.policy_age().is_some_and(|age| age <= max_age)
     }
 
--- a/src/cell/reachability.rs
+++ b/src/cell/reachability.rs
@@ -162,7 +162,7 @@
     if std::mem::replace(current, is_current) == is_current {
         return;
     }
-    let version = shared.policy().map(|policy| policy.version);
+    let version = shared.policy_version();
     if is_current {
         info!(version, "policy_current");
     } else {
