Count executors as asked about once an answer covers them

Cause: a step kept the executors that its calls for advice had named, from the moment at which a call was sent. A call that was lost is made again, and is shortened while many calls wait. The executors that it leaves out then still counted as asked about, so that no other call ever named them. If none of the others permits the step, it waits until the leader is replaced.

The list is now written when an answer comes, of the executors of the call that was answered. A call that fails, in whichever way, leaves nothing behind but itself. While a call is open the step makes no other, so that nothing is asked twice.

--- a/puffinknot-core/src/jobs/scheduler/advice.rs
+++ b/puffinknot-core/src/jobs/scheduler/advice.rs
@@ -154,7 +154,9 @@
         }
     }
 
-    /// Requests advice on executors that the step has not asked about yet.
+    /// Requests advice on executors that no answer has covered yet for the
+    /// step. A call that was made is not enough: it may be lost, and leave out
+    /// executors when it is made again.
     pub(super) fn request_more_advice(&mut self, key: StepKey, now: Millis) {
         let Some(live) = self.jobs.get(&key.job) else { return };
         let Some(state) = live.steps.get(&(key.time, key.step)) else {
@@ -163,7 +165,7 @@
         // Waiting steps reach this point repeatedly.
         if live.queue.advice.is_none()
             || !state.advice.open_calls.is_empty()
-            || state.advice.all_asked
+            || state.advice.all_answered
                 == Some(self.executors.descriptions_version())
         {
             return;
@@ -171,7 +173,7 @@
         *self.counters.entry("advice_searches").or_default() += 1;
         let step = &live.job.steps[key.step as usize];
         let label = step.label.as_deref();
-        let asked = &state.advice.asked;
+        let answered_for = &state.advice.answered_for;
         let start_seed = tie_breaker(key, 0);
         let suitable = self.executors.iter_from(start_seed).filter(
             |(index, executor)| {
@@ -180,7 +182,7 @@
                     && !executor.cordoned
                     && executor.info.capacity.fits(&step.footprint())
                     && label.is_none_or(|label| executor.has_label(label))
-                    && !asked.contains(index)
+                    && !answered_for.contains(index)
             },
         );
         let suitable = suitable.take(MAX_CANDIDATES);
@@ -209,7 +211,9 @@
             return;
         }
         let described = self.executors.descriptions_version();
-        self.update_advice(key, |advice| advice.all_asked = Some(described));
+        self.update_advice(key, |advice| {
+            advice.all_answered = Some(described)
+        });
     }
 
     fn update_advice(
@@ -374,24 +378,15 @@
     ) {
         let reassigns = self.is_enabled(Mechanism::OverdueAdvice);
         let Some(call) = self.advice_calls.get_mut(&id) else { return };
-        call.advisor = Some(name.clone());
-        let key = call.step;
-        let asked = call.executors.clone();
-        let known = asked.iter().filter_map(|i| self.executors.get(i));
-        let executors = known.map(|e| e.info.id.clone()).collect();
         let overdue = self.advisors.start_call(&name, call_time, now);
         let timeout = now + CALL_TIMEOUT;
-        let overdue = if reassigns { overdue.min(timeout) } else { timeout };
-        if let Some(call) = self.advice_calls.get_mut(&id) {
-            call.overdue_at = overdue;
-        }
-        let live = self.jobs.get_mut(&key.job);
-        let state = live.and_then(|l| l.steps.get_mut(&(key.time, key.step)));
-        if let Some(state) = state {
-            state.advice.asked.extend(asked);
-        }
-        let advisor = name;
-        let step = key;
+        call.overdue_at =
+            if reassigns { overdue.min(timeout) } else { timeout };
+        call.advisor = Some(name.clone());
+        let known = call.executors.iter();
+        let known = known.filter_map(|index| self.executors.get(index));
+        let executors = known.map(|e| e.info.id.clone()).collect();
+        let (advisor, step) = (name, call.step);
         self.actions.push(Action::Advise {
             call: id,
             advisor,
@@ -516,6 +511,7 @@
         let approved_ratio = approved.len() as f64 / asked;
         let had_no_tickets = advice.tickets.is_empty();
         for index in &call.executors {
+            advice.answered_for.insert(*index);
             advice.tickets.remove(index);
         }
         for row in approved {
--- a/puffinknot-core/src/jobs/scheduler/live_job.rs
+++ b/puffinknot-core/src/jobs/scheduler/live_job.rs
@@ -30,12 +30,12 @@
     pub open_calls: BTreeSet<CallId>,
     /// The executors that may run the step, with their tickets.
     pub tickets: BTreeMap<ExecutorIndex, Ticket>,
-    /// The executors that advice was requested for.
-    pub asked: BTreeSet<ExecutorIndex>,
+    /// The executors that answers have covered, approved or not.
+    pub answered_for: BTreeSet<ExecutorIndex>,
     /// The value of
     /// [`Executors::descriptions_version`](crate::jobs::executor_index::Executors::descriptions_version)
-    /// when advice had been requested for all executors that may run the step.
-    pub all_asked: Option<u64>,
+    /// when answers had covered all executors that may run the step.
+    pub all_answered: Option<u64>,
     /// Whether the first answer has come.
     pub answered: bool,
     /// When advice was last requested for further executors.
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -330,7 +330,7 @@
                 live.queue = queue.clone();
                 // The queue may belong to another service now.
                 for state in live.steps.values_mut() {
-                    state.advice.all_asked = None;
+                    state.advice.all_answered = None;
                 }
             }
         }
--- /dev/null
+++ b/tests/jobs/advice.rs
@@ -0,0 +1,105 @@
+//! Advice: which executors the leader asks about for a step, and asks about
+//! again.
+
+use puffinknot_core::jobs::{Event, Job};
+
+use super::world::{job, resources, step, World};
+
+/// A bound on the time in which a job with room and approval is done: several
+/// times its objective.
+const DONE_WITHIN: u64 = 20_000;
+
+fn advised(id: u64, tasks: u32) -> Job {
+    job(id, "advised", vec![step(tasks, resources(500, 100))])
+}
+
+/// A cell in which only the last `approved` executors are approved.
+fn mostly_refused(executors: usize, approved: usize) -> World {
+    let mut world = World::new(executors);
+    world.run(50);
+    let ids = world.executors.iter().map(|e| e.info.id.clone());
+    world.not_permitted = ids.take(executors - approved).collect();
+    world
+}
+
+fn assert_done(world: &mut World) {
+    assert!(world.unfinished().is_empty(), "{:?}", world.unfinished());
+    world.assert_no_violations();
+}
+
+/// Guards against steps that never start, for calls of other sizes, losses and
+/// loads than the shortest sequence in `faults`.
+#[test]
+fn lost_calls_leave_no_executor_out() {
+    for executors in [24, 40, 90, 150] {
+        for lost in [1, 2, 4] {
+            for others in [4, 11, 40] {
+                for replaced in [false, true] {
+                    let mut world = mostly_refused(executors, 3);
+                    world.lost_advice = lost;
+                    world.submit(advised(1, 1));
+                    world.run(20);
+                    for id in 2..2 + others {
+                        world.submit(advised(id, 1));
+                    }
+                    if replaced {
+                        world.run(80);
+                        world.replace_leader();
+                    }
+                    world.run(60_000);
+                    let stuck = world.unfinished();
+                    assert!(
+                        stuck.is_empty(),
+                        "{stuck:?} of {executors} executors, {lost} lost, \
+                         {others} others, leader replaced: {replaced}"
+                    );
+                    world.assert_no_violations();
+                }
+            }
+        }
+    }
+}
+
+/// Guards against the same for an executor that was to leave and stays.
+#[test]
+fn executors_that_stay_after_all_are_asked_about() {
+    let mut world = World::new(1);
+    world.run(50);
+    let leaving = |world: &mut World, draining: bool| {
+        world.executors[0].info.draining = draining;
+        let info = world.executors[0].info.clone();
+        world.event(Event::Listed(info));
+    };
+    leaving(&mut world, true);
+    world.submit(advised(1, 1));
+    world.run(5_000);
+    leaving(&mut world, false);
+    world.run(DONE_WITHIN);
+    assert_done(&mut world);
+}
+
+/// Guards against the same for an executor that joins the service later.
+#[test]
+fn executors_that_move_to_the_service_are_asked_about() {
+    let mut world = mostly_refused(2, 1);
+    let mut elsewhere = world.executors[1].info.clone();
+    elsewhere.service = "other".into();
+    world.event(Event::Listed(elsewhere));
+    world.submit(advised(1, 1));
+    world.run(5_000);
+    let info = world.executors[1].info.clone();
+    world.event(Event::Listed(info));
+    world.run(DONE_WITHIN);
+    assert_done(&mut world);
+}
+
+/// A ticket that an executor rejects is replaced.
+#[test]
+fn rejected_tickets_are_renewed() {
+    let mut world = mostly_refused(8, 2);
+    world.rejected_tickets = 6;
+    world.submit(advised(1, 3));
+    world.run(DONE_WITHIN);
+    assert_eq!(world.rejected_tickets, 0);
+    assert_done(&mut world);
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod account_shares;
 mod accounts;
 mod admission;
+mod advice;
 mod backlog;
 mod capacity;
 mod cell_size;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -297,6 +297,8 @@
     pub lost_advice: u32,
     /// Executors on which advice permits no step.
     pub not_permitted: BTreeSet<String>,
+    /// The number of starts that executors will refuse for their ticket.
+    pub rejected_tickets: u32,
     /// How long an advice call takes.
     pub advice_takes: Millis,
     /// How long the leader takes to examine an executor, and the time that it
@@ -508,6 +510,7 @@
             late_maintenance_calls: 0,
             lost_advice: 0,
             not_permitted: BTreeSet::new(),
+            rejected_tickets: 0,
             advice_takes: 30,
             examination_time: Duration::ZERO,
             advance_interval: 0,
--- a/tests/jobs/world/orders.rs
+++ b/tests/jobs/world/orders.rs
@@ -258,6 +258,10 @@
         if due <= receiver.clock(now) {
             return Err(OrderFailure::Late);
         }
+        if self.rejected_tickets > 0 {
+            self.rejected_tickets -= 1;
+            return Err(OrderFailure::Ticket);
+        }
         receiver.due = receiver.due.max(due);
         let failing = self.failing.get_mut(&task);
         let fails = failing.is_some_and(|left| {
