Ask about executors again once their description changes

An executor that was refused once for a step was never asked about again for it, also if its entry changed since: its labels or service, or if the leader corrected the incarnation that it had assumed. A step that only this executor could run would wait for ever.

Each answer is now kept with the version of the descriptions at the time of the call, and each executor with the version since which its description holds. An answer counts only for the description that it was given for. The next call comes when the step is looked at next, as for a new executor.

executors_are_asked_about_again_once_their_description_changes and executors_that_return_under_their_name_are_asked_about failed before.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -251,6 +251,12 @@
     pub dc_suspected: bool,
     /// Whether its data centre is cordoned.
     pub cordoned: bool,
+    /// The [`Executors::descriptions_version`] since its description changed
+    /// last.
+    ///
+    /// [`Executors::descriptions_version`]:
+    ///     crate::jobs::executor_index::Executors::descriptions_version
+    pub described_at: u64,
     /// The circuit breaker for starts there.
     pub breaker: CircuitBreaker,
     /// How long runs there take.
@@ -307,6 +313,7 @@
             unresponsive: false,
             dc_suspected: false,
             cordoned: false,
+            described_at: 0,
             breaker: CircuitBreaker::default(),
             speed: Speed::default(),
             stored_speed: 0,
@@ -345,13 +352,21 @@
             && reading <= most + CLOCK_TOLERANCE_MS
     }
 
-    /// Takes the stored entry of another incarnation if it is the one born at
-    /// this time; the entry is dropped otherwise.
-    pub fn take_entry_of_incarnation(
+    /// Describes the incarnation born at this time: by the stored entry of
+    /// another incarnation if it is that one, which is dropped otherwise, or
+    /// like this incarnation, as long as there is no entry of it.
+    pub fn describe_incarnation(
         &mut self,
         born: Option<u64>,
-    ) -> Option<ExecutorInfo> {
-        self.other_incarnation.take().filter(|info| info.born == born)
+    ) -> (ExecutorInfo, DescriptionSource) {
+        let entry = self.other_incarnation.take();
+        match entry.filter(|info| info.born == born) {
+            Some(info) => (info, DescriptionSource::Entry),
+            None => {
+                let info = ExecutorInfo { born, ..self.info.clone() };
+                (info, DescriptionSource::Unknown)
+            }
+        }
     }
 
     /// When it was alive by its last report, if it has made one in this term.
--- a/puffinknot-core/src/jobs/executor_index.rs
+++ b/puffinknot-core/src/jobs/executor_index.rs
@@ -48,8 +48,10 @@
         cordoned: bool,
     ) {
         self.descriptions_version += 1;
+        let version = self.descriptions_version;
         let Some(executor) = self.get_mut(&index) else { return };
         let address = info.address.clone();
+        executor.described_at = version;
         executor.cordoned = cordoned;
         let before = std::mem::replace(&mut executor.info, info).address;
         if before != address {
--- a/puffinknot-core/src/jobs/scheduler/advice.rs
+++ b/puffinknot-core/src/jobs/scheduler/advice.rs
@@ -88,6 +88,12 @@
     overdue_at: Millis,
     /// The node that makes the call, once there is one.
     advisor: Option<String>,
+    /// The descriptions of the executors at the time when the call was made
+    /// last, see [`Executors::descriptions_version`].
+    ///
+    /// [`Executors::descriptions_version`]:
+    ///     crate::jobs::executor_index::Executors::descriptions_version
+    descriptions: u64,
     /// How many executors should suffice, once that was estimated.
     sufficient: Option<usize>,
 }
@@ -173,7 +179,7 @@
         *self.counters.entry("advice_searches").or_default() += 1;
         let step = &live.job.steps[key.step as usize];
         let label = step.label.as_deref();
-        let answered_for = &state.advice.answered_for;
+        let advice = &state.advice;
         let start_seed = tie_breaker(key, 0);
         let suitable = self.executors.iter_from(start_seed).filter(
             |(index, executor)| {
@@ -182,7 +188,7 @@
                     && !executor.cordoned
                     && executor.info.capacity.fits(&step.footprint())
                     && label.is_none_or(|label| executor.has_label(label))
-                    && !answered_for.contains(index)
+                    && !advice.is_answered_for(**index, executor)
             },
         );
         let suitable = suitable.take(MAX_CANDIDATES);
@@ -279,6 +285,7 @@
                 not_before: now,
                 overdue_at: 0,
                 advisor: None,
+                descriptions: 0,
                 sufficient: None,
             };
             self.advice_calls.insert(self.next_advice_call, call);
@@ -382,6 +389,7 @@
         let timeout = now + CALL_TIMEOUT;
         call.overdue_at =
             if reassigns { overdue.min(timeout) } else { timeout };
+        call.descriptions = self.executors.descriptions_version();
         call.advisor = Some(name.clone());
         let known = call.executors.iter();
         let known = known.filter_map(|index| self.executors.get(index));
@@ -511,7 +519,7 @@
         let approved_ratio = approved.len() as f64 / asked;
         let had_no_tickets = advice.tickets.is_empty();
         for index in &call.executors {
-            advice.answered_for.insert(*index);
+            advice.answered_for.insert(*index, call.descriptions);
             advice.tickets.remove(index);
         }
         for row in approved {
--- a/puffinknot-core/src/jobs/scheduler/incarnations.rs
+++ b/puffinknot-core/src/jobs/scheduler/incarnations.rs
@@ -25,7 +25,7 @@
 use std::collections::BTreeSet;
 
 use crate::ids::Millis;
-use crate::jobs::executor::{DescriptionSource, ExecutorInfo, PlacedRun};
+use crate::jobs::executor::{ExecutorInfo, PlacedRun};
 use crate::jobs::message::{ExecutorIndex, ExecutorReport, IncarnationEnd};
 use crate::jobs::model::TaskKey;
 use crate::jobs::scheduler::renewals::RETRY_DELAY;
@@ -126,15 +126,12 @@
         let Some(executor) = self.executors.get_mut(&index) else {
             return index;
         };
-        executor.info.born = born;
-        executor.description = DescriptionSource::Unknown;
         executor.enrolled = false;
         executor.speed = Speed::default();
         self.commits.executor_changed(&executor.info.id);
-        if let Some(info) = executor.take_entry_of_incarnation(born) {
-            executor.description = DescriptionSource::Entry;
-            self.update_info(index, info);
-        }
+        let (info, description) = executor.describe_incarnation(born);
+        executor.description = description;
+        self.update_info(index, info);
         self.count("executors_reborn");
         index
     }
@@ -158,13 +155,7 @@
             ended.incarnation_end.map_or(now, |(_, ended_at)| ended_at);
         ended.incarnation_end =
             Some((IncarnationEnd::AnotherAnswers, ended_at));
-        let (info, description) = match ended.take_entry_of_incarnation(born) {
-            Some(info) => (info, DescriptionSource::Entry),
-            None => {
-                let info = ExecutorInfo { born, ..ended.info.clone() };
-                (info, DescriptionSource::Unknown)
-            }
-        };
+        let (info, description) = ended.describe_incarnation(born);
         let (machine, listed) = (ended.machine.clone(), ended.listed);
         self.commits.executor_changed(&info.id);
         let next = self.add_executor(info, now);
--- a/puffinknot-core/src/jobs/scheduler/live_job.rs
+++ b/puffinknot-core/src/jobs/scheduler/live_job.rs
@@ -8,6 +8,7 @@
 use crate::config::Resources;
 use crate::ids::Millis;
 use crate::jobs::crash_evidence::CrashEvidence;
+use crate::jobs::executor::Executor;
 use crate::jobs::message::{AccountIndex, CallId, ExecutorIndex, RequestId};
 use crate::jobs::model::{Job, JobState, Step};
 use crate::jobs::policy::Queue;
@@ -30,11 +31,14 @@
     pub open_calls: BTreeSet<CallId>,
     /// The executors that may run the step, with their tickets.
     pub tickets: BTreeMap<ExecutorIndex, Ticket>,
-    /// The executors that answers have covered, approved or not.
-    pub answered_for: BTreeSet<ExecutorIndex>,
-    /// The value of
-    /// [`Executors::descriptions_version`](crate::jobs::executor_index::Executors::descriptions_version)
-    /// when answers had covered all executors that may run the step.
+    /// The executors that answers have covered, approved or not, each with
+    /// the [`Executors::descriptions_version`] at the time of the call.
+    ///
+    /// [`Executors::descriptions_version`]:
+    ///     crate::jobs::executor_index::Executors::descriptions_version
+    pub answered_for: BTreeMap<ExecutorIndex, u64>,
+    /// The same version when answers had covered all executors that may run
+    /// the step.
     pub all_answered: Option<u64>,
     /// Whether the first answer has come.
     pub answered: bool,
@@ -42,6 +46,18 @@
     pub last_requested_at: Millis,
 }
 
+impl Advice {
+    /// Whether an answer has covered an executor as it is described now.
+    pub fn is_answered_for(
+        &self,
+        index: ExecutorIndex,
+        executor: &Executor,
+    ) -> bool {
+        let answered = self.answered_for.get(&index);
+        answered.is_some_and(|version| *version >= executor.described_at)
+    }
+}
+
 /// The state of a step, in one repetition of its job.
 #[derive(Clone, Debug, Default)]
 pub(super) struct StepState {
--- a/tests/jobs/advice.rs
+++ b/tests/jobs/advice.rs
@@ -1,7 +1,7 @@
 //! Advice: which executors the leader asks about for a step, and asks about
 //! again.
 
-use puffinknot_core::jobs::{Event, Job};
+use puffinknot_core::jobs::{Event, Job, JobState};
 
 use super::world::{job, resources, step, World};
 
@@ -22,6 +22,16 @@
     world
 }
 
+/// A job that is refused on the only executor.
+fn refused_on_one() -> World {
+    let mut world = mostly_refused(1, 0);
+    world.submit(advised(1, 1));
+    world.run(5_000);
+    assert_eq!(world.state(1), Some(JobState::Queued));
+    world.not_permitted.clear();
+    world
+}
+
 fn assert_done(world: &mut World) {
     assert!(world.unfinished().is_empty(), "{:?}", world.unfinished());
     world.assert_no_violations();
@@ -60,6 +70,21 @@
     }
 }
 
+/// Guards against an executor that is never asked about again after it was
+/// refused, although its description has changed since.
+#[test]
+fn executors_are_asked_about_again_once_their_description_changes() {
+    let mut world = refused_on_one();
+    world.run(DONE_WITHIN);
+    assert_eq!(world.state(1), Some(JobState::Queued));
+    let mut info = world.executors[0].info.clone();
+    info.labels.push("disk".into());
+    world.executors[0].info = info.clone();
+    world.event(Event::Listed(info));
+    world.run(DONE_WITHIN);
+    assert_done(&mut world);
+}
+
 /// Guards against the same for an executor that was to leave and stays.
 #[test]
 fn executors_that_stay_after_all_are_asked_about() {
@@ -93,6 +118,27 @@
     assert_done(&mut world);
 }
 
+/// Guards against the same for an executor that returns under its name, also
+/// if the leader knows its previous incarnation from its entry alone.
+#[test]
+fn executors_that_return_under_their_name_are_asked_about() {
+    for heard in [true, false] {
+        let mut world = mostly_refused(2, 0);
+        world.executors[0].isolated = !heard;
+        world.replace_leader();
+        world.submit(advised(1, 1));
+        world.run(2_000);
+        world.not_permitted.clear();
+        world.not_permitted.insert(world.executors[1].info.id.clone());
+        world.restart_unlisted(0, 0, false);
+        world.executors[0].isolated = false;
+        world.run(3_000);
+        world.list_entry(0);
+        world.run(DONE_WITHIN);
+        assert_done(&mut world);
+    }
+}
+
 /// A ticket that an executor rejects is replaced.
 #[test]
 fn rejected_tickets_are_renewed() {
