Do not shorten calls for tickets that are needed together

A gang whose tickets had expired while it waited for capacity did not start under load: free capacity came at 9.1 s, and it ended at 26.8 s, once the load was over. It held its reservation all the while.

Cause: while many calls wait, calls are shortened to as many executors as should suffice. That is reckoned for executors that are all free. The plan of a gang on executors that are mostly taken names more, 30 instead of 20 in the test, and each call that renewed its tickets named the same 20 of them, those with the most free capacity. The tickets were never valid at the same time.

Calls for a plan, of a gang or for preemption, now ask about all its executors. Calls that look for executors are shortened as before. In the test the gang ends at 9.65 s, 0.55 s after capacity is free.

gangs_renew_all_their_tickets_under_load failed before.

--- a/puffinknot-core/src/jobs/scheduler/advice.rs
+++ b/puffinknot-core/src/jobs/scheduler/advice.rs
@@ -75,11 +75,21 @@
 /// The delay before a call that the service refused as busy is retried.
 const BUSY_RETRY_DELAY: Millis = 100;
 
+/// Which of its executors a call has to ask about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Coverage {
+    /// As many as should suffice, while many calls wait.
+    Sufficient,
+    /// All: their tickets are needed together.
+    All,
+}
+
 /// A call to the advice service.
 #[derive(Clone, Debug)]
 pub(super) struct AdviceCall {
     step: StepKey,
     executors: Vec<ExecutorIndex>,
+    coverage: Coverage,
     cost: AdviceCost,
     urgent: bool,
     deadline: Millis,
@@ -103,7 +113,8 @@
     /// nodes are scarce, as many as should suffice.
     fn executors_to_ask(&self, scarce: bool) -> usize {
         let all = self.executors.len();
-        let sufficient = self.sufficient.filter(|_| scarce);
+        let shortens = scarce && self.coverage == Coverage::Sufficient;
+        let sufficient = self.sufficient.filter(|_| shortens);
         sufficient.map_or(all, |sufficient| sufficient.min(all))
     }
 }
@@ -212,7 +223,7 @@
         let indices: Vec<ExecutorIndex> =
             ranked.into_iter().map(|(_, index)| index).collect();
         if !indices.is_empty() {
-            self.request_advice(key, indices, now);
+            self.request_advice(key, indices, Coverage::Sufficient, now);
             self.update_advice(key, |advice| advice.last_requested_at = now);
             return;
         }
@@ -259,6 +270,7 @@
         &mut self,
         key: StepKey,
         executors: Vec<ExecutorIndex>,
+        coverage: Coverage,
         now: Millis,
     ) {
         let Some(live) = self.jobs.get(&key.job) else { return };
@@ -280,6 +292,7 @@
                 step: key,
                 cost,
                 executors: part.to_vec(),
+                coverage,
                 urgent,
                 deadline,
                 not_before: now,
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -14,6 +14,7 @@
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::ExecutorIndex;
 use crate::jobs::model::{JobId, Step, StepKey};
+use crate::jobs::scheduler::advice::Coverage;
 use crate::jobs::scheduler::fit::{fit_count, weighted_leftover};
 use crate::jobs::scheduler::placement::{
     AdvanceReservations, PlacementContext,
@@ -124,7 +125,7 @@
             // requested.
             self.reserve(key, &step, &plan);
             let requested = plan.iter().map(|(at, _)| *at).collect();
-            self.request_advice(key, requested, now);
+            self.request_advice(key, requested, Coverage::All, now);
             return false;
         }
         if self.is_preempting(key, now) {
@@ -502,7 +503,7 @@
             })
         });
         if expired {
-            self.request_advice(key, executors, now);
+            self.request_advice(key, executors, Coverage::All, now);
         }
     }
 }
--- a/puffinknot-core/src/jobs/scheduler/placement.rs
+++ b/puffinknot-core/src/jobs/scheduler/placement.rs
@@ -15,6 +15,7 @@
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{AccountIndex, ExecutorIndex};
 use crate::jobs::model::{Step, StepKey};
+use crate::jobs::scheduler::advice::Coverage;
 use crate::jobs::scheduler::fit::fit_count;
 use crate::jobs::scheduler::gangs::WaitingTasks;
 use crate::jobs::scheduler::ledger::LimitReservations;
@@ -368,7 +369,7 @@
                 .map(|(at, _)| *at)
                 .take(MAX_TICKETS_PER_REFRESH)
                 .collect();
-            self.request_advice(key, expired, now);
+            self.request_advice(key, expired, Coverage::Sufficient, now);
             return true;
         }
         self.note_no_capacity(key);
--- a/puffinknot-core/src/jobs/scheduler/preemption.rs
+++ b/puffinknot-core/src/jobs/scheduler/preemption.rs
@@ -21,6 +21,7 @@
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{Action, ExecutorIndex};
 use crate::jobs::model::{Step, StepKey, TaskKey};
+use crate::jobs::scheduler::advice::Coverage;
 use crate::jobs::scheduler::fit::fit_count;
 use crate::jobs::scheduler::gangs::{Plan, WaitingTasks};
 use crate::jobs::scheduler::Scheduler;
@@ -251,7 +252,7 @@
             self.preempt_run(at, &victim);
         }
         let requested = plan.into_iter().map(|(at, _)| at).collect();
-        self.request_advice(key, requested, now);
+        self.request_advice(key, requested, Coverage::All, now);
         true
     }
 
--- a/tests/jobs/advice.rs
+++ b/tests/jobs/advice.rs
@@ -1,14 +1,18 @@
 //! Advice: which executors the leader asks about for a step, and asks about
 //! again.
 
-use puffinknot_core::jobs::{Event, Job, JobState};
+use puffinknot_core::jobs::{Event, Job, JobState, Mechanism, Mechanisms};
 
-use super::world::{job, resources, step, World};
+use super::world::{job, resources, step, World, WORK};
 
 /// A bound on the time in which a job with room and approval is done: several
 /// times its objective.
 const DONE_WITHIN: u64 = 20_000;
 
+/// Three times the objective of the jobs here, which is twice their work plus
+/// a second. An end later than this is not useful.
+const USEFUL_FOR: u64 = 3 * (2 * WORK + 1_000);
+
 fn advised(id: u64, tasks: u32) -> Job {
     job(id, "advised", vec![step(tasks, resources(500, 100))])
 }
@@ -149,3 +153,38 @@
     assert_eq!(world.rejected_tickets, 0);
     assert_done(&mut world);
 }
+
+/// Guards against a gang that never has all of its tickets at the same time,
+/// because calls that renew them are shortened while many calls wait.
+#[test]
+fn gangs_renew_all_their_tickets_under_load() {
+    const EXECUTORS: u32 = 45;
+    const MEMBERS: u32 = 30;
+    const FULL_FOR: u64 = 8_000;
+    let disabled = [Mechanism::Admission, Mechanism::ReturnTimes];
+    let mechanisms = Mechanisms::all_except(disabled);
+    let mut world = World::with_mechanisms(EXECUTORS as usize, mechanisms);
+    world.run(50);
+    // All cores are in use; later, one on each executor is free.
+    let mut lasting = step(EXECUTORS, resources(3_000, 100));
+    lasting.estimate = 100 * WORK;
+    lasting.max_per_executor = 1;
+    let mut passing = step(EXECUTORS, resources(1_000, 100));
+    passing.estimate = FULL_FOR;
+    passing.max_per_executor = 1;
+    world.submit(job(1, "batch", vec![lasting]));
+    world.submit(job(2, "batch", vec![passing]));
+    world.run(500);
+    let mut gang = step(MEMBERS, resources(1_000, 100));
+    gang.gang = true;
+    world.submit(job(3, "advised", vec![gang]));
+    // Tasks for which there is no room keep asking for advice.
+    for id in 100..300 {
+        let mut wide = step(1, resources(2_000, 100));
+        wide.estimate = 10 * WORK;
+        world.submit(job(id, "advised", vec![wide]));
+    }
+    world.run(FULL_FOR + USEFUL_FOR);
+    assert_eq!(world.state(3), Some(JobState::Succeeded));
+    world.assert_no_violations();
+}
