Keep the retries of refused clients within the time that they keep trying

The interval that spreads the retries of a refused client over the time in which its job is useful had no bound but the longest retry time: a job that is useful for a minute would return once, after 12 s, where clients make four more attempts of up to 3 s each.

The work that waits for a service has a module of its own.

--- a/puffinknot-core/src/jobs/scheduler/admission.rs
+++ b/puffinknot-core/src/jobs/scheduler/admission.rs
@@ -1,8 +1,8 @@
 /*!
 Admission control: refuses jobs that could not end while they are useful.
 
-A job is useful until [`USEFUL_OBJECTIVES`] times its objective has passed. A
-job that can't end by then is refused at once, so that its client can still
+A job is useful until some times its objective has passed, see
+[`useful_until`]. A job that can't end by then is refused at once, so that its client can still
 react and the accepted jobs keep their capacity. The estimate of its end is a
 lower bound: it assumes that the whole cell works on nothing but what ranks
 ahead of the job (see [`crate::jobs::backlog`]).
@@ -24,11 +24,11 @@
 long-running jobs are never refused here.
 */
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::config::Resources;
 use crate::ids::Millis;
-use crate::jobs::backlog::{Backlog, ServiceCapacity, Work};
+use crate::jobs::backlog::{ServiceCapacity, Work};
 use crate::jobs::executor::Executor;
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{AccountIndex, Action};
@@ -36,15 +36,16 @@
 use crate::jobs::policy::Queue;
 use crate::jobs::scheduler::demand::{Arrival, Demand};
 use crate::jobs::scheduler::live_job::LiveJob;
-use crate::jobs::scheduler::ranking::{PriorityClass, Rank, Timeliness};
+use crate::jobs::scheduler::ranking::{Rank, Timeliness};
 use crate::jobs::scheduler::requests::RETRY_AFTER;
-use crate::jobs::scheduler::retry_schedule::RetrySchedule;
+use crate::jobs::scheduler::retry_schedule::{retry_interval, RetrySchedule};
 use crate::jobs::scheduler::run_time_estimate::expected_end;
+use crate::jobs::scheduler::service_backlog::{
+    rank_key, useful_until, ByTimeliness, ServiceBacklog, NO_WORK,
+};
 use crate::jobs::scheduler::Scheduler;
-use crate::jobs::start_backlog::{AvailableCapacity, StartBacklog};
+use crate::jobs::start_backlog::AvailableCapacity;
 
-/// A job is useful until this many times its objective has passed.
-const USEFUL_OBJECTIVES: Millis = 3;
 /// The longest time for which a computed backlog is used, in a small cell: a
 /// small part of the shortest objective. Jobs accepted meanwhile are added.
 const MAX_BACKLOG_AGE: Millis = 50;
@@ -52,109 +53,12 @@
 /// is used for another [`MAX_BACKLOG_AGE`], so that computing it takes a
 /// bounded share of the time.
 const BACKLOG_AGE_STEP: usize = 512;
-/// The retries of a client, which are spread over the time in which its job is
-/// useful: when there will be capacity is not known while newer jobs take it.
-const RETRIES: Millis = 4;
-/// Sort keys are rounded to this, so that the backlog has few entries.
-const RANK_GRAIN: Millis = 100;
-
-/// A rank, rounded to [`RANK_GRAIN`].
-type RankKey = (PriorityClass, Timeliness, Millis);
-
-fn rank_key(rank: &Rank) -> RankKey {
-    (rank.class, rank.timeliness, rank.sort_key / RANK_GRAIN)
-}
-
-/// The waiting work of one queue, of one account or of all.
-#[derive(Clone, Debug, Default)]
-struct ByTimeliness {
-    /// What can be in time.
-    in_time: StartBacklog,
-    /// What can be useful but not in time.
-    late: StartBacklog,
-}
-
-static NO_WORK: ByTimeliness =
-    ByTimeliness { in_time: StartBacklog::EMPTY, late: StartBacklog::EMPTY };
-
-/// The work that waits for one service.
-#[derive(Clone, Debug)]
-struct Backlogs {
-    all: Backlog<RankKey>,
-    /// By queue and account, and by queue for all accounts.
-    by_queue: BTreeMap<(String, Option<AccountIndex>), ByTimeliness>,
-    /// The capacity for urgent jobs and gangs, which may preempt other runs.
-    with_preemption: ServiceCapacity,
-}
-
-impl Backlogs {
-    fn new(
-        capacity: ServiceCapacity,
-        with_preemption: ServiceCapacity,
-    ) -> Backlogs {
-        let by_queue = BTreeMap::new();
-        Backlogs { all: Backlog::new(capacity), by_queue, with_preemption }
-    }
-
-    /// The capacity for a new job.
-    fn capacity_for(&self, job: &Job, urgent: bool) -> &ServiceCapacity {
-        let preempts = urgent || job.steps.iter().any(|step| step.gang);
-        match preempts {
-            true => &self.with_preemption,
-            false => self.all.capacity(),
-        }
-    }
-
-    /// Adds work that waits. If it is late, it has to start by
-    /// `latest_useful_start`.
-    fn add(
-        &mut self,
-        live: &LiveJob,
-        rank: &Rank,
-        work: &Work,
-        latest_useful_start: Millis,
-    ) {
-        let queue = &live.job.queue;
-        let urgent = rank.is_urgent().then(|| rank_key(rank));
-        self.all.add(live.account, queue, work, urgent);
-        if rank.timeliness == Timeliness::Late {
-            let late = |waiting: &mut ByTimeliness| {
-                waiting.late.add(latest_useful_start, work);
-            };
-            self.for_owners(live, late);
-        }
-        self.add_unreleased(live, rank, work);
-    }
-
-    /// Adds work of a step that waits for another one. If it can be in time,
-    /// it goes before work that may start later.
-    fn add_unreleased(&mut self, live: &LiveJob, rank: &Rank, work: &Work) {
-        if rank.timeliness == Timeliness::InTime {
-            let in_time = |waiting: &mut ByTimeliness| {
-                waiting.in_time.add(rank.sort_key, work);
-            };
-            self.for_owners(live, in_time);
-        }
-    }
-
-    /// Changes the work of a job's queue, of all accounts and of its own.
-    fn for_owners(
-        &mut self,
-        live: &LiveJob,
-        change: impl Fn(&mut ByTimeliness),
-    ) {
-        for account in BTreeSet::from([None, live.account]) {
-            let key = (live.job.queue.clone(), account);
-            change(self.by_queue.entry(key).or_default());
-        }
-    }
-}
 
 /// The backlog of each service, and the refused jobs.
 #[derive(Debug, Default)]
 pub(super) struct Admission {
     /// The backlogs by service.
-    backlogs: BTreeMap<String, Backlogs>,
+    backlogs: BTreeMap<String, ServiceBacklog>,
     demand: Demand,
     /// The weights of the accounts that compete for capacity.
     weights: BTreeMap<AccountIndex, f64>,
@@ -197,12 +101,6 @@
     available: AvailableCapacity<'a>,
 }
 
-/// Until when a job is useful.
-fn useful_until(live: &LiveJob) -> Millis {
-    let objective = live.deadline.saturating_sub(live.arrived_at);
-    live.arrived_at + USEFUL_OBJECTIVES * objective
-}
-
 /// Whether a job may be refused for lack of capacity. Repeating jobs start at
 /// fixed times and long-running ones have no end to be late for.
 fn is_refusable(job: &Job) -> bool {
@@ -248,7 +146,8 @@
             false => "refused_no_room_in_time",
         });
         let left = refusal.useful_until.saturating_sub(now);
-        let from = now + refusal.excess.max(left / RETRIES);
+        // When newer jobs leave capacity is not known.
+        let from = now + refusal.excess.max(retry_interval(left));
         let retry_at = self.schedule_retry(id, from, refusal.duration, now);
         let live = self.jobs.get(&id)?;
         self.actions.push(Action::NotAdmitted {
@@ -314,7 +213,7 @@
         &self,
         id: JobId,
         live: &'a LiveJob,
-        backlogs: &'a Backlogs,
+        backlogs: &'a ServiceBacklog,
         now: Millis,
     ) -> Option<Candidate<'a>> {
         let rank = self.rank(StepKey { job: id, time: 0, step: 0 }, now)?;
@@ -448,7 +347,7 @@
 
     /// Empty backlogs with the capacity of each service: that of all executors
     /// that accept work, or will once they respond again.
-    fn empty_backlogs(&self, now: Millis) -> BTreeMap<String, Backlogs> {
+    fn empty_backlogs(&self, now: Millis) -> BTreeMap<String, ServiceBacklog> {
         let mut capacities: BTreeMap<
             &str,
             (ServiceCapacity, ServiceCapacity),
@@ -473,7 +372,7 @@
         }
         let backlogs = capacities.into_iter().map(|(name, capacities)| {
             let (normal, preempting) = capacities;
-            (name.to_string(), Backlogs::new(normal, preempting))
+            (name.to_string(), ServiceBacklog::new(normal, preempting))
         });
         backlogs.collect()
     }
@@ -482,7 +381,7 @@
     /// not released yet.
     fn add_waiting(
         &self,
-        backlogs: &mut Backlogs,
+        backlogs: &mut ServiceBacklog,
         id: JobId,
         live: &LiveJob,
         now: Millis,
@@ -509,7 +408,7 @@
 
     fn add_step(
         &self,
-        backlogs: &mut Backlogs,
+        backlogs: &mut ServiceBacklog,
         key: StepKey,
         live: &LiveJob,
         tasks: u32,
@@ -528,7 +427,7 @@
 
     fn add_unreleased_step(
         &self,
-        backlogs: &mut Backlogs,
+        backlogs: &mut ServiceBacklog,
         key: StepKey,
         live: &LiveJob,
         now: Millis,
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -108,6 +108,7 @@
 mod retry_schedule;
 mod run_time_estimate;
 mod runs;
+mod service_backlog;
 mod silence_alarm;
 mod speeds;
 mod store_outage;
--- a/puffinknot-core/src/jobs/scheduler/retry_schedule.rs
+++ b/puffinknot-core/src/jobs/scheduler/retry_schedule.rs
@@ -23,6 +23,8 @@
 /// dropped. Clients keep retrying for this long: four more attempts of up to
 /// 3 s each.
 const RETRY_WINDOW: Millis = 12_000;
+/// The retries of a client.
+const RETRIES: Millis = 4;
 /// The maximum number of refusals remembered. The oldest refusal is dropped
 /// first. A job whose last refusal is dropped counts as new.
 const MAX_REFUSALS: usize = 20_000;
@@ -60,6 +62,12 @@
     next_retry_times: BTreeMap<QueueOfAccount, f64>,
 }
 
+/// The time until a retry that spreads the retries of a client over the time
+/// in which its job is useful, as far as clients keep retrying.
+pub(super) fn retry_interval(useful_for: Millis) -> Millis {
+    useful_for.min(RETRY_WINDOW) / RETRIES
+}
+
 impl RetrySchedule {
     /// When a refused job was first submitted, and whether it was refused for
     /// lack of capacity.
