--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -251,11 +251,7 @@
     pub dc_suspected: bool,
     /// Whether its data centre is cordoned.
     pub cordoned: bool,
-    /// The [`Executors::descriptions_version`] since its description changed
-    /// last.
-    ///
-    /// [`Executors::descriptions_version`]:
-    ///     crate::jobs::executor_index::Executors::descriptions_version
+    /// The version of all descriptions since which its own holds.
     pub described_at: u64,
     /// The circuit breaker for starts there.
     pub breaker: CircuitBreaker,
