--- a/puffinknot-core/src/jobs/scheduler/demand.rs
+++ b/puffinknot-core/src/jobs/scheduler/demand.rs
@@ -49,7 +49,8 @@
         self.load * decay * certain.max(0.0)
     }
 
-    /// The part of them that overtakes a job with this slack while it waits.
+    /// The part of them that overtakes a job with this slack while it waits. A
+    /// slack of zero means that it is late.
     fn overtaking(&self, slack: Millis) -> f64 {
         match slack {
             0 => 1.0,
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -8,7 +8,8 @@
 
 - `authorization` decides who may call a queue
 - `requests` answers requests
-- `admission` refuses jobs that can't be done in time
+- `admission` refuses jobs that can't be done while they are useful, by the
+  work that waits (`service_backlog`) and that is to come (`demand`)
 - `retry_schedule` tells refused clients when to retry
 - `ledger` counts what client accounts have running
 - `account_shares` finds accounts that hold more than their fair share
