Admission: one way to add a step, and cheap checks first

add_step and add_unreleased_step each looked up the step, its rank and its work. One function does both now, and says where the two differ. A job that returns or is never refused is recognized before its rank is computed, on every submission. A comment said that a slack of zero was a fraction of zero.

No change of behaviour.

--- a/puffinknot-core/src/jobs/scheduler/admission.rs
+++ b/puffinknot-core/src/jobs/scheduler/admission.rs
@@ -265,8 +265,8 @@
     }
 
     /// The fraction of a job's part of the capacity that work takes which is
-    /// still to come and will overtake a step with this slack, zero if it is
-    /// late.
+    /// still to come and will overtake a step with this slack. A slack of zero
+    /// means that it is late.
     fn overtaking(
         &self,
         candidate: &Candidate<'_>,
@@ -390,18 +390,18 @@
             let key = StepKey { job: id, time, step: number };
             let tasks = state.waiting.len() as u32;
             if state.released && tasks > 0 {
-                self.add_step(backlogs, key, live, tasks, now);
+                self.add_step(backlogs, key, live, tasks, true, now);
             }
         }
         // A job that is being decided on has no state yet.
         if live.job.repeats.is_some() || live.steps.is_empty() {
             return;
         }
-        for number in 0..live.job.steps.len() as u32 {
+        for (number, step) in (0..).zip(&live.job.steps) {
             let state = live.steps.get(&(0, number));
             if state.is_none_or(|state| !state.released) {
                 let key = StepKey { job: id, time: 0, step: number };
-                self.add_unreleased_step(backlogs, key, live, now);
+                self.add_step(backlogs, key, live, step.count, false, now);
             }
         }
     }
@@ -412,6 +412,7 @@
         key: StepKey,
         live: &LiveJob,
         tasks: u32,
+        released: bool,
         now: Millis,
     ) {
         let step = &live.job.steps[key.step as usize];
@@ -420,26 +421,14 @@
             return;
         }
         let work = self.step_work(key, step, tasks);
+        if !released {
+            return backlogs.add_unreleased(live, &rank, &work);
+        }
         let remaining = self.remaining_critical_path(key);
         let latest_start = useful_until(live).saturating_sub(remaining);
         backlogs.add(live, &rank, &work, latest_start);
     }
 
-    fn add_unreleased_step(
-        &self,
-        backlogs: &mut ServiceBacklog,
-        key: StepKey,
-        live: &LiveJob,
-        now: Millis,
-    ) {
-        let step = &live.job.steps[key.step as usize];
-        let Some(rank) = self.rank(key, now) else { return };
-        if !step.lasting {
-            let work = self.step_work(key, step, step.count);
-            backlogs.add_unreleased(live, &rank, &work);
-        }
-    }
-
     /// The work of some tasks of a step.
     fn step_work(&self, key: StepKey, step: &Step, tasks: u32) -> Work {
         Work::of(&step.footprint(), tasks, self.nominal_run_time(key))
@@ -456,11 +445,8 @@
         if let Some((live, backlogs)) = found {
             for (number, step) in (0..).zip(&live.job.steps) {
                 let key = StepKey { job: id, time: 0, step: number };
-                if step.after.is_empty() {
-                    self.add_step(backlogs, key, live, step.count, now);
-                } else {
-                    self.add_unreleased_step(backlogs, key, live, now);
-                }
+                let first = step.after.is_empty();
+                self.add_step(backlogs, key, live, step.count, first, now);
             }
         }
         self.admission.backlogs = backlogs;
@@ -469,12 +455,12 @@
     /// Records the first attempt of a job as demand.
     fn record_demand(&mut self, id: JobId, now: Millis) {
         let Some(live) = self.jobs.get(&id) else { return };
-        let backlogs = self.admission.backlogs.get(&live.queue.service);
-        let rank = self.rank(StepKey { job: id, time: 0, step: 0 }, now);
-        let (Some(backlogs), Some(rank)) = (backlogs, rank) else { return };
         if live.arrived_at < now || !is_refusable(&live.job) {
             return;
         }
+        let backlogs = self.admission.backlogs.get(&live.queue.service);
+        let rank = self.rank(StepKey { job: id, time: 0, step: 0 }, now);
+        let (Some(backlogs), Some(rank)) = (backlogs, rank) else { return };
         let work = self.work_of(id, live, |_| true);
         let chain = self.total_chain_time(id, live);
         let arrival = Arrival {
