--- a/review/standins.py
+++ b/review/standins.py
@@ -209,7 +209,7 @@
         self.revision = 10
         self.leases = {}
         self.last_lease = 1000
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.server = Server(self.handle)
 
     async def start(self):
@@ -244,8 +244,8 @@
             if self.items.pop(key, None) is not None:
                 gone = {"Key": key, "Revision": self.revision, "gone": True}
                 self.events.append((self.revision, key, gone))
-        async with self.changed:
-            self.changed.notify_all()
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
         return self.revision
 
     async def write(self, key, value):
@@ -328,11 +328,10 @@
             left = deadline - now()
             if found or left <= 0:
                 return {"events": found, "at": self.revision}
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
 
 
 # --- executors -------------------------------------------------------------
@@ -726,8 +725,9 @@
             await asyncio.sleep(0.5)
         raise CannotRun(f"job {job} was not accepted")
 
-    async def stop(self):
-        for number, process in self.processes.items():
+    def stop(self):
+        """Ends all processes and removes the temporary folder."""
+        for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
         for process in self.processes.values():
@@ -772,16 +772,18 @@
         cell = Cell(record)
         try:
             await cell.start()
-            return await case(cell, trouble)
+            broken = await asyncio.wait_for(case(cell, trouble), 90)
+            return 1 if broken else 0, broken or "the rule held"
+        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+            return 2, f"the case could not run: {error!r}"
         finally:
-            await cell.stop()
+            cell.stop()
 
-    try:
-        broken = asyncio.run(asyncio.wait_for(run(), 110))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        record(f"the case could not run: {error!r}")
-        print(f"could not run: {error!r}")
-        sys.exit(2)
-    record(f"verdict: {broken or 'the rule held'}")
-    print(broken or "the rule held")
-    sys.exit(1 if broken else 0)
+    async def run_and_exit():
+        code, verdict = await run()
+        record(f"verdict: {verdict}")
+        print(verdict, flush=True)
+        # Leaves the connections that are still open as they are.
+        os._exit(code)
+
+    asyncio.run(run_and_exit())
