--- a/review/standins.py
+++ b/review/standins.py
@@ -770,6 +770,8 @@
 
     async def run():
         cell = Cell(record)
+        ended = asyncio.get_running_loop().add_signal_handler
+        ended(signal.SIGTERM, lambda: (cell.stop(), os._exit(2)))
         try:
             await cell.start()
             broken = await asyncio.wait_for(case(cell, trouble), 90)
