Limit the open calls to each executor, and close what is not used

Cause: a leader had as many connections to an executor as it had calls open there, and kept them; a suspicion left the idle connections of the former pool open; a node that no longer led kept its own for an hour. An executor accepts 64, and does not close those of machines that lost power. After some losses it reset all further ones.

A test shows four idle connections left after a suspicion, another one that an unused peer keeps.

A node now has at most three calls open to an executor, as leader or relay, and closes idle connections of a suspect pool at once and those of an unused address after 10 s. So a loss leaves at most three behind: 20 losses fit below 64.

Three of the new tests fail on the code before (suspect_connections_are_closed, connections_to_a_peer_that_is_no_longer_called_are_closed, leaders_that_lose_power_leave_room_for_their_successors); those of call_slots are of the new module. The stand-in's executors accept 64 connections, and in the soak leaders lose power.

--- a/puffinknot-standin/src/proxy.rs
+++ b/puffinknot-standin/src/proxy.rs
@@ -6,6 +6,9 @@
 
 Several proxies may share one [`Link`], whose bandwidth limits their total
 traffic.
+
+A proxy may limit its connections, as an executor does. Silenced connections
+count for as long as it runs, as if their clients had lost power.
 */
 
 use std::net::{SocketAddr, TcpListener as StdListener};
@@ -109,6 +112,12 @@
     silences: u64,
     /// The number of connections so far.
     connections: u64,
+    /// The number of open connections.
+    open: usize,
+    /// The maximum number of open connections.
+    max_open: Option<usize>,
+    /// The number of connections that were reset because of that limit.
+    refused: u64,
     link: Option<Link>,
 }
 
@@ -190,6 +199,21 @@
         self.shared.lock().connections
     }
 
+    /// The number of connections that are open, silenced ones included.
+    pub fn open_connections(&self) -> usize {
+        self.shared.lock().open
+    }
+
+    /// Sets the maximum number of open connections. Further ones are reset.
+    pub fn set_max_open(&self, max: usize) {
+        self.shared.lock().max_open = Some(max);
+    }
+
+    /// The number of connections that were reset because of the limit.
+    pub fn refused(&self) -> u64 {
+        self.shared.lock().refused
+    }
+
     /// Silences all open connections for good, in both directions and without
     /// a reset. New connections work.
     pub fn silence_open(&self) {
@@ -205,10 +229,42 @@
 async fn accept(listener: StdListener, target: SocketAddr, shared: Shared) {
     let Ok(listener) = TcpListener::from_std(listener) else { return };
     while let Ok((client, _)) = listener.accept().await {
-        if shared.fault() != ProxyFault::Refuse {
-            shared.lock().connections += 1;
-            actix_rt::spawn(serve_connection(client, target, shared.clone()));
+        if shared.fault() == ProxyFault::Refuse {
+            continue;
+        }
+        let Some(open) = OpenConnection::new(&shared) else {
+            // Closing then resets the connection.
+            let _ = client.set_zero_linger();
+            continue;
+        };
+        let shared = shared.clone();
+        actix_rt::spawn(async move {
+            serve_connection(client, target, shared).await;
+            drop(open);
+        });
+    }
+}
+
+/// Counts a connection while it is open.
+struct OpenConnection(Shared);
+
+impl OpenConnection {
+    /// Counts a new connection, unless there are too many.
+    fn new(shared: &Shared) -> Option<OpenConnection> {
+        let mut state = shared.lock();
+        if state.max_open.is_some_and(|max| state.open >= max) {
+            state.refused += 1;
+            return None;
         }
+        state.connections += 1;
+        state.open += 1;
+        Some(OpenConnection(shared.clone()))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.lock().open -= 1;
     }
 }
 
--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -103,6 +103,7 @@
         shared.stats.set_busy(busy.as_micros() as Micros);
         let version = shared.policy_version();
         shared.stats.set_policy(version, shared.policy_age());
+        shared.stats.set_connections(shared.platform.connection_counts());
         let text = shared.stats.render();
         async move {
             Response::build(StatusCode::OK)
--- a/src/cell/leader.rs
+++ b/src/cell/leader.rs
@@ -40,6 +40,7 @@
 use crate::cell::iteration::{Clocks, InputKind, Iteration, SlowIterations};
 use crate::cell::journal::Journal;
 use crate::cell::node::{NodeState, MAX_UNCONFIRMED_MS};
+use crate::cell::order::MAX_ANSWER_TIME;
 use crate::cell::ports::Platform;
 use crate::cell::relay::{Relay, Relays};
 use crate::clock::{self, Micros};
@@ -58,7 +59,7 @@
 /// The timeout of orders. Machines may get their share of the processor in
 /// slices that are a tenth of a second apart, which delays answers.
 const ORDER_TIMEOUT: TimeoutBounds =
-    TimeoutBounds { min: 120, initial: 300, max: 300 };
+    TimeoutBounds { min: 120, initial: 300, max: MAX_ANSWER_TIME };
 /// An iteration of the event loop, or the wait of an input, of this length is
 /// slow: no answer is read meanwhile, and a quarter of the shortest timeout of
 /// an order has passed.
--- a/src/cell/leader/routes.rs
+++ b/src/cell/leader/routes.rs
@@ -104,11 +104,10 @@
         if self.withholds(executor, order) {
             return certain_answer(Err(OrderFailure::NotSent), lost);
         }
-        let platform = &*self.shared.platform;
         let retry = lost.then(|| order.for_retry());
         let order = retry.as_ref().unwrap_or(order);
         let answer =
-            order.carry_out(platform, executor, self.token, spec, within);
+            order.carry_out(&self.shared, executor, self.token, spec, within);
         certain_answer(answer.await, lost)
     }
 
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -376,7 +376,6 @@
             });
         }
         ToNode::Order(relayed) => {
-            let platform = shared.platform.clone();
             let sender = link.sender.clone();
             let texts = texts.clone();
             shared.count("orders_relayed");
@@ -385,9 +384,7 @@
                 let id = relayed.id;
                 let answer = match shared.refuses_start(&relayed) {
                     true => Err(OrderFailure::NotSent),
-                    false => {
-                        relay::carry_out(&*platform, &texts, relayed).await
-                    }
+                    false => relay::carry_out(&shared, &texts, relayed).await,
                 };
                 sender.send(&ToLeader::Ordered(id, answer));
             });
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -16,7 +16,7 @@
 * [`watch_limit`] infers how many changes the store returns at most in one
   answer.
 * [`order`] defines the orders to executors, and [`relay`] passes them on by
-  way of other nodes.
+  way of other nodes; [`call_slots`] limits the open calls to each executor.
 * [`link`] connects each node to the leader, over a [`channel`].
 * [`reachability`] tracks whether this node can serve clients, and
   [`leader_search`] chooses the nodes to try to find the leader.
@@ -27,6 +27,7 @@
   [`shutdown`] stops the node after all requests are answered.
 */
 
+pub mod call_slots;
 pub mod call_timeout;
 pub mod channel;
 pub mod decision_log;
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -24,6 +24,7 @@
 use tokio::time::{sleep, timeout_at, Instant};
 use tracing::{info, warn};
 
+use crate::cell::call_slots::CallSlots;
 use crate::cell::leader::{self, LeaderHandle};
 use crate::cell::link::{self, LinkHandle};
 use crate::cell::ports::{Leader, Platform};
@@ -109,6 +110,8 @@
     pub platform: Rc<P>,
     /// The store of the platform.
     pub store: Rc<Store<P>>,
+    /// The open calls to executors.
+    pub calls: CallSlots,
     /// The settings in effect.
     pub settings: RefCell<NodeSettings>,
     /// The incarnation of the node: a number that differs for each start.
@@ -161,6 +164,7 @@
                 settings.link_bytes_per_ms,
             )),
             platform,
+            calls: CallSlots::default(),
             incarnation: rand::random(),
             policy: RefCell::default(),
             router: RefCell::default(),
--- a/src/cell/order.rs
+++ b/src/cell/order.rs
@@ -12,8 +12,15 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::cell::call_slots::{CallEnd, CallLimits, Priority};
+use crate::cell::call_timeout;
+use crate::cell::node::NodeState;
 use crate::cell::ports::{LeaseRenewal, Platform, Start};
 
+/// The longest time for an answer, in milliseconds, without the time for which
+/// the executor is told to wait and the delay of a narrow link.
+pub const MAX_ANSWER_TIME: Millis = 300;
+
 /// A call to an executor.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
@@ -86,6 +93,16 @@
         }
     }
 
+    /// Returns the priority of the call.
+    pub fn priority(&self) -> Priority {
+        match self {
+            Order::Hold { .. } => Priority::Renewal,
+            Order::Stop { .. } => Priority::Stop,
+            Order::Pace { .. } => Priority::Throttle,
+            Order::Start { .. } => Priority::Start,
+        }
+    }
+
     /// Returns whether the order starts a task.
     pub fn is_start(&self) -> bool {
         matches!(self, Order::Start { .. })
@@ -102,13 +119,42 @@
         order
     }
 
-    /// Makes the call and waits for the answer for `within` milliseconds.
-    /// `spec` is the job specification for the task that is started.
+    /// Makes the call, as soon as not too many others to the executor are
+    /// open, and waits for the answer for `within` milliseconds. `spec` is the
+    /// job specification for the task that is started.
     ///
     /// # Errors
     ///
     /// Fails if the order is not known to be carried out.
     pub async fn carry_out<P: Platform>(
+        &self,
+        node: &NodeState<P>,
+        executor: &ExecutorInfo,
+        token: u64,
+        spec: &str,
+        within: Millis,
+    ) -> Answer {
+        let call = self.call(&*node.platform, executor, token, spec, within);
+        let link = node.settings.borrow().link_bytes_per_ms;
+        let answer_time = MAX_ANSWER_TIME + call_timeout::link_delay(link);
+        let limits =
+            CallLimits { wait: answer_time, late: self.wait() + answer_time };
+        let address = &executor.address;
+        let end = node.calls.call(address, self.priority(), limits, call);
+        match end.await {
+            CallEnd::Completed(answer) => answer,
+            CallEnd::NotSent => {
+                node.count("orders_without_slot");
+                Err(OrderFailure::NotSent)
+            }
+            CallEnd::Abandoned => {
+                node.count("late_orders_abandoned");
+                Err(OrderFailure::Unknown)
+            }
+        }
+    }
+
+    async fn call<P: Platform>(
         &self,
         platform: &P,
         executor: &ExecutorInfo,
--- a/src/cell/ports.rs
+++ b/src/cell/ports.rs
@@ -196,10 +196,25 @@
     }
 }
 
+/// Counts of the connections to executors and to the platform's services.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionCounts {
+    /// The connections that are open.
+    pub open: u64,
+    /// All connections so far.
+    pub opened: u64,
+    /// The calls that failed because the peer reset their connection. Peers
+    /// reset new connections while they have too many.
+    pub reset: u64,
+}
+
 /// A platform: translates between the cell and the store, executors, machines
 /// and clients.
 #[allow(async_fn_in_trait)]
 pub trait Platform: 'static {
+    /// The counts of the connections that the platform's calls use.
+    fn connection_counts(&self) -> ConnectionCounts;
+
     /// The common prefix of the keys that every node watches: the policy, the
     /// leader key, and cordons.
     fn watched_prefix(&self) -> &str;
--- a/src/cell/relay.rs
+++ b/src/cell/relay.rs
@@ -29,6 +29,7 @@
 
 use crate::cell::channel::Sender;
 use crate::cell::link::ToNode;
+use crate::cell::node::NodeState;
 use crate::cell::order::{Answer, Order};
 use crate::cell::ports::Platform;
 use crate::clock;
@@ -99,7 +100,7 @@
 /// Fails if the order is not known to be carried out, and with
 /// [`OrderFailure::NotSent`] if the job specification is missing.
 pub async fn carry_out<P: Platform>(
-    platform: &P,
+    node: &NodeState<P>,
     specs: &JobSpecs,
     relayed: RelayedOrder,
 ) -> Answer {
@@ -113,7 +114,7 @@
         ..ExecutorInfo::default()
     };
     let RelayedOrder { token, within, order, .. } = relayed;
-    order.carry_out(platform, &executor, token, &spec, within).await
+    order.carry_out(node, &executor, token, &spec, within).await
 }
 
 /// The leader's view of a node that can carry out orders.
--- a/src/cell/stats.rs
+++ b/src/cell/stats.rs
@@ -15,6 +15,7 @@
 use puffinknot_core::jobs::scheduler::Usage;
 use puffinknot_core::jobs::{Cordon, Cordons};
 
+use crate::cell::ports::ConnectionCounts;
 use crate::clock::Micros;
 
 /// The significant digits that histograms keep of a value.
@@ -45,6 +46,7 @@
     cordons: RefCell<Cordons>,
     /// The policy version in effect, and the age of that knowledge.
     policy: Cell<(Option<u64>, Option<Millis>)>,
+    connections: Cell<ConnectionCounts>,
 }
 
 /// Distributions of values in one unit, by name.
@@ -138,6 +140,12 @@
         self.policy.set((version, age));
     }
 
+    /// Sets the counts of connections to executors and to the platform's
+    /// services.
+    pub fn set_connections(&self, counts: ConnectionCounts) {
+        self.connections.set(counts);
+    }
+
     /// Adds a value to a histogram of latencies, in milliseconds.
     pub fn record_latency(&self, name: &'static str, latency: Millis) {
         record(&self.latencies, name, latency, MAX_LATENCY_MS);
@@ -196,6 +204,14 @@
                 let _ = writeln!(text, "puffinknot_policy_{name} {value}");
             }
         }
+        let ConnectionCounts { open, opened, reset } = self.connections.get();
+        let _ = writeln!(text, "puffinknot_connections_open {open}");
+        for (what, count) in [("opened", opened), ("reset", reset)] {
+            let _ = writeln!(
+                text,
+                "puffinknot_connections_total{{what=\"{what}\"}} {count}"
+            );
+        }
         let _ = writeln!(
             text,
             "puffinknot_busy_us_total {}",
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,6 +1,7 @@
 //! Integration tests, one module per topic.
 
 mod backlog;
+mod call_slots;
 mod cell;
 mod crash_rate;
 mod explain;
