Give up gone executors that no list of machines has shown

Cause: an executor that has come and gone around a change of leaders was never on a list of machines. The list ended only executors whose machine was known, so that the successor waited until the orders to it had expired, and held back all inherited tasks meanwhile.

Such an executor now counts as gone if a recent list shows it nowhere, the store does not list it and its address refuses connections.

a_newcomer_that_has_gone_does_not_delay_a_takeover failed before. Three more tests hold one condition each, and passed before.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -206,6 +206,9 @@
     pub lease_expiry: Millis,
     /// When the last renewal was sent, if it went unanswered.
     pub missed_renewal: Option<Millis>,
+    /// Whether the last renewal could not be sent. An address that is cut off
+    /// does not say so: then the result is unknown first.
+    pub refuses_connections: bool,
     /// Whether a renewal is in flight.
     pub renewing: bool,
     /// When the renewal in flight was sent.
@@ -290,6 +293,7 @@
             reported_at: None,
             lease_expiry: 0,
             missed_renewal: None,
+            refuses_connections: false,
             renewing: false,
             renewal_sent_at: 0,
             probe: false,
--- a/puffinknot-core/src/jobs/scheduler/machine_list.rs
+++ b/puffinknot-core/src/jobs/scheduler/machine_list.rs
@@ -8,6 +8,12 @@
 on which another incarnation now answers. A machine that the list lacks counts
 only if the store doesn't list the executor any more. The machine of each
 executor is stored with the executor, so a successor knows it too.
+
+No list may have shown the machine of an executor that was there only for a
+short time. It has ended if a list that is recent enough shows it nowhere, the
+store doesn't list it, and its address refuses connections. None of these alone
+suffices: an executor that is cut off loses its entry, lists may be incomplete,
+and another process may have its address.
 */
 
 use std::collections::BTreeMap;
@@ -99,11 +105,12 @@
         let gone = self.executors.iter().filter(|(_, executor)| {
             executor.liveness != Liveness::Ready
                 && executor.silent_since + LOOKUP_AFTER_SILENCE < requested_at
-                && !executor.machine.is_empty()
-                && self.has_left_machine(
-                    executor,
-                    by_name.get(&*executor.machine),
-                )
+                && match by_name.get(&*executor.machine) {
+                    _ if executor.machine.is_empty() => {
+                        self.has_left_unknown_machine(executor, machines)
+                    }
+                    machine => self.has_left_machine(executor, machine),
+                }
         });
         let gone: Vec<ExecutorIndex> = gone.map(|(index, _)| *index).collect();
         for index in gone {
@@ -136,6 +143,22 @@
         }
     }
 
+    /// Whether an incarnation that no list has shown has gone. The list was
+    /// requested long enough after the executor was known to show it.
+    fn has_left_unknown_machine(
+        &self,
+        executor: &Executor,
+        machines: &[MachineInfo],
+    ) -> bool {
+        let requested_at = self.machines.list_requested_at;
+        let id = &executor.info.id;
+        self.entries_read
+            && !executor.listed
+            && executor.refuses_connections
+            && executor.known_since + LOOKUP_DELAY <= requested_at
+            && machines.iter().all(|machine| machine.executor != *id)
+    }
+
     /// Whether an executor is known and answers.
     fn is_responsive(&self, id: &str) -> bool {
         let index = self.by_id.get(id);
--- a/puffinknot-core/src/jobs/scheduler/renewals.rs
+++ b/puffinknot-core/src/jobs/scheduler/renewals.rs
@@ -159,7 +159,9 @@
         let Some(executor) = self.executors.get_mut(&index) else { return };
         self.renewal_queue.enqueue(index);
         let is_renewal = executor.renewal_sent_at == sent_at;
-        if is_renewal {
+        if is_renewal && executor.renewing {
+            executor.refuses_connections =
+                answer == Err(OrderFailure::NotSent);
             executor.renewing = false;
         }
         match answer {
--- a/tests/jobs/membership.rs
+++ b/tests/jobs/membership.rs
@@ -646,3 +646,72 @@
     work.estimate = SECOND;
     world.submit(job(2, "batch", vec![work]));
 }
+
+/// The name of an executor that the leader has not found on a machine before
+/// it is lost.
+const NEWCOMER: &str = "x9";
+
+/// A cell whose newest executor is lost, and after that its leader. No list of
+/// machines has shown that executor. Returns once the successor has had time
+/// to look for it. `change` is applied before the takeover.
+fn newcomer_lost_with_the_leader(change: impl Fn(&mut World)) -> World {
+    let mut world = World::new(1);
+    world.run(MACHINES_LISTED);
+    world.add_executor(NEWCOMER);
+    world.list_entry(1);
+    world.run(500);
+    world.executors[1].leave();
+    world.unlisted.insert(NEWCOMER.into());
+    change(&mut world);
+    world.replace_leader();
+    world.list_entry(1);
+    world.run(1_000);
+    world.event(Event::Unlisted(NEWCOMER.into()));
+    world.run(MACHINE_LOOKUP);
+    world
+}
+
+/// Guards against a takeover that holds back all inherited tasks until the
+/// orders to an executor have expired, although it has gone for good.
+#[test]
+fn a_newcomer_that_has_gone_does_not_delay_a_takeover() {
+    let world = newcomer_lost_with_the_leader(|_| ());
+    assert!(world.scheduler.takeover_complete());
+    world.assert_no_violations();
+}
+
+/// An executor that is cut off loses its entry, and what it runs goes on.
+#[test]
+fn a_newcomer_that_is_silent_delays_a_takeover() {
+    let world = newcomer_lost_with_the_leader(|world| {
+        world.executors[1].dead = false;
+        world.executors[1].resets_connections = false;
+        world.executors[1].isolated = true;
+    });
+    assert!(!world.scheduler.takeover_complete());
+}
+
+/// Whatever refuses connections at its address, it is on a machine.
+#[test]
+fn a_newcomer_that_a_list_shows_delays_a_takeover() {
+    let world = newcomer_lost_with_the_leader(|world| {
+        world.unlisted.clear();
+    });
+    assert!(!world.scheduler.takeover_complete());
+}
+
+/// A list of machines may be incomplete, and an address may be wrong.
+#[test]
+fn a_newcomer_that_the_store_lists_delays_a_takeover() {
+    let mut world = World::new(1);
+    world.run(MACHINES_LISTED);
+    world.add_executor(NEWCOMER);
+    world.list_entry(1);
+    world.run(500);
+    world.executors[1].leave();
+    world.unlisted.insert(NEWCOMER.into());
+    world.replace_leader();
+    world.list_entry(1);
+    world.run(MACHINE_LOOKUP);
+    assert!(!world.scheduler.takeover_complete());
+}
