Refuse jobs whose calls for advice would wait too long

Cause: the advice service handles one call at a time from each node, so its capacity goes with the machines, and nothing refused jobs for that. Urgent calls go first and then those with the earliest deadline, so that the others waited without bound.

A job is now refused while all waiting calls, and those about later steps of accepted jobs, take longer than it can wait: until it is of no use, and 12 s at most, for which its client retries.

jobs_whose_advice_would_take_too_long_are_refused and jobs_behind_urgent_advice_are_refused_in_time failed before.

--- a/puffinknot-core/src/config.rs
+++ b/puffinknot-core/src/config.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// The maximum of each resource.
+    pub fn component_max(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Each resource, multiplied by `n`.
     pub fn times(&self, n: u32) -> Resources {
         Resources {
--- a/puffinknot-core/src/jobs/scheduler/admission.rs
+++ b/puffinknot-core/src/jobs/scheduler/admission.rs
@@ -20,7 +20,8 @@
 submits more than that has its own jobs refused, and causes no refusals for
 others.
 
-Nothing is refused while no work waits ahead of a job. Repeating and
+Nothing is refused while no work waits ahead of a job, unless its calls for
+advice would wait too long (see [`super::advice_load`]). Repeating and
 long-running jobs are never refused here.
 */
 
@@ -118,11 +119,27 @@
         if !self.is_enabled(Mechanism::Admission) {
             return None;
         }
-        let refused = self.refuse_for_backlog(id, now);
+        let refused = self.refuse_for_capacity(id, now);
         self.record_demand(id, now);
         refused
     }
 
+    fn refuse_for_capacity(
+        &mut self,
+        id: JobId,
+        now: Millis,
+    ) -> Option<Millis> {
+        if !is_refusable(&self.jobs.get(&id)?.job) {
+            return None;
+        }
+        let retry_at = match self.refuse_for_advice(id, now) {
+            Some(retry_at) => retry_at,
+            None => self.refuse_for_backlog(id, now)?,
+        };
+        Some(retry_at.saturating_sub(now).max(RETRY_AFTER))
+    }
+
+    /// Returns when the client is to retry if the job is refused.
     fn refuse_for_backlog(
         &mut self,
         id: JobId,
@@ -133,9 +150,6 @@
         }
         self.refresh_backlog(now);
         let live = self.jobs.get(&id)?;
-        if !is_refusable(&live.job) {
-            return None;
-        }
         let Some(refusal) = self.refusal(id, live, now) else {
             self.add_to_backlog(id, now);
             return None;
@@ -157,7 +171,7 @@
             of_use_for: refusal.useful_until.saturating_sub(now),
             over_share,
         });
-        Some(retry_at.saturating_sub(now).max(RETRY_AFTER))
+        Some(retry_at)
     }
 
     /// Why a job can't be accepted, if it can't.
@@ -311,11 +325,16 @@
         (weight > 0.0).then_some(weight)
     }
 
-    /// Computes the backlogs again if they are too old.
-    fn refresh_backlog(&mut self, now: Millis) {
+    /// The longest time for which a computed backlog is used.
+    pub(super) fn max_backlog_age(&self) -> Millis {
         let steps = self.jobs.len() / BACKLOG_AGE_STEP
             + self.executor_count() / BACKLOG_AGE_STEP;
-        let max_age = MAX_BACKLOG_AGE * (1 + steps as Millis);
+        MAX_BACKLOG_AGE * (1 + steps as Millis)
+    }
+
+    /// Computes the backlogs again if they are too old.
+    fn refresh_backlog(&mut self, now: Millis) {
+        let max_age = self.max_backlog_age();
         let computed_at = self.admission.computed_at;
         if computed_at.is_some_and(|at| now < at + max_age) {
             return;
@@ -490,7 +509,11 @@
     }
 
     /// How long a job should take from start to end, in milliseconds.
-    fn total_chain_time(&self, job: JobId, live: &LiveJob) -> Millis {
+    pub(super) fn total_chain_time(
+        &self,
+        job: JobId,
+        live: &LiveJob,
+    ) -> Millis {
         let steps = (0..).zip(&live.job.steps);
         let first = steps.filter(|(_, step)| step.after.is_empty());
         let chains = first.map(|(number, _)| {
@@ -506,7 +529,7 @@
     /// Schedules the retry of a job for which there should be capacity from
     /// `from` on, and which then occupies it for `duration`. Returns when the
     /// client is to retry.
-    fn schedule_retry(
+    pub(super) fn schedule_retry(
         &mut self,
         id: JobId,
         from: Millis,
--- a/puffinknot-core/src/jobs/scheduler/advice.rs
+++ b/puffinknot-core/src/jobs/scheduler/advice.rs
@@ -109,6 +109,20 @@
 }
 
 impl AdviceCall {
+    /// Whether no node makes the call yet.
+    pub fn is_waiting(&self) -> bool {
+        self.advisor.is_none()
+    }
+
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
+    /// The time that the call takes if it is shortened, in milliseconds.
+    pub fn least_time(&self) -> Millis {
+        self.cost.call_time(self.executors_to_ask(true))
+    }
+
     /// Returns how many executors the call asks about: all of them, or if
     /// nodes are scarce, as many as should suffice.
     fn executors_to_ask(&self, scarce: bool) -> usize {
@@ -398,6 +412,9 @@
     ) {
         let reassigns = self.is_enabled(Mechanism::OverdueAdvice);
         let Some(call) = self.advice_calls.get_mut(&id) else { return };
+        if call.urgent {
+            self.advice_load.record_urgent(call_time, now);
+        }
         let overdue = self.advisors.start_call(&name, call_time, now);
         let timeout = now + CALL_TIMEOUT;
         call.overdue_at =
@@ -450,7 +467,7 @@
 
     /// Returns how many executors of these capacities should suffice for a
     /// step.
-    fn sufficient_executors(
+    pub(super) fn sufficient_executors(
         &self,
         queue: &str,
         step: &Step,
--- a/puffinknot-core/src/jobs/scheduler/advisors.rs
+++ b/puffinknot-core/src/jobs/scheduler/advisors.rs
@@ -86,6 +86,12 @@
         self.by_name.len()
     }
 
+    /// For how long the calls in flight keep the nodes busy, all together.
+    pub fn busy_time(&self, now: Millis) -> Millis {
+        let advisors = self.by_name.values();
+        advisors.map(|advisor| advisor.busy_until.saturating_sub(now)).sum()
+    }
+
     /// Records that a node makes a call which should take `cost` milliseconds.
     /// Returns the time from which its answer is overdue.
     pub fn start_call(
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -77,6 +77,7 @@
 mod account_shares;
 mod admission;
 mod advice;
+mod advice_load;
 mod advisors;
 mod authorization;
 mod breakers;
@@ -120,6 +121,7 @@
 use self::account_shares::FairShares;
 use self::admission::Admission;
 use self::advice::AdviceCall;
+use self::advice_load::AdviceLoad;
 use self::advisors::Advisors;
 use self::commit::CommitQueue;
 use self::departures::Departures;
@@ -235,6 +237,7 @@
     arrivals: u64,
     advisors: Advisors,
     advice_calls: BTreeMap<CallId, AdviceCall>,
+    advice_load: AdviceLoad,
     next_advice_call: CallId,
     /// The smoothed fraction of executors that may run the steps of a queue.
     approval_rates: BTreeMap<String, f64>,
@@ -305,6 +308,7 @@
             arrivals: 0,
             advisors: Advisors::default(),
             advice_calls: BTreeMap::new(),
+            advice_load: AdviceLoad::default(),
             next_advice_call: 0,
             approval_rates: BTreeMap::new(),
             takeover_deadline: None,
--- a/puffinknot-core/src/jobs/scheduler/retry_schedule.rs
+++ b/puffinknot-core/src/jobs/scheduler/retry_schedule.rs
@@ -22,7 +22,7 @@
 /// The maximum time until a retry, and the time after it until the refusal is
 /// dropped. Clients keep retrying for this long: four more attempts of up to
 /// 3 s each.
-const RETRY_WINDOW: Millis = 12_000;
+pub(super) const RETRY_WINDOW: Millis = 12_000;
 /// The retries of a client.
 const RETRIES: Millis = 4;
 /// The maximum number of refusals remembered. The oldest refusal is dropped
--- a/tests/jobs/advice.rs
+++ b/tests/jobs/advice.rs
@@ -1,9 +1,11 @@
 //! Advice: which executors the leader asks about for a step, and asks about
 //! again.
 
-use puffinknot_core::jobs::{Event, Job, JobState, Mechanism, Mechanisms};
+use puffinknot_core::jobs::{
+    Event, Job, JobState, Mechanism, Mechanisms, Outcome,
+};
 
-use super::world::{job, resources, step, World, WORK};
+use super::world::{job, queue, resources, step, World, WORK};
 
 /// A bound on the time in which a job with room and approval is done: several
 /// times its objective.
@@ -188,3 +190,82 @@
     assert_eq!(world.state(3), Some(JobState::Succeeded));
     world.assert_no_violations();
 }
+
+/// How long an advice call of the queue "dear" takes. One node makes one at a
+/// time.
+const DEAR_CALL: u64 = 620;
+/// The time between two jobs in an overload, a fraction of [`DEAR_CALL`].
+const OVERLOAD_GAP: u64 = DEAR_CALL / 4;
+/// How long the overload lasts.
+const OVERLOAD: u64 = 30_000;
+/// All accepted jobs have ended this long after the last one was submitted.
+const FINISHED_WITHIN: u64 = 14_000;
+
+/// A job that the executors could start at once.
+fn dear(id: u64) -> Job {
+    job(id, "dear", vec![step(1, resources(100, 100))])
+}
+
+/// Submits jobs to the queue "dear", four times as many as one node can get
+/// advice for, and between any two of them `others`. Returns the number of
+/// accepted jobs of that queue.
+fn overload_advice(
+    world: &mut World,
+    mut others: impl FnMut(&mut World, u64),
+) -> usize {
+    world.advice_takes = DEAR_CALL;
+    let mut requests = Vec::new();
+    for id in 1..=OVERLOAD / OVERLOAD_GAP {
+        requests.push(world.submit(dear(id)));
+        others(world, id);
+        world.run(OVERLOAD_GAP);
+    }
+    world.run(FINISHED_WITHIN);
+    let accepted = |id: &u64| world.answer_to(*id) == Outcome::Accepted;
+    requests.iter().filter(|id| accepted(id)).count()
+}
+
+/// Guards against jobs that are accepted and wait for advice without bound,
+/// while the executors have room for them.
+#[test]
+fn jobs_whose_advice_would_take_too_long_are_refused() {
+    let mut world = World::new(8);
+    world.run(50);
+    let accepted = overload_advice(&mut world, |_, _| ());
+    assert_done(&mut world);
+    let possible = (OVERLOAD / DEAR_CALL) as usize;
+    assert!(accepted >= possible, "{accepted} accepted, {possible} possible");
+}
+
+/// Like the test above, while urgent calls go first and take half of the time.
+#[test]
+fn jobs_behind_urgent_advice_are_refused_in_time() {
+    let mut world = World::new(8);
+    world.set_policy(|policy| {
+        let mut quick = queue("quick", 0, true);
+        if let Some(cost) = &mut quick.advice {
+            cost.call_ms = DEAR_CALL as f64;
+        }
+        policy.queues.insert(quick.name.clone(), quick);
+    });
+    world.run(50);
+    overload_advice(&mut world, |world, id| {
+        if id % 8 == 0 {
+            let steps = vec![step(1, resources(100, 100))];
+            world.submit(job(10_000 + id, "quick", steps));
+        }
+    });
+    assert_done(&mut world);
+}
+
+/// Guards against refusals while nodes keep up with the calls.
+#[test]
+fn jobs_are_not_refused_while_nodes_keep_up() {
+    let mut world = World::new(8);
+    world.run(50);
+    let nodes = (0..8).map(|number| format!("node-{number}")).collect();
+    world.event(Event::Advisors(nodes));
+    let accepted = overload_advice(&mut world, |_, _| ());
+    assert_eq!(accepted as u64, OVERLOAD / OVERLOAD_GAP);
+    assert_done(&mut world);
+}
