--- a/puffinknot-core/src/jobs/scheduler/advice_load.rs
+++ b/puffinknot-core/src/jobs/scheduler/advice_load.rs
@@ -27,9 +27,8 @@
 /// The longest wait for advice with which a job is accepted. The client of a
 /// refused job retries for this long.
 const MAX_ADVICE_WAIT: Millis = RETRY_WINDOW;
-/// The time over which the use by urgent calls is averaged: long enough for
-/// several long calls, and shorter than the wait that it is used for.
-const AVERAGING_TIME: f64 = 3_000.0;
+/// The time constant of the average use by urgent calls, in milliseconds.
+const AVERAGING_TIME_MS: f64 = 3_000.0;
 /// The smallest part of the capacity that other calls are assumed to have.
 /// Urgent calls may take all for a moment, but not for long.
 const MIN_SHARE: f64 = 0.1;
@@ -42,8 +41,10 @@
     urgent_time: f64,
     urgent_time_at: Millis,
     /// The time of the calls about steps that are not released yet, in
-    /// milliseconds, and when it was computed.
-    unreleased: (Millis, Option<Millis>),
+    /// milliseconds.
+    unreleased_time: Millis,
+    /// When that was computed.
+    unreleased_time_at: Option<Millis>,
 }
 
 impl AdviceLoad {
@@ -55,12 +56,12 @@
 
     fn decayed(&self, now: Millis) -> f64 {
         let elapsed = now.saturating_sub(self.urgent_time_at) as f64;
-        self.urgent_time * (-elapsed / AVERAGING_TIME).exp()
+        self.urgent_time * (-elapsed / AVERAGING_TIME_MS).exp()
     }
 
     /// The number of nodes that urgent calls keep busy.
     fn urgent_nodes(&self, now: Millis) -> f64 {
-        self.decayed(now) / AVERAGING_TIME
+        self.decayed(now) / AVERAGING_TIME_MS
     }
 }
 
@@ -118,8 +119,7 @@
             .values()
             .filter(|call| call.is_waiting() && (call.is_urgent() || !urgent));
         let waiting: Millis = waiting.map(|call| call.least_time()).sum();
-        let (unreleased, _) = self.advice_load.unreleased;
-        let later = if urgent { 0 } else { unreleased };
+        let later = if urgent { 0 } else { self.advice_load.unreleased_time };
         let ahead = self.advisors.busy_time(now) + waiting + later;
         (ahead as f64 / self.advice_capacity(urgent, now)) as Millis
     }
@@ -137,7 +137,7 @@
     /// Computes the time of the calls about steps that are not released yet,
     /// if it is too old.
     fn refresh_unreleased_advice(&mut self, now: Millis) {
-        let (_, computed_at) = self.advice_load.unreleased;
+        let computed_at = self.advice_load.unreleased_time_at;
         let max_age = self.max_backlog_age();
         if computed_at.is_some_and(|at| now < at + max_age) {
             return;
@@ -156,7 +156,8 @@
             })
         });
         let time = time.sum();
-        self.advice_load.unreleased = (time, Some(now));
+        self.advice_load.unreleased_time = time;
+        self.advice_load.unreleased_time_at = Some(now);
     }
 
     fn service_sizes(&self) -> BTreeMap<&str, ServiceSize> {
--- a/tests/jobs/membership.rs
+++ b/tests/jobs/membership.rs
@@ -651,10 +651,9 @@
 /// it is lost.
 const NEWCOMER: &str = "x9";
 
-/// A cell whose newest executor is lost, and after that its leader. No list of
-/// machines has shown that executor. Returns once the successor has had time
-/// to look for it. `change` is applied before the takeover.
-fn newcomer_lost_with_the_leader(change: impl Fn(&mut World)) -> World {
+/// A cell whose newest executor is gone before a list of machines has shown
+/// it.
+fn newcomer_gone() -> World {
     let mut world = World::new(1);
     world.run(MACHINES_LISTED);
     world.add_executor(NEWCOMER);
@@ -662,6 +661,14 @@
     world.run(500);
     world.executors[1].leave();
     world.unlisted.insert(NEWCOMER.into());
+    world
+}
+
+/// Replaces the leader after the newest executor has gone, and removes the
+/// entry of that executor. Returns once the successor has had time to look for
+/// it. `change` is applied before the takeover.
+fn newcomer_lost_with_the_leader(change: impl Fn(&mut World)) -> World {
+    let mut world = newcomer_gone();
     change(&mut world);
     world.replace_leader();
     world.list_entry(1);
@@ -703,13 +710,7 @@
 /// A list of machines may be incomplete, and an address may be wrong.
 #[test]
 fn a_newcomer_that_the_store_lists_delays_a_takeover() {
-    let mut world = World::new(1);
-    world.run(MACHINES_LISTED);
-    world.add_executor(NEWCOMER);
-    world.list_entry(1);
-    world.run(500);
-    world.executors[1].leave();
-    world.unlisted.insert(NEWCOMER.into());
+    let mut world = newcomer_gone();
     world.replace_leader();
     world.list_entry(1);
     world.run(MACHINE_LOOKUP);
