--- a/src/cell/call_slots.rs
+++ b/src/cell/call_slots.rs
@@ -113,7 +113,7 @@
     }
 
     /// Abandons the call that has been late for longest, if any is late.
-    fn abandon_latest(&mut self, now: Millis) {
+    fn abandon_oldest(&mut self, now: Millis) {
         let late = self.open.iter_mut().filter(|call| call.late_at <= now);
         let Some(call) = late.min_by_key(|call| call.late_at) else { return };
         if let Some(abandon) = call.abandon.take() {
@@ -180,7 +180,7 @@
                 Turn::AbandonAt(at) => {
                     let now = clock::mono();
                     if at <= now {
-                        self.update(address, |c| c.abandon_latest(now));
+                        self.update(address, |c| c.abandon_oldest(now));
                         continue;
                     }
                     let pause = Duration::from_millis(at - now);
