A renewal without a slot says nothing about its executor

Found by reading: a renewal that waited too long for one of the calls to an executor failed as NotSent, which since is one of three signs that the executor has gone. It is unknown instead; renewals treat both alike otherwise.

--- a/src/cell/order.rs
+++ b/src/cell/order.rs
@@ -145,7 +145,13 @@
             CallEnd::Completed(answer) => answer,
             CallEnd::NotSent => {
                 node.count("orders_without_slot");
-                Err(OrderFailure::NotSent)
+                // A renewal that can't be sent shows that the executor
+                // refuses connections, which is not known here.
+                let is_renewal = self.priority() == Priority::Renewal;
+                Err(match is_renewal {
+                    true => OrderFailure::Unknown,
+                    false => OrderFailure::NotSent,
+                })
             }
             CallEnd::Abandoned => {
                 node.count("late_orders_abandoned");
