--- a/review/standins-2/src/cell.rs
+++ b/review/standins-2/src/cell.rs
@@ -89,7 +89,7 @@
 pub struct Cell {
     pub nodes: Vec<Node>,
     pub store: Store,
-    pub fleet: Fleet,
+    fleet: Option<Fleet>,
     /// The number of the node that was asked last.
     pub asked: std::cell::Cell<usize>,
     folder: PathBuf,
@@ -105,10 +105,23 @@
         config: &Value,
     ) -> Result<Cell, CannotRun> {
         let store = Store::default();
+        let fleet = Fleet::start(&store, &["z"], executors, 1)?;
+        let list = fleet.list_addr();
+        Cell::start_with(case, store, Some(fleet), list, config).await
+    }
+
+    /// Starts three nodes beside this store and these executors, and waits
+    /// until all nodes are ready. `list` is the service that manages machines.
+    pub async fn start_with(
+        case: u8,
+        store: Store,
+        fleet: Option<Fleet>,
+        list: SocketAddr,
+        config: &Value,
+    ) -> Result<Cell, CannotRun> {
         let served = store.serve("127.0.0.1:0")?;
         let advice = serve_advice("127.0.0.1:0", Duration::from_millis(10))?;
         store.write("op/config", config);
-        let fleet = Fleet::start(&store, &["z"], executors, 1)?;
         let process = std::process::id();
         let folder = std::env::temp_dir().join(format!("review-2-{process}"));
         std::fs::create_dir_all(&folder)?;
@@ -125,7 +138,6 @@
             (cell._servers[0].addr(), cell._servers[1].addr());
         for number in 1..=3 {
             let ip = format!("{net}.{number}");
-            let list = cell.fleet.list_addr();
             let text = settings(&ip, &net, store, advice, list);
             cell.start_node(ip, &text)?;
         }
@@ -133,6 +145,11 @@
         Ok(cell)
     }
 
+    /// The executors of [`Cell::start`].
+    pub fn fleet(&self) -> &Fleet {
+        self.fleet.as_ref().expect("started with a fleet")
+    }
+
     fn start_node(&mut self, ip: String, text: &str) -> Result<(), CannotRun> {
         let path = self.folder.join(format!("{ip}.toml"));
         std::fs::write(&path, text)?;
--- a/review/standins-2/src/flapping.rs
+++ b/review/standins-2/src/flapping.rs
@@ -62,7 +62,7 @@
     }
     let broken = watch(&cell, record, flapping, trouble, victim).await?;
     tokio::time::sleep(Duration::from_secs(1)).await;
-    for run in cell.fleet.record() {
+    for run in cell.fleet().record() {
         let began = record.seconds(run.began);
         let ended = run.ended.map(|at| record.seconds(at));
         let ended = ended.map_or("on".into(), |at| format!("{at:.3}"));
@@ -115,7 +115,7 @@
 
 async fn wait_for_tasks(cell: &Cell, tasks: usize) -> Result<(), CannotRun> {
     let started = Instant::now();
-    while cell.fleet.record().len() < tasks {
+    while cell.fleet().record().len() < tasks {
         if started.elapsed() > Duration::from_secs(20) {
             return Err(CannotRun("the standing service is not up".into()));
         }
@@ -126,7 +126,7 @@
 
 fn idle_executor(cell: &Cell) -> Result<usize, CannotRun> {
     let idle = (0..EXECUTORS).find(|machine| {
-        let executor = cell.fleet.executor(*machine);
+        let executor = cell.fleet().executor(*machine);
         executor.is_some_and(|executor| executor.record().is_empty())
     });
     idle.ok_or_else(|| CannotRun("no executor is idle".into()))
@@ -150,8 +150,8 @@
         let over = started.elapsed() >= FLAPPING;
         if trouble && Instant::now() >= next && !(over && up) {
             match up {
-                true => cell.fleet.crash(flapping, CrashMode::Reset),
-                false => cell.fleet.start_executor(flapping),
+                true => cell.fleet().crash(flapping, CrashMode::Reset),
+                false => cell.fleet().start_executor(flapping),
             }
             up = !up;
             next += PERIOD / 2;
--- a/review/standins-2/src/frozen.rs
+++ b/review/standins-2/src/frozen.rs
@@ -68,7 +68,7 @@
     let (status, state) = cell.call(other, "GET", JOB, None, DEADLINE).await;
     record.line(&format!("GET {JOB}: {status} {state}"));
     let mut broken = false;
-    for run in cell.fleet.record() {
+    for run in cell.fleet().record() {
         let began = record.seconds(run.began);
         let ended = run.ended.map(|at| record.seconds(at));
         let runs_on = run.ended.is_none_or(|ended| ended > bound);
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod flapping;
 mod frozen;
 mod renamed;
+mod upkeep;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -31,6 +32,7 @@
             }
             "frozen" => frozen::play(&record, trouble).await,
             "renamed" => renamed::play(&record, trouble).await,
+            "upkeep" => upkeep::play(&record, trouble).await,
             _ => Err(CannotRun(format!("no case is named {case}"))),
         }
     };
--- a/review/standins-2/src/renamed.rs
+++ b/review/standins-2/src/renamed.rs
@@ -76,7 +76,7 @@
 
 /// Writes down all runs, and returns how many go on.
 fn report_runs(cell: &Cell, record: &Record) -> usize {
-    let runs = cell.fleet.record();
+    let runs = cell.fleet().record();
     for run in &runs {
         let began = record.seconds(run.began);
         let ended = run.ended.map(|at| record.seconds(at));
