--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,8 +6,10 @@
 mod cell;
 mod flapping;
 mod frozen;
+mod late;
 mod renamed;
 mod upkeep;
+mod world;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -32,6 +34,7 @@
             }
             "frozen" => frozen::play(&record, trouble).await,
             "renamed" => renamed::play(&record, trouble).await,
+            "late" => late::play(&record, trouble).await,
             "upkeep" => upkeep::play(&record, trouble).await,
             _ => Err(CannotRun(format!("no case is named {case}"))),
         }
