A job belongs to the queue at the address of its submission

Cause: jobs were found by the name of their queue, which clients never see. The same held for the count of waiting jobs, for a successor, and for the policy of a job whose queue swapped names with another one: its tasks followed the name to the service of another address. A node with an older policy sent the old name, which the leader refused as missing, or took for another queue.

Now a job follows its address; its name only if the address is gone. A name that stood for another address in the policy of the asking node is not answered; the node routes the request again by its newer policy.

--- a/puffinknot-core/src/jobs/message.rs
+++ b/puffinknot-core/src/jobs/message.rs
@@ -9,6 +9,7 @@
 use crate::jobs::crash_evidence::RunLoss;
 use crate::jobs::executor::ExecutorInfo;
 use crate::jobs::model::{Job, JobId, JobState, StepKey, TaskKey};
+use crate::jobs::policy::Queue;
 
 /// The number of a client request, assigned by the caller of the scheduler.
 pub type RequestId = u64;
@@ -49,6 +50,21 @@
 }
 
 impl Request {
+    /// Sets the queue that the request refers to.
+    pub fn set_queue(&mut self, queue: &Queue) {
+        match self {
+            Request::Submit(job) => {
+                job.queue.clone_from(&queue.name);
+                job.service.clone_from(&queue.service);
+            }
+            Request::State { queue: name, .. }
+            | Request::Cancel { queue: name, .. }
+            | Request::Pending { queue: name } => {
+                name.clone_from(&queue.name);
+            }
+        }
+    }
+
     /// The queue that the request refers to.
     pub fn queue(&self) -> &str {
         match self {
--- a/puffinknot-core/src/jobs/policy.rs
+++ b/puffinknot-core/src/jobs/policy.rs
@@ -57,6 +57,12 @@
 }
 
 impl Queue {
+    /// Whether requests to the same host and path prefix are for `other`.
+    pub fn has_address_of(&self, other: &Queue) -> bool {
+        self.host.eq_ignore_ascii_case(&other.host)
+            && self.prefix == other.prefix
+    }
+
     /// The longest time that a job with a critical path of this length should
     /// take; both in milliseconds.
     pub fn objective(&self, critical_path: Millis) -> Millis {
--- a/puffinknot-core/src/jobs/scheduler/account_shares.rs
+++ b/puffinknot-core/src/jobs/scheduler/account_shares.rs
@@ -301,7 +301,7 @@
     /// that the objective allows in addition to the work.
     fn averaging_periods(&self) -> [Millis; 2] {
         let least_target = |urgent: bool| {
-            let queues = self.queues.values();
+            let queues = self.queues.iter();
             let queues = queues.filter(|q| (q.priority == 0) == urgent);
             queues.map(|queue| queue.target).min().unwrap_or(0)
         };
--- a/puffinknot-core/src/jobs/scheduler/authorization.rs
+++ b/puffinknot-core/src/jobs/scheduler/authorization.rs
@@ -4,7 +4,9 @@
 The leader authorizes calls by the newest policy that it knows. The node that
 received the call may know a newer one, so each call carries that node's policy
 version. A leader with an older policy can't tell a revoked key from a valid
-one, and has the call retried until it has the newer policy.
+one, and has the call retried until it has the newer policy. If the node has an
+older policy, in which the name of the queue may have stood for another one, the
+call is retried until the node has the newer policy.
 */
 
 use crate::jobs::accounts::CallCredentials;
@@ -12,7 +14,7 @@
 use crate::jobs::model::JobId;
 use crate::jobs::scheduler::Scheduler;
 
-/// The node that received the call retries it at once.
+/// The node that received the call retries it at once, by its newest policy.
 const RETRY_NOW: Outcome = Outcome::Refused(0);
 
 /// The jobs that a call has access to, by owner.
@@ -59,6 +61,11 @@
             self.count("refused_policy_behind");
             return Err(RETRY_NOW);
         }
+        let outdated = caller.policy < self.policy.version;
+        if outdated && !self.queues.is_unchanged_since(queue, caller.policy) {
+            self.count("refused_route_changed");
+            return Err(RETRY_NOW);
+        }
         let Some(queue) = self.queues.get(queue) else {
             self.count("refused_no_queue");
             return Err(Outcome::NoSuchQueue);
--- a/puffinknot-core/src/jobs/scheduler/live_job.rs
+++ b/puffinknot-core/src/jobs/scheduler/live_job.rs
@@ -267,6 +267,17 @@
 }
 
 impl LiveJob {
+    /// Moves it to another queue, or to another version of its queue. The
+    /// queue has the address of the job's submission.
+    pub fn set_queue(&mut self, queue: Arc<Queue>) {
+        self.job.queue.clone_from(&queue.name);
+        self.queue = queue;
+        // The queue may belong to another service now.
+        for state in self.steps.values_mut() {
+            state.advice.all_answered = None;
+        }
+    }
+
     /// Whether its tasks rank ahead of all tasks that are not urgent.
     pub fn is_urgent(&self) -> bool {
         self.queue.priority == 0 && !self.over_rate
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -7,6 +7,7 @@
 Clients are served by these modules:
 
 - `authorization` decides who may call a queue
+- `queues` finds the queue that a job belongs to when the policy changes
 - `requests` answers requests
 - `admission` refuses jobs that can't be done while they are useful, by the
   work that waits (`service_backlog`) and that is to come (`demand`)
@@ -71,7 +72,7 @@
     Action, CallId, Event, ExecutorIndex, Outcome, RequestId,
 };
 use crate::jobs::model::{JobId, JobState, StepKey};
-use crate::jobs::policy::{Policy, Queue};
+use crate::jobs::policy::Policy;
 use crate::jobs::record::EndedJob;
 
 mod account_shares;
@@ -101,6 +102,7 @@
 mod placement_rounds;
 mod placement_stats;
 mod preemption;
+mod queues;
 mod ranking;
 mod records;
 mod renewal_queue;
@@ -134,6 +136,7 @@
 use self::maintenance::Machines;
 use self::placement_rounds::PlacementRounds;
 pub use self::placement_stats::PlacementStats;
+use self::queues::Queues;
 use self::ranking::LateBoosts;
 use self::renewal_queue::RenewalQueue;
 use self::silence_alarm::SilenceAlarm;
@@ -201,7 +204,7 @@
 pub struct Scheduler {
     config: SchedulerConfig,
     policy: Arc<Policy>,
-    queues: BTreeMap<String, Arc<Queue>>,
+    queues: Queues,
     keys: KeyRing,
     ledger: Ledger,
     account_shares: FairShares,
@@ -283,7 +286,7 @@
             event_lag: EventLag::default(),
             config,
             policy: Arc::default(),
-            queues: BTreeMap::new(),
+            queues: Queues::default(),
             keys: KeyRing::default(),
             ledger: Ledger::default(),
             account_shares: FairShares::default(),
@@ -328,17 +331,10 @@
         if policy.version < self.policy.version {
             return;
         }
-        let queues = policy.queues.iter();
-        self.queues = queues
-            .map(|(name, queue)| (name.clone(), Arc::new(queue.clone())))
-            .collect();
+        self.queues = self.queues.next(&policy);
         for live in self.jobs.values_mut() {
-            if let Some(queue) = self.queues.get(&live.job.queue) {
-                live.queue = queue.clone();
-                // The queue may belong to another service now.
-                for state in live.steps.values_mut() {
-                    state.advice.all_answered = None;
-                }
+            if let Some(queue) = self.queues.successor_of(&live.queue) {
+                live.set_queue(queue);
             }
         }
         self.keys = KeyRing::new(&policy);
--- a/puffinknot-core/src/jobs/scheduler/restore.rs
+++ b/puffinknot-core/src/jobs/scheduler/restore.rs
@@ -180,17 +180,16 @@
         }
     }
 
-    fn restore_job(&mut self, job: Job, queue: Queue, now: Millis) {
+    fn restore_job(&mut self, mut job: Job, stored: Queue, now: Millis) {
         let id = job.id;
         let known = self.jobs.contains_key(&id);
         if known || self.ended.jobs.contains_key(&id) {
             return;
         }
-        let queue = match self.queues.get(&job.queue) {
-            Some(queue) => queue.clone(),
-            // The queue was removed, but its accepted jobs are finished.
-            None => Arc::new(queue),
-        };
+        // If the queue was removed, its accepted jobs are finished.
+        let queue = self.queues.successor_of(&stored);
+        let queue = queue.unwrap_or_else(|| Arc::new(stored));
+        job.queue.clone_from(&queue.name);
         let mut live = self.new_live_job(job, queue, now);
         live.written = true;
         live.inherited = true;
--- a/puffinknot-core/src/jobs/scheduler/speeds.rs
+++ b/puffinknot-core/src/jobs/scheduler/speeds.rs
@@ -312,7 +312,7 @@
         let queues = &self.queues;
         self.estimate_errors
             .by_queue
-            .retain(|name, _| queues.contains_key(name));
+            .retain(|name, _| queues.get(name).is_some());
         self.estimate_errors.shard =
             (self.estimate_errors.shard + 1) % SHARD_COUNT;
         let shard = self.estimate_errors.shard;
--- a/puffinknot-core/src/jobs/scheduler/urgent_headroom.rs
+++ b/puffinknot-core/src/jobs/scheduler/urgent_headroom.rs
@@ -103,7 +103,7 @@
 
     /// Whether there are both urgent queues and others.
     fn has_mixed_urgency(&self) -> bool {
-        let mut urgent = self.queues.values().map(|q| q.priority == 0);
+        let mut urgent = self.queues.iter().map(|q| q.priority == 0);
         urgent.clone().any(|urgent| urgent) && !urgent.all(|urgent| urgent)
     }
 
--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -22,7 +22,7 @@
 use tokio::runtime::Handle;
 use tracing::{info, warn};
 
-use crate::cell::node::NodeState;
+use crate::cell::node::{NodeState, RequestAddress};
 use crate::cell::ports::{Call, ClientAnswer, Platform, Refusal};
 use crate::cell::reachability;
 use crate::clock::{self, Micros};
@@ -216,9 +216,10 @@
     };
     let router = shared.router();
     let host = request.headers().get(HOST).and_then(|h| h.to_str().ok());
-    let host = host.or(request.uri().host()).unwrap_or_default();
-    let path = request.path().to_string();
-    let Some((queue, rest)) = router.find(host, &path) else {
+    let host = host.or(request.uri().host()).unwrap_or_default().to_string();
+    let address = RequestAddress { host, path: request.path().to_string() };
+    let found = router.find(&address.host, &address.path);
+    let Some((queue, rest)) = found else {
         return refuse(Refusal::NoQueue, "no such queue");
     };
     let method = request.method().as_str().to_string();
@@ -259,7 +260,7 @@
         }
     };
     let asked_at = clock::mono();
-    let outcome = shared.ask(caller, request).await;
+    let outcome = shared.ask(&address, caller, request).await;
     let kind = match call {
         Call::Submit(_) => "submit",
         Call::State(_) => "state",
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -104,6 +104,15 @@
 /// The minimum interval between requests for a newer policy.
 const POLICY_REQUEST_INTERVAL_MS: Millis = 500;
 
+/// The host and the path that a client has sent a request to.
+#[derive(Clone, Debug)]
+pub struct RequestAddress {
+    /// The host, with or without a port.
+    pub host: String,
+    /// The path.
+    pub path: String,
+}
+
 /// The state that the parts of a node share.
 pub struct NodeState<P> {
     /// The platform of the cell.
@@ -441,6 +450,7 @@
     /// isolated or closing, or becomes so, the request is given up at once.
     pub async fn ask(
         &self,
+        address: &RequestAddress,
         caller: CallCredentials,
         request: Request,
     ) -> Outcome {
@@ -455,7 +465,9 @@
         let sent = Cell::new(false);
         tokio::select! {
             biased;
-            outcome = self.ask_leader(caller, request, &sent) => outcome,
+            outcome = self.ask_leader(address, caller, request, &sent) => {
+                outcome
+            }
             () = self.reachability.wait_until_isolated() => {
                 self.count("given_up_cut_off");
                 self.give_up(sent.get())
@@ -471,8 +483,9 @@
     /// leader may have accepted the request.
     async fn ask_leader(
         &self,
-        caller: CallCredentials,
-        request: Request,
+        address: &RequestAddress,
+        mut caller: CallCredentials,
+        mut request: Request,
         sent: &Cell<bool>,
     ) -> Outcome {
         let started = Instant::now();
@@ -507,9 +520,38 @@
             }
             self.count("asked_again");
             sleep(RETRY_DELAY).await;
+            if !self.route_again(address, &mut caller, &mut request) {
+                return match sent.get() {
+                    true => self.give_up(true),
+                    false => Outcome::NoSuchQueue,
+                };
+            }
         }
     }
 
+    /// Routes a request by the newest policy, if it was routed by an older
+    /// one: by now its queue may have another name. Returns `false` if no
+    /// queue has its address any more.
+    fn route_again(
+        &self,
+        address: &RequestAddress,
+        caller: &mut CallCredentials,
+        request: &mut Request,
+    ) -> bool {
+        let Some(policy) = self.policy() else { return true };
+        if policy.version <= caller.policy {
+            return true;
+        }
+        let router = self.router();
+        let found = router.find(&address.host, &address.path);
+        let Some(queue) = found.and_then(|(q, _)| policy.queues.get(q)) else {
+            return false;
+        };
+        caller.policy = policy.version;
+        request.set_queue(queue);
+        true
+    }
+
     /// Whether this node may replace a leader whose lease has not expired.
     /// Grants this at most once per `REPLACE_INTERVAL_MS`, since the address
     /// of the leader may refuse connections only on the path from this node.
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -22,6 +22,7 @@
 mod policy_age;
 mod preemption;
 mod ranking;
+mod renamed_queues;
 mod renewals;
 mod rules;
 mod services;
