A job that was cancelled before it arrived does not run

Cause: the submission waited in the socket of a suspended node. The leader answered the cancellation of the unknown job and remembered nothing, so that it accepted the submission when the node went on.

A cancellation that finds no job is now stored before it is answered, with its account and address, for as long as an ended job is remembered. The submission is then accepted as a cancelled job. A successor reads what was stored. Beyond 20,000, and while the store is in trouble, such cancellations are refused.

jobs::accounts::an_account_finds_nothing_of_another read both answers at once. They come once the cancellation is stored, so the test waits 100 ms for them; in exchange it checks that neither is there before the other.

--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -43,6 +43,7 @@
 pub mod scheduler;
 pub mod speed;
 pub mod start_backlog;
+pub mod suspension;
 
 pub use self::accounts::{Account, CallCredentials, KeyDigest, KeyRing};
 pub use self::cordon::{Cordon, CordonSource, Cordons};
@@ -59,3 +60,4 @@
 pub use self::policy::{AdviceCost, Policy, Queue, Service};
 pub use self::policy_age::{PolicyAge, PolicyLimits};
 pub use self::scheduler::{Scheduler, SchedulerConfig};
+pub use self::suspension::Suspensions;
--- a/puffinknot-core/src/jobs/record.rs
+++ b/puffinknot-core/src/jobs/record.rs
@@ -4,7 +4,8 @@
 The progress of jobs is written as *records*, one for each commit: new jobs,
 and the progress of others. A record is kept until nothing in it is relevant
 any more. When a job ends, its id and final state are added to a *chunk* of
-ended jobs. The executors to which the cell has sent orders are kept in
+ended jobs. Jobs that were cancelled before they arrived are kept in chunks of
+their own. The executors to which the cell has sent orders are kept in
 *shards*, so that a new leader knows which to query. The resources that tasks
 of ended jobs may still use are a single value: they count against the limits
 of client accounts, and no job records them any more.
@@ -27,6 +28,9 @@
 pub const RECORD_PREFIX: &str = "record/";
 /// The prefix of the names of chunks of ended jobs.
 pub const ENDED_PREFIX: &str = "ended/";
+/// The prefix of the names of chunks of jobs that were cancelled before they
+/// arrived.
+pub const EARLY_CANCEL_PREFIX: &str = "cancelled/";
 /// The prefix of the names of shards of the list of executors.
 pub const SHARD_PREFIX: &str = "enrolled/";
 /// The number of shards of the list of executors. With shards, a change of one
@@ -96,13 +100,25 @@
     pub steps: BTreeMap<(u32, u32), StepProgress>,
 }
 
-/// A chunk of ended jobs.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndedChunk {
+/// A chunk of what has to be remembered of jobs for some time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk<T> {
     /// The jobs.
-    pub jobs: Vec<EndedJob>,
+    pub jobs: Vec<T>,
 }
 
+impl<T> Default for Chunk<T> {
+    fn default() -> Chunk<T> {
+        Chunk { jobs: Vec::new() }
+    }
+}
+
+/// A chunk of ended jobs.
+pub type EndedChunk = Chunk<EndedJob>;
+
+/// A chunk of jobs that were cancelled before they arrived.
+pub type EarlyCancelChunk = Chunk<EarlyCancel>;
+
 /// A job that has ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedJob {
@@ -114,6 +130,22 @@
     pub account: Option<String>,
 }
 
+/// A job that was cancelled before it arrived. A submission is the same job if
+/// it has the same id, account and address.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct EarlyCancel {
+    /// The job.
+    pub job: JobId,
+    /// The client account of the cancellation, if any.
+    pub account: Option<String>,
+    /// The host of its queue, in lower case.
+    pub host: String,
+    /// The path prefix of its queue.
+    pub prefix: String,
+}
+
 /// An executor to which the cell has sent orders.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EnrolledExecutor {
--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -14,8 +14,8 @@
 use crate::jobs::message::{Action, Change, ExecutorIndex, Outcome};
 use crate::jobs::model::{JobId, JobState, StepKey};
 use crate::jobs::record::{
-    self, EndedJob, EnrolledExecutor, Record, RecordNumber, Shard,
-    StoppingResources,
+    self, EarlyCancel, EndedJob, EnrolledExecutor, Record, RecordNumber,
+    Shard, StoppingResources,
 };
 use crate::jobs::scheduler::records::Records;
 use crate::jobs::scheduler::Scheduler;
@@ -65,6 +65,7 @@
     accepted: BTreeSet<JobId>,
     progress: BTreeSet<JobId>,
     ends: Vec<EndedJob>,
+    early_cancels: Vec<EarlyCancel>,
     enrolled: Vec<ExecutorIndex>,
     removed: Vec<RecordNumber>,
     /// The number of the last end on each executor that the commit covers.
@@ -90,7 +91,8 @@
         }
     }
 
-    fn schedule(&mut self, now: Millis) {
+    /// Has a commit sent as soon as possible after `now`.
+    pub fn schedule(&mut self, now: Millis) {
         self.pending_since.get_or_insert(now);
     }
 
@@ -184,6 +186,7 @@
         };
         let mut changes = Vec::new();
         self.commit_ends(&mut changes, &mut batch, now);
+        self.commit_early_cancels(&mut changes, &mut batch, now);
         self.commit_record(&mut changes, &mut batch, now);
         self.commit_shards(&mut changes, &mut batch, now);
         if std::mem::take(&mut self.commits.maintenance_dirty) {
@@ -234,6 +237,26 @@
         changes.push(Change::Put { name, value });
     }
 
+    fn commit_early_cancels(
+        &mut self,
+        changes: &mut Vec<Change>,
+        batch: &mut Batch,
+        now: Millis,
+    ) {
+        batch.early_cancels = self.early_cancels.take_unwritten();
+        if self.early_cancels.is_any_unwritten() {
+            self.commits.schedule(now);
+        }
+        if batch.early_cancels.is_empty() {
+            return;
+        }
+        let keep = self.config.ended_retention;
+        let records = &mut self.commits.records;
+        let (name, value) =
+            records.add_early_cancels(&batch.early_cancels, now, keep);
+        changes.push(Change::Put { name, value });
+    }
+
     /// Writes new jobs and progress. If there are too many records or the
     /// oldest one is too old, also rewrites what is still needed of the
     /// oldest.
@@ -399,6 +422,9 @@
             self.commits.records.remove_job(ended.job);
             self.end_written(ended, now);
         }
+        for cancel in batch.early_cancels {
+            self.early_cancel_stored(cancel, now);
+        }
         for (index, end) in batch.acknowledged {
             if let Some(executor) = self.executors.get_mut(&index) {
                 if end > executor.acknowledged_end {
--- /dev/null
+++ b/puffinknot-core/src/jobs/scheduler/early_cancels.rs
@@ -0,0 +1,145 @@
+/*!
+Cancellations of jobs that have not arrived.
+
+A client that got no answer to its submission may cancel the job, and the
+cancellation may overtake the submission, which waits at a node that stands
+still or on a slow connection. The answer that there is no such job must still
+be true when the submission arrives. Such a cancellation is therefore stored
+before it is answered. A submission that arrives later is accepted as a job
+that has been cancelled, as if the cancellation had come second.
+
+The number of cancellations is limited, since anyone may cancel any id. Beyond
+the limit they are refused, which promises nothing.
+*/
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::ids::Millis;
+use crate::jobs::message::{Outcome, RequestId};
+use crate::jobs::model::JobId;
+use crate::jobs::policy::Queue;
+use crate::jobs::record::EarlyCancel;
+use crate::jobs::scheduler::authorization::JobScope;
+use crate::jobs::scheduler::requests::RETRY_AFTER;
+use crate::jobs::scheduler::Scheduler;
+
+/// The most cancellations that are remembered.
+const MAX_EARLY_CANCELS: usize = 20_000;
+/// The most cancellations in one commit.
+const MAX_PER_COMMIT: usize = 500;
+
+/// Whether a cancellation is stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Status {
+    Stored,
+    /// These requests are answered once it is stored.
+    Waiting(Vec<RequestId>),
+}
+
+/// The cancellations that are remembered.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EarlyCancels {
+    known: BTreeMap<EarlyCancel, Status>,
+    /// The cancellations that are in no commit yet.
+    unwritten: VecDeque<EarlyCancel>,
+    /// When each stored cancellation may be forgotten, in order.
+    forget_at: VecDeque<(Millis, EarlyCancel)>,
+}
+
+impl EarlyCancels {
+    /// Adds a cancellation that is stored.
+    pub fn insert_stored(&mut self, cancel: EarlyCancel, until: Millis) {
+        self.known.insert(cancel.clone(), Status::Stored);
+        self.forget_at.push_back((until, cancel));
+    }
+
+    /// Whether a job was cancelled before it arrived.
+    pub fn contains(&self, cancel: &EarlyCancel) -> bool {
+        self.known.contains_key(cancel)
+    }
+
+    /// Whether any cancellation is in no commit yet.
+    pub fn is_any_unwritten(&self) -> bool {
+        !self.unwritten.is_empty()
+    }
+
+    /// Takes the cancellations that are to be in the next commit.
+    pub fn take_unwritten(&mut self) -> Vec<EarlyCancel> {
+        let count = self.unwritten.len().min(MAX_PER_COMMIT);
+        self.unwritten.drain(..count).collect()
+    }
+
+    /// Forgets what need not be remembered any more.
+    pub fn forget(&mut self, now: Millis) {
+        while self.forget_at.front().is_some_and(|(until, _)| *until <= now) {
+            if let Some((_, cancel)) = self.forget_at.pop_front() {
+                self.known.remove(&cancel);
+            }
+        }
+    }
+}
+
+/// The cancellation of a job through a queue.
+pub(super) fn early_cancel(
+    job: JobId,
+    scope: JobScope,
+    queue: &Queue,
+) -> EarlyCancel {
+    EarlyCancel {
+        job,
+        account: scope.owner(),
+        host: queue.host.to_ascii_lowercase(),
+        prefix: queue.prefix.clone(),
+    }
+}
+
+impl Scheduler {
+    /// Handles the cancellation of a job that its caller can't have submitted
+    /// already.
+    pub(super) fn cancel_early(
+        &mut self,
+        id: RequestId,
+        cancel: EarlyCancel,
+        now: Millis,
+    ) {
+        match self.early_cancels.known.get_mut(&cancel) {
+            Some(Status::Stored) => {
+                return self.reply(id, Outcome::NoSuchJob);
+            }
+            Some(Status::Waiting(requests)) => return requests.push(id),
+            None => {}
+        }
+        let refused = if self.commits.is_stalled(now) {
+            Some("refused_store_trouble")
+        } else if self.early_cancels.known.len() >= MAX_EARLY_CANCELS {
+            Some("refused_early_cancels_full")
+        } else {
+            None
+        };
+        if let Some(reason) = refused {
+            self.count(reason);
+            return self.reply(id, Outcome::Refused(RETRY_AFTER));
+        }
+        self.count("cancelled_early");
+        let waiting = Status::Waiting(vec![id]);
+        self.early_cancels.known.insert(cancel.clone(), waiting);
+        self.early_cancels.unwritten.push_back(cancel);
+        self.commits.schedule(now);
+    }
+
+    /// Answers the requests that have waited for a cancellation to be stored.
+    pub(super) fn early_cancel_stored(
+        &mut self,
+        cancel: EarlyCancel,
+        now: Millis,
+    ) {
+        let until = now + self.config.ended_retention;
+        self.early_cancels.forget_at.push_back((until, cancel.clone()));
+        let former = self.early_cancels.known.insert(cancel, Status::Stored);
+        if let Some(Status::Waiting(requests)) = former {
+            for id in requests {
+                self.reply(id, Outcome::NoSuchJob);
+            }
+        }
+    }
+}
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -12,6 +12,7 @@
 - `admission` refuses jobs that can't be done while they are useful, by the
   work that waits (`service_backlog`) and that is to come (`demand`)
 - `retry_schedule` tells refused clients when to retry
+- `early_cancels` remembers cancellations of jobs that have not arrived
 - `ledger` counts what client accounts have running
 - `account_shares` finds accounts that hold more than their fair share
 - `token_buckets` finds jobs beyond what is due to their account
@@ -87,6 +88,7 @@
 mod crash_suspects;
 mod demand;
 mod departures;
+mod early_cancels;
 mod event_lag;
 mod failure_domains;
 mod fit;
@@ -127,6 +129,7 @@
 use self::advisors::Advisors;
 use self::commit::CommitQueue;
 use self::departures::Departures;
+use self::early_cancels::EarlyCancels;
 use self::event_lag::EventLag;
 use self::failure_domains::FailureDomains;
 use self::in_flight::InFlightStart;
@@ -215,6 +218,7 @@
     late_boosts: LateBoosts,
     jobs: BTreeMap<JobId, LiveJob>,
     ended: EndedJobs,
+    early_cancels: EarlyCancels,
     executors: Executors,
     /// The newest incarnation of each executor, by the executor's ID.
     by_id: BTreeMap<String, ExecutorIndex>,
@@ -297,6 +301,7 @@
             late_boosts: LateBoosts::default(),
             jobs: BTreeMap::new(),
             ended: EndedJobs::default(),
+            early_cancels: EarlyCancels::default(),
             executors: Executors::default(),
             unheard_executors: BTreeSet::new(),
             entries_read: false,
@@ -429,6 +434,7 @@
     fn tick(&mut self, now: Millis) {
         self.count_live_executors(now);
         self.ended.forget(now);
+        self.early_cancels.forget(now);
         self.forget_refusals(now);
         self.give_up_incarnations(now);
         self.expire_leases(now);
--- a/puffinknot-core/src/jobs/scheduler/records.rs
+++ b/puffinknot-core/src/jobs/scheduler/records.rs
@@ -6,7 +6,8 @@
 many records, or if the oldest one is too old, what is still needed of the
 oldest is rewritten with the next commit, and the oldest records are removed.
 
-The IDs of ended jobs are kept separately, in chunks. A chunk is removed once
+The IDs of ended jobs, and of jobs that were cancelled before they arrived, are
+kept separately, in chunks. A chunk is removed once
 its jobs need not be remembered any more and no record written while it was
 filled is left. Otherwise a successor could restore an ended job from such a
 record.
@@ -14,9 +15,11 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use serde::Serialize;
+
 use crate::ids::Millis;
 use crate::jobs::model::JobId;
-use crate::jobs::record::{self, EndedChunk, EndedJob, RecordNumber};
+use crate::jobs::record::{self, Chunk, EarlyCancel, EndedJob, RecordNumber};
 
 /// If there are more records than this, the oldest are merged.
 const MAX_RECORDS: usize = 80;
@@ -53,6 +56,41 @@
     at: RecordNumber,
 }
 
+/// A chunk that is being filled.
+#[derive(Debug)]
+struct OpenChunk<T> {
+    prefix: &'static str,
+    number: u64,
+    chunk: Chunk<T>,
+}
+
+/// The name and the value of a chunk to which jobs were added.
+struct Added {
+    name: String,
+    value: Vec<u8>,
+    /// Whether it takes no more jobs.
+    is_full: bool,
+}
+
+impl<T: Clone + Serialize> OpenChunk<T> {
+    fn new(prefix: &'static str) -> OpenChunk<T> {
+        OpenChunk { prefix, number: 0, chunk: Chunk::default() }
+    }
+
+    /// Adds jobs. If that fills the chunk, the next ones are added to another.
+    fn add(&mut self, token: u64, jobs: &[T]) -> Added {
+        self.chunk.jobs.extend_from_slice(jobs);
+        let name = format!("{}{token}-{}", self.prefix, self.number);
+        let value = record::encode(&self.chunk);
+        let is_full = self.chunk.jobs.len() >= JOBS_PER_CHUNK;
+        if is_full {
+            self.chunk = Chunk::default();
+            self.number += 1;
+        }
+        Added { name, value, is_full }
+    }
+}
+
 /// The records of this term and of former ones.
 #[derive(Debug)]
 pub(super) struct Records {
@@ -61,8 +99,8 @@
     records: BTreeMap<RecordNumber, Contents>,
     record_of_job: BTreeMap<JobId, RecordNumber>,
     record_of_progress: BTreeMap<JobId, RecordNumber>,
-    chunk: EndedChunk,
-    chunk_number: u64,
+    ended: OpenChunk<EndedJob>,
+    early_cancels: OpenChunk<EarlyCancel>,
     closed_chunks: VecDeque<ClosedChunk>,
 }
 
@@ -74,8 +112,8 @@
             records: BTreeMap::new(),
             record_of_job: BTreeMap::new(),
             record_of_progress: BTreeMap::new(),
-            chunk: EndedChunk::default(),
-            chunk_number: 0,
+            ended: OpenChunk::new(record::ENDED_PREFIX),
+            early_cancels: OpenChunk::new(record::EARLY_CANCEL_PREFIX),
             closed_chunks: VecDeque::new(),
         }
     }
@@ -199,21 +237,38 @@
         }
     }
 
-    /// Adds ended jobs to the current chunk, and returns its name and value.
+    /// Adds ended jobs to the current chunk of these, and returns its name and
+    /// value.
     pub fn add_ended(
         &mut self,
         jobs: &[EndedJob],
         now: Millis,
         keep: Millis,
     ) -> (String, Vec<u8>) {
-        self.chunk.jobs.extend_from_slice(jobs);
-        let (token, number) = (self.token, self.chunk_number);
-        let name = format!("{}{token}-{number}", record::ENDED_PREFIX);
-        let value = record::encode(&self.chunk);
-        if self.chunk.jobs.len() >= JOBS_PER_CHUNK {
-            self.chunk = EndedChunk::default();
-            self.chunk_number += 1;
-            self.close_chunk(name.clone(), now + keep + CHUNK_GRACE);
+        let added = self.ended.add(self.token, jobs);
+        self.close_if_full(added, now + keep)
+    }
+
+    /// Adds jobs that were cancelled before they arrived to the current chunk
+    /// of these, and returns its name and value.
+    pub fn add_early_cancels(
+        &mut self,
+        jobs: &[EarlyCancel],
+        now: Millis,
+        keep: Millis,
+    ) -> (String, Vec<u8>) {
+        let added = self.early_cancels.add(self.token, jobs);
+        self.close_if_full(added, now + keep)
+    }
+
+    fn close_if_full(
+        &mut self,
+        added: Added,
+        until: Millis,
+    ) -> (String, Vec<u8>) {
+        let Added { name, value, is_full } = added;
+        if is_full {
+            self.close_chunk(name.clone(), until + CHUNK_GRACE);
         }
         (name, value)
     }
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -3,6 +3,7 @@
 */
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::ids::Millis;
 use crate::jobs::accounts::CallCredentials;
@@ -11,6 +12,7 @@
 use crate::jobs::model::{Job, JobId, JobState, StepKey};
 use crate::jobs::policy::Queue;
 use crate::jobs::scheduler::authorization::JobScope;
+use crate::jobs::scheduler::early_cancels::early_cancel;
 use crate::jobs::scheduler::live_job::LiveJob;
 use crate::jobs::scheduler::Scheduler;
 
@@ -50,11 +52,7 @@
                 self.reply(id, outcome);
             }
             Request::Cancel { queue, job } => {
-                if self.may_access(&scope, job) {
-                    self.cancel(id, &queue, job);
-                } else {
-                    self.reply(id, Outcome::NoSuchJob);
-                }
+                self.cancel(id, scope, &queue, job, now);
             }
             Request::Pending { queue } => {
                 let count = self.pending(&queue);
@@ -91,6 +89,10 @@
         let Some(queue) = self.queues.get(&job.queue).cloned() else {
             return self.reply(id, Outcome::NoSuchQueue);
         };
+        let cancel = early_cancel(job.id, scope.clone(), &queue);
+        if self.early_cancels.contains(&cancel) {
+            return self.submit_cancelled(id, scope, job, queue, now);
+        }
         if let Some(reason) = self.refusal_reason(&job, &queue, now) {
             self.count(reason);
             self.record_refusal(job.id, now, now);
@@ -124,6 +126,24 @@
         self.prefetch_advice(job_id, now);
     }
 
+    /// Accepts a job that was cancelled before it arrived. It has ended.
+    fn submit_cancelled(
+        &mut self,
+        id: RequestId,
+        scope: JobScope,
+        mut job: Job,
+        queue: Arc<Queue>,
+        now: Millis,
+    ) {
+        job.account = scope.owner();
+        let job_id = job.id;
+        let mut live = self.new_live_job(job, queue, now);
+        live.submitters.push(id);
+        self.jobs.insert(job_id, live);
+        self.count("submitted_after_cancel");
+        self.finish(job_id, JobState::Cancelled);
+    }
+
     /// The counter of the reason for which a job is refused now, whatever the
     /// backlog; `None` if there is no such reason.
     fn refusal_reason(
@@ -162,7 +182,7 @@
     pub(super) fn new_live_job(
         &mut self,
         job: Job,
-        queue: std::sync::Arc<Queue>,
+        queue: Arc<Queue>,
         now: Millis,
     ) -> LiveJob {
         let account = job.account.as_deref();
@@ -204,19 +224,27 @@
         }
     }
 
-    fn cancel(&mut self, id: RequestId, queue: &str, job: JobId) {
-        let Some(live) = self.jobs.get_mut(&job) else {
-            let has_ended = self.ended.jobs.contains_key(&job);
-            let outcome = if has_ended {
-                Outcome::Cancelled
-            } else {
-                Outcome::NoSuchJob
+    fn cancel(
+        &mut self,
+        id: RequestId,
+        scope: JobScope,
+        queue: &str,
+        job: JobId,
+        now: Millis,
+    ) {
+        let live = self.jobs.get(&job);
+        let elsewhere = live.is_some_and(|live| live.job.queue != queue);
+        // A job of another account is treated like one that does not exist.
+        if elsewhere || !self.may_access(&scope, job) {
+            let Some(queue) = self.queues.get(queue) else {
+                return self.reply(id, Outcome::NoSuchQueue);
             };
-            return self.reply(id, outcome);
-        };
-        if live.job.queue != queue {
-            return self.reply(id, Outcome::NoSuchJob);
+            let cancel = early_cancel(job, scope, queue);
+            return self.cancel_early(id, cancel, now);
         }
+        let Some(live) = self.jobs.get_mut(&job) else {
+            return self.reply(id, Outcome::Cancelled);
+        };
         live.cancellers.push(id);
         if live.ended.is_none() {
             self.count("cancelled");
--- a/puffinknot-core/src/jobs/scheduler/restore.rs
+++ b/puffinknot-core/src/jobs/scheduler/restore.rs
@@ -18,10 +18,11 @@
 use crate::jobs::model::{Job, JobId, StepKey};
 use crate::jobs::policy::{Policy, Queue};
 use crate::jobs::record::{
-    self, EndedChunk, EnrolledExecutor, FinishedMaintenance, LegacyEnrolled,
-    MachinesByExecutor, Progress, Record, RecordNumber, Shard,
-    StoppingResources, ENDED_PREFIX, FINISHED_MAINTENANCE, LEGACY_EXECUTORS,
-    LEGACY_MACHINES, RECORD_PREFIX, SHARD_PREFIX, STOPPING_RESOURCES,
+    self, EarlyCancelChunk, EndedChunk, EnrolledExecutor, FinishedMaintenance,
+    LegacyEnrolled, MachinesByExecutor, Progress, Record, RecordNumber, Shard,
+    StoppingResources, EARLY_CANCEL_PREFIX, ENDED_PREFIX,
+    FINISHED_MAINTENANCE, LEGACY_EXECUTORS, LEGACY_MACHINES, RECORD_PREFIX,
+    SHARD_PREFIX, STOPPING_RESOURCES,
 };
 use crate::jobs::scheduler::maintenance::Machines;
 use crate::jobs::scheduler::{Scheduler, SchedulerConfig};
@@ -46,6 +47,9 @@
         for stored in with_prefix(ENDED_PREFIX) {
             scheduler.restore_ended(stored, now)?;
         }
+        for stored in with_prefix(EARLY_CANCEL_PREFIX) {
+            scheduler.restore_early_cancels(stored, now)?;
+        }
         let mut records: Vec<(RecordNumber, Record)> = Vec::new();
         for stored in with_prefix(RECORD_PREFIX) {
             let Some(number) = record::record_number(&stored.name) else {
@@ -154,6 +158,21 @@
         Ok(())
     }
 
+    fn restore_early_cancels(
+        &mut self,
+        stored: &StoredValue,
+        now: Millis,
+    ) -> Result<(), String> {
+        let chunk: EarlyCancelChunk = record::decode(&stored.value)?;
+        let until = now + self.config.ended_retention;
+        for cancel in chunk.jobs {
+            self.early_cancels.insert_stored(cancel, until);
+        }
+        let chunks = &mut self.commits.records;
+        chunks.inherit_chunk(stored.name.clone(), until);
+        Ok(())
+    }
+
     /// Restores records, oldest first.
     fn restore_records(
         &mut self,
--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -251,6 +251,13 @@
                     return refuse(Refusal::Incomplete, "body incomplete");
                 }
             };
+            if shared.may_read_outdated() {
+                shared.count("refused_after_suspension");
+                return refuse(
+                    Refusal::NotReady,
+                    "the node was suspended; come back",
+                );
+            }
             let service = policy.queues.get(&queue).map(|q| &q.service);
             let service = service.map(String::as_str).unwrap_or_default();
             match platform.job(*job, &queue, service, &body) {
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -18,6 +18,7 @@
 use puffinknot_core::jobs::{
     CallCredentials, Cordon, Cordons, KeyRing, MaintenanceWave, Mechanism,
     Mechanisms, Outcome, Policy, PolicyAge, PolicyLimits, Request,
+    Suspensions,
 };
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
@@ -113,6 +114,10 @@
     pub path: String,
 }
 
+/// The part of the time for which cancelled jobs are remembered within which
+/// a submission must reach the leader.
+const MAX_REQUEST_AGE_DIVISOR: Millis = 2;
+
 /// The state that the parts of a node share.
 pub struct NodeState<P> {
     /// The platform of the cell.
@@ -130,6 +135,7 @@
     keys: RefCell<Rc<KeyRing>>,
     raw_policy: RefCell<Option<Rc<Vec<u8>>>>,
     policy_age: Cell<PolicyAge>,
+    suspensions: Cell<Suspensions>,
     leader: RefCell<Option<Leader>>,
     cordons: RefCell<Cordons>,
     /// The maintenance waves that operators have requested, by number.
@@ -180,6 +186,7 @@
             keys: RefCell::default(),
             raw_policy: RefCell::default(),
             policy_age: Cell::default(),
+            suspensions: Cell::new(Suspensions::new(clock::mono())),
             leader: RefCell::default(),
             cordons: RefCell::default(),
             waves: RefCell::default(),
@@ -330,6 +337,21 @@
         self.policy_age().is_some_and(|age| age <= max_age)
     }
 
+    /// Whether a submission that is read now may be older than the memory of
+    /// its cancellation, since this node was suspended. Call this regularly.
+    pub fn may_read_outdated(&self) -> bool {
+        let max_age =
+            self.settings.borrow().ended_retention / MAX_REQUEST_AGE_DIVISOR;
+        let now = clock::mono();
+        let mut suspensions = self.suspensions.get();
+        if let Some(pause) = suspensions.observe(now, max_age) {
+            warn!(pause, "was_suspended");
+            self.count("suspended");
+        }
+        self.suspensions.set(suspensions);
+        suspensions.may_be_outdated(now)
+    }
+
     /// Remembers a maintenance wave, and passes it to the leader on this node
     /// if it is new or has changed.
     pub fn learn_wave(&self, value: &[u8]) {
--- a/tests/jobs/accounts.rs
+++ b/tests/jobs/accounts.rs
@@ -56,6 +56,10 @@
                 _ => cancel_of(id),
             };
             let about_nothing = world.request_as(LIMITED, nothing);
+            let at_once = [about, about_nothing]
+                .map(|id| world.replies.get(&id).copied());
+            assert_eq!(at_once[0], at_once[1], "the time tells nothing");
+            world.run(100);
             let answer = world.answer_to(about);
             assert_eq!(answer, Outcome::NoSuchJob);
             assert_eq!(answer, world.answer_to(about_nothing));
