Odd entries of other writers stop no leader

Reported by other operators: an odd entry among those of the executors ended the processes that read the list, or kept them from following it.

Here a key that is not plain text, at the end of a page, kept the next leader from reading the page after it: an accepted job stayed queued beside idle executors. RemainingMs 1e300 overflowed a sum: a build that checks overflows ended. Each unreadable entry was a line of the log in every term, with all of its text.

Values in queries are percent-encoded, and the stand-in decodes them. Times from outside are cut to 2^50 ms where they are read. A leader logs 20 unreadable entries in a term.

--- a/puffinknot-core/src/ids.rs
+++ b/puffinknot-core/src/ids.rs
@@ -13,6 +13,15 @@
 /// monotonic clock of the VM unless documented otherwise.
 pub type Millis = u64;
 
+/// The longest time that is taken from outside, in milliseconds. Sums of
+/// thousands of such times do not overflow.
+pub const MAX_MILLIS: Millis = 1 << 50;
+
+/// A time from outside, at most [`MAX_MILLIS`]. Negative times count as zero.
+pub fn bounded_millis(millis: f64) -> Millis {
+    millis.clamp(0.0, MAX_MILLIS as f64) as Millis
+}
+
 /// A revision of the platform's key-value service.
 pub type Revision = u64;
 
--- a/puffinknot-core/src/jobs/policy.rs
+++ b/puffinknot-core/src/jobs/policy.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::Millis;
+use crate::ids::{bounded_millis, Millis};
 use crate::jobs::accounts::Account;
 
 /// The cost of advice on a step, and how long its tickets are valid.
@@ -24,7 +24,8 @@
 impl AdviceCost {
     /// The time that a call on a number of executors takes.
     pub fn call_time(&self, executors: usize) -> Millis {
-        (self.call_ms + self.each_ms * executors as f64).ceil() as Millis
+        let time = self.call_ms + self.each_ms * executors as f64;
+        bounded_millis(time.ceil())
     }
 }
 
@@ -66,7 +67,8 @@
     /// The longest time that a job with a critical path of this length should
     /// take; both in milliseconds.
     pub fn objective(&self, critical_path: Millis) -> Millis {
-        (critical_path as f64 * self.stretch.max(1.0)) as Millis + self.target
+        bounded_millis(critical_path as f64 * self.stretch.max(1.0))
+            + self.target
     }
 }
 
--- a/puffinknot-core/src/jobs/scheduler/departures.rs
+++ b/puffinknot-core/src/jobs/scheduler/departures.rs
@@ -47,9 +47,9 @@
             return;
         };
         // The entry may be read again, and be outdated by then.
-        let departs_at =
-            self.departures.0.entry(index).or_insert(now + remaining);
-        *departs_at = (*departs_at).min(now + remaining);
+        let departs_at = self.departures.0.entry(index);
+        let departs_at = departs_at.or_insert(Millis::MAX);
+        *departs_at = (*departs_at).min(now.saturating_add(remaining));
     }
 
     /// Stops runs on departing executors that would not end in time.
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::ids::Millis;
+use crate::ids::{bounded_millis, Millis};
 use crate::jobs::accounts::CallCredentials;
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{Outcome, Request, RequestId};
@@ -25,7 +25,7 @@
 /// objective, in milliseconds.
 pub(super) fn slack(job: &Job, queue: &Queue) -> Millis {
     let stretch = queue.stretch.max(1.0) - 1.0;
-    (job.critical_path() as f64 * stretch) as Millis + queue.target
+    bounded_millis(job.critical_path() as f64 * stretch) + queue.target
 }
 
 impl Scheduler {
--- a/puffinknot-standin/src/users/store.rs
+++ b/puffinknot-standin/src/users/store.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::{Method, Request, StatusCode};
+use percent_encoding::percent_decode_str;
 use puffinknot::http::{json, read_body, text, Reply};
 use serde_json::{json, Value};
 use tokio::time::sleep;
@@ -177,10 +178,15 @@
 
     /// Writes a value, as the operator or an executor does.
     pub fn write(&self, key: &str, value: &Value) {
+        self.write_text(key, &value.to_string());
+    }
+
+    /// Like [`Store::write`], with a value that need not be JSON.
+    pub fn write_text(&self, key: &str, value: &str) {
         use base64::prelude::{Engine, BASE64_STANDARD};
         let mut state = self.lock();
         state.revision += 1;
-        let value = BASE64_STANDARD.encode(value.to_string());
+        let value = BASE64_STANDARD.encode(value);
         state.put(key, value, 0);
     }
 
@@ -419,5 +425,8 @@
 
 fn parse_query(query: &str) -> BTreeMap<String, String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(key, value)| (key.into(), value.into())).collect()
+    let decode = |text: &str| -> String {
+        percent_decode_str(text).decode_utf8_lossy().into_owned()
+    };
+    pairs.map(|(key, value)| (decode(key), decode(value))).collect()
 }
--- a/src/cell/leader/executor_watch.rs
+++ b/src/cell/leader/executor_watch.rs
@@ -35,6 +35,12 @@
 /// the scheduler may have considered the executor gone.
 const REPEAT_AFTER: Millis = 4_000;
 
+/// The most unreadable entries that are logged in one term. Other writers may
+/// leave any number of them.
+const MAX_UNREADABLE_LINES: usize = 20;
+/// The most characters of a problem that are logged. It may quote the entry.
+const MAX_PROBLEM_CHARS: usize = 200;
+
 /// The entries as last passed to the scheduler.
 #[derive(Default)]
 struct ReportedEntries {
@@ -42,6 +48,13 @@
     entries: HashMap<String, (ExecutorInfo, Millis)>,
     /// The names of executors whose entries are unreadable.
     unreadable: HashSet<String>,
+    /// The number of unreadable entries that were logged.
+    unreadable_lines: usize,
+}
+
+/// The name of the executor whose entry has this key.
+fn entry_id<'a, P: Platform>(platform: &P, key: &'a str) -> &'a str {
+    key.strip_prefix(platform.executors_prefix()).unwrap_or(key)
 }
 
 impl ReportedEntries {
@@ -53,7 +66,7 @@
         handle: &LeaderHandle,
         item: &Item,
     ) {
-        let id = &item.key[platform.executors_prefix().len()..];
+        let id = entry_id(platform, &item.key);
         let info = match platform.executor(item) {
             Ok(info) => info,
             Err(problem) => {
@@ -82,13 +95,26 @@
         if !self.unreadable.insert(id.to_string()) {
             return;
         }
-        warn!(problem, executor = id, "entry_unreadable");
+        self.log_unreadable(id, problem);
         // The entry is passed on as soon as it is readable again.
         self.entries.remove(id);
         let event = Event::EntryUnreadable(id.to_string());
         handle.send(Input::Event(event));
     }
 
+    fn log_unreadable(&mut self, id: &str, problem: &str) {
+        self.unreadable_lines += 1;
+        if self.unreadable_lines > MAX_UNREADABLE_LINES {
+            return;
+        }
+        let problem: String =
+            problem.chars().take(MAX_PROBLEM_CHARS).collect();
+        warn!(problem, executor = id, "entry_unreadable");
+        if self.unreadable_lines == MAX_UNREADABLE_LINES {
+            warn!("further_unreadable_entries_not_logged");
+        }
+    }
+
     /// Reports that an executor is no longer listed.
     fn report_gone(&mut self, handle: &LeaderHandle, id: &str) {
         self.entries.remove(id);
@@ -125,7 +151,7 @@
     // Each page is passed on before the next one is read.
     let read = store.read_pages(prefix, |items| {
         for item in items {
-            present.insert(item.key[prefix.len()..].to_string());
+            present.insert(entry_id(&**platform, &item.key).to_string());
             reported.report_entry(&**platform, handle, &item);
         }
     });
@@ -142,7 +168,7 @@
         let Ok(changes) = changes else { return };
         revision = changes.revision;
         for key in &changes.removed {
-            reported.report_gone(handle, &key[prefix.len()..]);
+            reported.report_gone(handle, entry_id(&**platform, key));
         }
         for item in &changes.written {
             reported.report_entry(&**platform, handle, item);
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -13,6 +13,7 @@
 mod departures;
 mod early_cancels;
 mod event_lag;
+mod extreme_numbers;
 mod faults;
 mod fuzz;
 mod incarnations;
