--- a/puffinknot-standin/src/users/store.rs
+++ b/puffinknot-standin/src/users/store.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 use actix_http::{Method, Request, StatusCode};
-use percent_encoding::percent_decode_str;
 use puffinknot::http::{json, read_body, text, Reply};
 use serde_json::{json, Value};
 use tokio::time::sleep;
@@ -425,8 +424,25 @@
 
 fn parse_query(query: &str) -> BTreeMap<String, String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let decode = |text: &str| -> String {
-        percent_decode_str(text).decode_utf8_lossy().into_owned()
-    };
     pairs.map(|(key, value)| (decode(key), decode(value))).collect()
 }
+
+/// The text that a percent-encoded one stands for.
+fn decode(text: &str) -> String {
+    let mut parts = text.split('%');
+    let mut bytes = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let byte = part.get(..2).map(|hex| u8::from_str_radix(hex, 16));
+        match byte {
+            Some(Ok(byte)) => {
+                bytes.push(byte);
+                bytes.extend_from_slice(&part.as_bytes()[2..]);
+            }
+            _ => {
+                bytes.push(b'%');
+                bytes.extend_from_slice(part.as_bytes());
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
