A node that is busy for a moment was not suspended

With a short memory of ended jobs, half of it is less than the time between two looks at the clock, and the node would refuse every submission.

--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -117,6 +117,8 @@
 /// The part of the time for which cancelled jobs are remembered within which
 /// a submission must reach the leader.
 const MAX_REQUEST_AGE_DIVISOR: Millis = 2;
+/// A node that doesn't read its clock for this long may just be busy.
+const MIN_SUSPENSION_MS: Millis = 2_000;
 
 /// The state that the parts of a node share.
 pub struct NodeState<P> {
@@ -340,8 +342,9 @@
     /// Whether a submission that is read now may be older than the memory of
     /// its cancellation, since this node was suspended. Call this regularly.
     pub fn may_read_outdated(&self) -> bool {
+        let retention = self.settings.borrow().ended_retention;
         let max_age =
-            self.settings.borrow().ended_retention / MAX_REQUEST_AGE_DIVISOR;
+            (retention / MAX_REQUEST_AGE_DIVISOR).max(MIN_SUSPENSION_MS);
         let now = clock::mono();
         let mut suspensions = self.suspensions.get();
         if let Some(pause) = suspensions.observe(now, max_age) {
