A task that lasts is not given up for crashes of its executors

Cause: crashes shortly after a start are evidence against the task, as if they were independent. A flapping executor gets the same task each time.

--- a/puffinknot-core/src/jobs/scheduler/crash_suspects.rs
+++ b/puffinknot-core/src/jobs/scheduler/crash_suspects.rs
@@ -165,9 +165,15 @@
                 weight: evidence.weight,
                 rate,
             });
-            if evidence.rules_out_chance() {
-                self.give_up_task(task, evidence);
+            if !evidence.rules_out_chance() {
+                continue;
+            }
+            // A lasting task runs until its job is cancelled, however it ends.
+            if self.step(task.step).is_some_and(|step| step.lasting) {
+                self.count("lasting_tasks_suspected");
+                continue;
             }
+            self.give_up_task(task, evidence);
         }
     }
 
--- a/tests/jobs/crash_suspects.rs
+++ b/tests/jobs/crash_suspects.rs
@@ -333,3 +333,40 @@
         assert_eq!(world.state(id), Some(JobState::Succeeded), "{id}");
     }
 }
+
+/// How long an executor that flaps stays up.
+const FLAP_UPTIME: Millis = 300;
+/// How often an executor that flaps crashes.
+const FLAPS: u32 = 6;
+
+/// Guards against a standing service that is given up, with all its tasks on
+/// other executors, since one executor takes the same task with it again and
+/// again.
+#[test]
+fn an_executor_that_flaps_ends_no_standing_service() {
+    let mut world = World::new(20);
+    let mut standing = step(20, resources(4_000, 500));
+    standing.lasting = true;
+    standing.max_per_executor = 1;
+    world.submit(job(1, "batch", vec![standing]));
+    world.run(3_000);
+    let address = world.executors[0].info.address.clone();
+    for _ in 0..FLAPS {
+        let up = |world: &World| {
+            let mut all = world.executors.iter();
+            all.position(|e| e.info.address == address && !e.is_idle())
+        };
+        let deadline = world.now + LONG_ENOUGH;
+        while up(&world).is_none() {
+            assert!(world.now < deadline, "{:?}", world.state(1));
+            world.run(10);
+        }
+        world.run(FLAP_UPTIME);
+        let at = up(&world).expect("the task is there");
+        world.crash_by_itself(at, false);
+    }
+    world.run(10_000);
+    assert_eq!(world.state(1), Some(JobState::Running));
+    assert_eq!(world.executors_with(1).len(), 20);
+    world.assert_no_violations();
+}
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -167,6 +167,11 @@
         self.end_count
     }
 
+    /// Whether nothing runs here.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
     /// Whether a task runs here.
     pub fn runs(&self, task: &TaskKey) -> bool {
         self.running.contains_key(task)
