--- a/puffinknot-core/src/jobs/scheduler/authorization.rs
+++ b/puffinknot-core/src/jobs/scheduler/authorization.rs
@@ -5,8 +5,8 @@
 received the call may know a newer one, so each call carries that node's policy
 version. A leader with an older policy can't tell a revoked key from a valid
 one, and has the call retried until it has the newer policy. If the node has an
-older policy, in which the name of the queue may have stood for another one, the
-call is retried until the node has the newer policy.
+older policy, in which the name of the queue may have stood for another one,
+the call is retried until the node has the newer policy.
 */
 
 use crate::jobs::accounts::CallCredentials;
--- a/puffinknot-core/src/jobs/scheduler/early_cancels.rs
+++ b/puffinknot-core/src/jobs/scheduler/early_cancels.rs
@@ -2,11 +2,11 @@
 Cancellations of jobs that have not arrived.
 
 A client that got no answer to its submission may cancel the job, and the
-cancellation may overtake the submission, which waits at a node that stands
-still or on a slow connection. The answer that there is no such job must still
-be true when the submission arrives. Such a cancellation is therefore stored
-before it is answered. A submission that arrives later is accepted as a job
-that has been cancelled, as if the cancellation had come second.
+cancellation may overtake the submission, which waits at a suspended node or on
+a slow connection. The answer that there is no such job must still be true when
+the submission arrives. Such a cancellation is therefore stored before it is
+answered. A submission that arrives later is accepted as a job that has been
+cancelled, as if the cancellation had come second.
 
 The number of cancellations is limited, since anyone may cancel any id. Beyond
 the limit they are refused, which promises nothing.
--- a/puffinknot-core/src/jobs/scheduler/records.rs
+++ b/puffinknot-core/src/jobs/scheduler/records.rs
@@ -7,10 +7,9 @@
 oldest is rewritten with the next commit, and the oldest records are removed.
 
 The IDs of ended jobs, and of jobs that were cancelled before they arrived, are
-kept separately, in chunks. A chunk is removed once
-its jobs need not be remembered any more and no record written while it was
-filled is left. Otherwise a successor could restore an ended job from such a
-record.
+kept separately, in chunks. A chunk is removed once its jobs need not be
+remembered any more and no record written while it was filled is left.
+Otherwise a successor could restore an ended job from such a record.
 */
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/src/cell/leader/executor_watch.rs
+++ b/src/cell/leader/executor_watch.rs
@@ -34,7 +34,6 @@
 /// An unchanged entry is passed to the scheduler again after this time, since
 /// the scheduler may have considered the executor gone.
 const REPEAT_AFTER: Millis = 4_000;
-
 /// The most unreadable entries that are logged in one term. Other writers may
 /// leave any number of them.
 const MAX_UNREADABLE_LINES: usize = 20;
