--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -336,7 +336,7 @@
         if policy.version < self.policy.version {
             return;
         }
-        self.queues = self.queues.next(&policy);
+        self.queues = self.queues.updated(&policy);
         for live in self.jobs.values_mut() {
             if let Some(queue) = self.queues.successor_of(&live.queue) {
                 live.set_queue(queue);
--- a/puffinknot-core/src/jobs/scheduler/queues.rs
+++ b/puffinknot-core/src/jobs/scheduler/queues.rs
@@ -36,9 +36,9 @@
 }
 
 impl Queues {
-    /// The queues of a policy that replaces `self`.
-    pub fn next(&self, policy: &Policy) -> Queues {
-        let mut next = Queues::default();
+    /// The queues of the policy that follows the one of `self`.
+    pub fn updated(&self, policy: &Policy) -> Queues {
+        let mut updated = Queues::default();
         for (name, queue) in &policy.queues {
             let since = match self.by_name.get(name) {
                 Some(known) if known.queue.has_address_of(queue) => {
@@ -48,13 +48,13 @@
                 _ => policy.version,
             };
             let named = NamedQueue { queue: Arc::new(queue.clone()), since };
-            next.by_name.insert(name.clone(), named);
+            updated.by_name.insert(name.clone(), named);
             let host = queue.host.to_ascii_lowercase();
-            let at_host = next.by_address.entry(host).or_default();
+            let at_host = updated.by_address.entry(host).or_default();
             // Requests are routed to the first of several names.
             at_host.entry(queue.prefix.clone()).or_insert(name.clone());
         }
-        next
+        updated
     }
 
     /// The queue with a name.
--- a/tests/jobs/renamed_queues.rs
+++ b/tests/jobs/renamed_queues.rs
@@ -1,13 +1,13 @@
 //! Accepted jobs whose queue gets another name, address or service.
 
 use puffinknot_core::jobs::{
-    CallCredentials, JobId, JobState, Outcome, Policy, Request,
+    CallCredentials, JobId, JobState, Outcome, Policy, Request, Step,
 };
 
 use super::world::{job, queue, resources, step, World, WORK};
 
 /// A step whose task runs until the job is cancelled.
-fn lasting() -> puffinknot_core::jobs::Step {
+fn lasting() -> Step {
     let mut step = step(1, resources(1_000, 500));
     step.lasting = true;
     step
