--- a/puffinknot-core/src/jobs/scheduler/early_cancels.rs
+++ b/puffinknot-core/src/jobs/scheduler/early_cancels.rs
@@ -47,10 +47,19 @@
 }
 
 impl EarlyCancels {
-    /// Adds a cancellation that is stored.
-    pub fn insert_stored(&mut self, cancel: EarlyCancel, until: Millis) {
-        self.known.insert(cancel.clone(), Status::Stored);
+    /// Adds a cancellation that is stored. Returns the requests that have
+    /// waited for that.
+    pub fn insert_stored(
+        &mut self,
+        cancel: EarlyCancel,
+        until: Millis,
+    ) -> Vec<RequestId> {
+        let former = self.known.insert(cancel.clone(), Status::Stored);
         self.forget_at.push_back((until, cancel));
+        match former {
+            Some(Status::Waiting(requests)) => requests,
+            Some(Status::Stored) | None => Vec::new(),
+        }
     }
 
     /// Whether a job was cancelled before it arrived.
@@ -134,12 +143,8 @@
         now: Millis,
     ) {
         let until = now + self.config.ended_retention;
-        self.early_cancels.forget_at.push_back((until, cancel.clone()));
-        let former = self.early_cancels.known.insert(cancel, Status::Stored);
-        if let Some(Status::Waiting(requests)) = former {
-            for id in requests {
-                self.reply(id, Outcome::NoSuchJob);
-            }
+        for id in self.early_cancels.insert_stored(cancel, until) {
+            self.reply(id, Outcome::NoSuchJob);
         }
     }
 }
--- a/puffinknot-core/src/jobs/scheduler/queues.rs
+++ b/puffinknot-core/src/jobs/scheduler/queues.rs
@@ -22,8 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queues {
     by_name: BTreeMap<String, NamedQueue>,
-    /// The names of the queues by host and path prefix.
-    by_address: BTreeMap<String, BTreeMap<String, String>>,
+    /// The queues by host and path prefix.
+    by_address: BTreeMap<String, BTreeMap<String, Arc<Queue>>>,
 }
 
 /// A queue, and for how long its name has stood for its address.
@@ -47,12 +47,14 @@
                 None if self.by_name.is_empty() => 0,
                 _ => policy.version,
             };
-            let named = NamedQueue { queue: Arc::new(queue.clone()), since };
-            updated.by_name.insert(name.clone(), named);
+            let queue = Arc::new(queue.clone());
             let host = queue.host.to_ascii_lowercase();
             let at_host = updated.by_address.entry(host).or_default();
             // Requests are routed to the first of several names.
-            at_host.entry(queue.prefix.clone()).or_insert(name.clone());
+            let at_prefix = at_host.entry(queue.prefix.clone());
+            at_prefix.or_insert_with(|| queue.clone());
+            let named = NamedQueue { queue, since };
+            updated.by_name.insert(name.clone(), named);
         }
         updated
     }
@@ -80,8 +82,8 @@
         let host = former.host.to_ascii_lowercase();
         let at_host = self.by_address.get(&host);
         let at_address = at_host.and_then(|h| h.get(&former.prefix));
-        if let Some(name) = at_address {
-            return self.get(name).cloned();
+        if let Some(queue) = at_address {
+            return Some(queue.clone());
         }
         let moved = self.get(&former.name)?;
         Some(Arc::new(Queue {
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -339,9 +339,8 @@
         self.policy_age().is_some_and(|age| age <= max_age)
     }
 
-    /// Whether a submission that is read now may be older than the memory of
-    /// its cancellation, since this node was suspended. Call this regularly.
-    pub fn may_read_outdated(&self) -> bool {
+    /// Notices whether this node was suspended. Call this regularly.
+    pub fn observe_suspensions(&self) {
         let retention = self.settings.borrow().ended_retention;
         let max_age =
             (retention / MAX_REQUEST_AGE_DIVISOR).max(MIN_SUSPENSION_MS);
@@ -352,7 +351,13 @@
             self.count("suspended");
         }
         self.suspensions.set(suspensions);
-        suspensions.may_be_outdated(now)
+    }
+
+    /// Whether a submission that is read now may be older than the memory of
+    /// its cancellation, since this node was suspended.
+    pub fn may_read_outdated(&self) -> bool {
+        self.observe_suspensions();
+        self.suspensions.get().may_be_outdated(clock::mono())
     }
 
     /// Remembers a maintenance wave, and passes it to the leader on this node
--- a/src/cell/reachability.rs
+++ b/src/cell/reachability.rs
@@ -143,7 +143,7 @@
             }
         }
         log_policy_age(&shared, &mut policy_current);
-        shared.may_read_outdated();
+        shared.observe_suspensions();
         let valid_until =
             shared.store.last_answered_at() + STORE_ANSWER_TTL_MS;
         let store_answers = clock::mono() <= valid_until
