A connection holds one request at a time

What callers saw: some 30 connections that send 2,000 small requests ahead, or some hundred that send bodies in chunks of one byte, ended a node for want of memory.

Cause: the dispatcher of actix-http decodes all that it has read ahead, up to 128 KiB of a connection, into requests of some kilobytes each, and queues the chunks of a body one by one, while a request is being answered.

Change: connections are served by our own loop on the codec of actix-http, in one place for nodes and for puffinknotd. It decodes one request, hands its body on as the handler takes it, sends the answer and only then goes on, so that what is sent ahead waits in the network, whose buffers are limited for each socket. An answer that is not read for 5 s ends its connection.

--- a/puffinknot-core/src/lib.rs
+++ b/puffinknot-core/src/lib.rs
@@ -18,6 +18,7 @@
 * [`calls`] assigns executor slots to calls, and queues or refuses the rest.
 * [`tasks`] places tasks on workers under leases.
 * [`jobs`] runs jobs of several steps for a cell that one node leads.
+* [`connections`] limits the connections of clients, and what they buffer.
 * [`outcome`] defines how calls end.
 * [`store`] defines what is stored in the platform's key-value service.
 * [`node`] combines these into the state of one entry VM.
@@ -39,6 +40,7 @@
 
 pub mod calls;
 pub mod config;
+pub mod connections;
 pub mod contract;
 pub mod idempotency;
 pub mod ids;
--- a/puffinknot-core/src/outcome.rs
+++ b/puffinknot-core/src/outcome.rs
@@ -42,6 +42,8 @@
 reasons! {
     /// The VM has no configuration yet.
     NoConfig => "no-config",
+    /// The VM has no room for the body of the call.
+    NoRoom => "no-room",
     /// No reachable VM holds the contract.
     NoHolder => "no-holder",
     /// The VM that was asked does not hold the contract, or no longer does.
--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -6,7 +6,6 @@
 certainly not executed, the answer says when to retry.
 */
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,8 +14,7 @@
 use actix_http::header::{
     HeaderValue, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER,
 };
-use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode};
-use actix_service::{Service, ServiceFactory};
+use actix_http::{HttpMessage, Request, Response, StatusCode};
 use puffinknot_core::jobs::{self, CallCredentials, KeyDigest, Outcome};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
@@ -26,7 +24,9 @@
 use crate::cell::ports::{Call, ClientAnswer, Platform, Refusal};
 use crate::cell::reachability;
 use crate::clock::{self, Micros};
-use crate::http::{read_body, BodyError};
+use crate::http::{
+    limit_socket_buffers, read_body, BodyError, Server, ServerOptions,
+};
 
 /// The timeout for receiving the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
@@ -34,39 +34,40 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(20);
 /// The timeout for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
+/// The delay before another connection is accepted after a failure.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 type Reply = Response<BoxBody>;
 
-/// Accepts connections and answers requests with `handler`. Never returns,
-/// unless the service can't be created.
-async fn serve<F, Fut>(listener: TcpListener, handler: F)
-where
+/// Accepts connections and answers requests with `handler`. Never returns.
+async fn serve<P, F, Fut>(
+    listener: TcpListener,
+    shared: Rc<NodeState<P>>,
+    handler: F,
+) where
+    P: Platform,
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Reply> + 'static,
 {
-    let factory = HttpService::build()
-        .client_request_timeout(HEAD_TIMEOUT)
-        .keep_alive(KEEP_ALIVE)
-        .h1(move |request: Request| {
-            let reply = handler(request);
-            async move { Ok::<_, Infallible>(reply.await) }
-        })
-        .tcp();
-    let Ok(service) = factory.new_service(()).await else { return };
-    let service = Rc::new(service);
+    limit_socket_buffers(&listener);
+    let options = ServerOptions {
+        head_timeout: HEAD_TIMEOUT,
+        keep_alive: KEEP_ALIVE,
+        ..ServerOptions::default()
+    };
+    let count = Rc::new(move |what| shared.count(what));
+    let server = Rc::new(Server::new(options, count));
     loop {
         match listener.accept().await {
             Ok((tcp, _)) => {
-                let _ = tcp.set_nodelay(true);
-                let service = service.clone();
-                actix_rt::spawn(async move {
-                    // A broken connection affects only its client.
-                    let _ = service.call(tcp).await;
-                });
+                let (server, handler) = (server.clone(), handler.clone());
+                actix_rt::spawn(
+                    async move { server.serve(tcp, handler).await },
+                );
             }
             Err(error) => {
                 warn!(%error, "accept_failed");
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
@@ -77,7 +78,7 @@
     listener: TcpListener,
     shared: Rc<NodeState<P>>,
 ) {
-    serve(listener, move |request: Request| {
+    serve(listener, shared.clone(), move |request: Request| {
         let path_matches = request.path() == shared.platform.ready_path();
         let ready = shared.policy().is_some()
             && !shared.draining.get()
@@ -97,7 +98,7 @@
     listener: TcpListener,
     shared: Rc<NodeState<P>>,
 ) {
-    serve(listener, move |_| {
+    serve(listener, shared.clone(), move |_| {
         // Everything but the writing of logs runs on this one thread.
         let busy = Handle::current().metrics().worker_total_busy_duration(0);
         shared.stats.set_busy(busy.as_micros() as Micros);
@@ -120,7 +121,7 @@
     listener: TcpListener,
     shared: Rc<NodeState<P>>,
 ) {
-    serve(listener, move |request: Request| {
+    serve(listener, shared.clone(), move |request: Request| {
         let shared = shared.clone();
         async move {
             shared.open_requests.set(shared.open_requests.get() + 1);
@@ -247,7 +248,14 @@
                 Err(BodyError::TooLarge) => {
                     return refuse(Refusal::TooLarge, "body too large");
                 }
-                Err(_) => {
+                Err(BodyError::NoRoom) => {
+                    shared.count("refused_no_room");
+                    return refuse(
+                        Refusal::NotReady,
+                        "too many large requests at once; come back",
+                    );
+                }
+                Err(BodyError::TooSlow | BodyError::Broken) => {
                     return refuse(Refusal::Incomplete, "body incomplete");
                 }
             };
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -166,6 +166,9 @@
         }
         Err(BodyError::TooSlow) => return InvalidCall::TooSlow.reply(),
         Err(BodyError::Broken) => return InvalidCall::Broken.reply(),
+        Err(BodyError::NoRoom) => {
+            return not_run_reply(request.headers(), Reason::NoRoom)
+        }
     };
     run(&traffic, call, body).await
 }
@@ -190,8 +193,12 @@
 }
 
 fn no_config_reply(headers: &HeaderMap) -> Reply {
+    not_run_reply(headers, Reason::NoConfig)
+}
+
+fn not_run_reply(headers: &HeaderMap, reason: Reason) -> Reply {
     let keyed = headers.contains_key(crate::target::KEY);
-    let outcome = Outcome::not_run(Reason::NoConfig, 1_000);
+    let outcome = Outcome::not_run(reason, 1_000);
     reply(crate::traffic::unknown_if_keyed(keyed, outcome), None)
 }
 
--- /dev/null
+++ b/src/http/connection.rs
@@ -0,0 +1,396 @@
+/*!
+One HTTP/1.1 connection of a client.
+
+A connection holds one request at a time. While it is being answered, nothing
+more is read, so that requests that a client sends ahead stay in the buffers of
+the network. A body is read as fast as the handler takes it, and what is
+buffered is reported to the server, which may refuse more or close the
+connection, see [`puffinknot_core::connections`].
+*/
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+use actix_codec::{poll_read_buf, Decoder, Encoder};
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::error::{ParseError, PayloadError};
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::{
+    ConnectionType, Payload, Request, Response, ServiceConfig, StatusCode,
+};
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::server::Registration;
+use super::Reply;
+
+/// How much is read at once, in bytes.
+const READ_BYTES: usize = 8 << 10;
+/// The timeout for sending an answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long the rest of a refused request is read, so that the client can read
+/// the answer: a connection that is closed with unread bytes is reset.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Sent where a client waits for permission to send a body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Sent where a request is refused before it is read.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// Tells a client that its request is refused.
+pub async fn write_refusal(tcp: &mut TcpStream) {
+    // A client that reads no answers learns it from the end of the connection.
+    let _ = timeout(WRITE_TIMEOUT, tcp.write_all(REFUSAL)).await;
+}
+
+/// Closes the connection of a client after an answer to a request that is not
+/// read: reads what the client still sends, until it closes the connection,
+/// too.
+pub async fn linger(mut tcp: TcpStream) {
+    let mut unread = [0; 1 << 10];
+    let drain = async {
+        tcp.shutdown().await?;
+        while tcp.read(&mut unread).await? > 0 {}
+        Ok::<_, std::io::Error>(())
+    };
+    // The answer is sent, whether or not the client closes the connection.
+    let _ = timeout(LINGER_TIMEOUT, drain).await;
+}
+
+/// Why nothing more can be read.
+#[derive(Debug)]
+enum ReadError {
+    /// The server closes the connection in favor of others.
+    Closed,
+    /// The server has no room for more.
+    NoRoom,
+    /// The connection is broken.
+    Broken,
+}
+
+/// Why a connection ends before a request.
+#[derive(Debug)]
+pub enum HeadError {
+    /// The client has closed it, or it is broken.
+    Ended,
+    /// It is closed in favor of others.
+    Closed,
+    /// The server has no room for the head.
+    NoRoom,
+    /// The head is not valid.
+    Invalid(StatusCode),
+}
+
+/// How far the body of the current request has been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Body {
+    /// This many bytes of it.
+    Partial(usize),
+    Complete,
+    Failed,
+}
+
+/// A connection, and the request that it holds.
+pub struct Connection {
+    tcp: TcpStream,
+    codec: Codec,
+    input: BytesMut,
+    body: Body,
+    /// What is left to send before the client sends the body.
+    interim: &'static [u8],
+    registration: Registration,
+}
+
+impl Connection {
+    pub fn new(
+        tcp: TcpStream,
+        config: ServiceConfig,
+        registration: Registration,
+    ) -> Connection {
+        Connection {
+            tcp,
+            codec: Codec::new(config),
+            input: BytesMut::new(),
+            body: Body::Complete,
+            interim: &[],
+            registration,
+        }
+    }
+
+    /// Whether a part of the next request has been received.
+    pub fn has_input(&self) -> bool {
+        !self.input.is_empty()
+    }
+
+    /// Waits until the first part of the next request has been received.
+    /// Returns `false` if there will be none.
+    pub async fn has_next(&mut self) -> bool {
+        self.has_input()
+            || matches!(poll_fn(|cx| self.poll_fill(cx)).await, Ok(1..))
+    }
+
+    /// Receives the head of the next request.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such request.
+    pub async fn read_head(&mut self) -> Result<Request, HeadError> {
+        loop {
+            match self.codec.decode(&mut self.input) {
+                Ok(Some(Message::Item(request))) => {
+                    self.begin_body(&request);
+                    return Ok(request);
+                }
+                Ok(Some(Message::Chunk(_))) => return Err(HeadError::Ended),
+                Ok(None) => {}
+                Err(ParseError::TooLarge) => {
+                    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+                    return Err(HeadError::Invalid(status));
+                }
+                Err(_) => {
+                    return Err(HeadError::Invalid(StatusCode::BAD_REQUEST))
+                }
+            }
+            match poll_fn(|cx| self.poll_fill(cx)).await {
+                Ok(0) | Err(ReadError::Broken) => {
+                    return Err(HeadError::Ended)
+                }
+                Ok(_) => {}
+                Err(ReadError::Closed) => return Err(HeadError::Closed),
+                Err(ReadError::NoRoom) => return Err(HeadError::NoRoom),
+            }
+        }
+    }
+
+    fn begin_body(&mut self, request: &Request) {
+        self.body = match self.codec.message_type() {
+            MessageType::None => Body::Complete,
+            MessageType::Payload | MessageType::Stream => Body::Partial(0),
+        };
+        if self.body == Body::Complete {
+            self.registration.set_answering(true);
+        } else if request.head().expect() {
+            self.interim = CONTINUE;
+        }
+    }
+
+    /// Answers a request with `handle`. Returns the connection if it can be
+    /// used for another request.
+    pub async fn answer<F>(
+        self,
+        mut request: Request,
+        handle: impl FnOnce(Request) -> F,
+    ) -> Option<Connection>
+    where
+        F: std::future::Future<Output = Reply>,
+    {
+        let (reply, connection) = if self.body == Body::Complete {
+            (handle(request).await, self)
+        } else {
+            let shared = Rc::new(RefCell::new(self));
+            let stream = BodyStream { connection: shared.clone() };
+            let payload = Payload::Stream { payload: Box::pin(stream) as _ };
+            *request.payload() = payload;
+            let reply = handle(request).await;
+            (reply, Rc::into_inner(shared)?.into_inner())
+        };
+        connection.send(reply).await
+    }
+
+    /// Refuses a request whose head is not valid or not complete, and closes
+    /// the connection.
+    pub async fn reject(mut self, status: StatusCode) {
+        self.body = Body::Failed;
+        self.send(Response::new(status).map_into_boxed_body()).await;
+    }
+
+    /// Refuses a request for whose head there is no room, and closes the
+    /// connection.
+    pub async fn refuse(mut self) {
+        write_refusal(&mut self.tcp).await;
+        self.close().await;
+    }
+
+    /// Closes the connection after an answer to a request that is not read.
+    async fn close(mut self) {
+        self.registration.release();
+        self.input = BytesMut::new();
+        linger(self.tcp).await;
+    }
+
+    /// Sends an answer. Returns the connection if another request can follow.
+    async fn send(mut self, reply: Reply) -> Option<Connection> {
+        let (mut head, body) = reply.into_parts();
+        if self.body != Body::Complete {
+            head.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        self.write_answer(head, body).await?;
+        self.registration.set_answering(false);
+        self.registration.release();
+        if self.body != Body::Complete {
+            // What follows a body that was not read is not a request.
+            self.close().await;
+            return None;
+        }
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+        self.codec.keep_alive().then_some(self)
+    }
+
+    /// Returns `None` if the client does not get the answer.
+    async fn write_answer(
+        &mut self,
+        head: Response<()>,
+        mut body: BoxBody,
+    ) -> Option<()> {
+        let size = body.size();
+        let mut output = BytesMut::new();
+        self.codec.encode(Message::Item((head, size)), &mut output).ok()?;
+        if matches!(size, BodySize::None | BodySize::Sized(0)) {
+            return self.write(&mut output).await;
+        }
+        loop {
+            if size == BodySize::Stream {
+                self.write(&mut output).await?;
+            }
+            let chunk = self.next_chunk(&mut body, size).await?;
+            let ended = chunk.is_none();
+            self.codec.encode(Message::Chunk(chunk), &mut output).ok()?;
+            if ended {
+                break;
+            }
+        }
+        self.write(&mut output).await
+    }
+
+    /// The next part of an answer, or `None` if the client leaves during a
+    /// stream or the answer can't be continued.
+    async fn next_chunk(
+        &mut self,
+        body: &mut BoxBody,
+        size: BodySize,
+    ) -> Option<Option<Bytes>> {
+        poll_fn(|cx| {
+            if let Poll::Ready(chunk) = Pin::new(&mut *body).poll_next(cx) {
+                return Poll::Ready(chunk.transpose().ok());
+            }
+            let may_leave = size == BodySize::Stream && !self.has_input();
+            if may_leave && !matches!(ready!(self.poll_fill(cx)), Ok(1..)) {
+                return Poll::Ready(None);
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    async fn write(&mut self, output: &mut BytesMut) -> Option<()> {
+        let written = timeout(WRITE_TIMEOUT, self.tcp.write_all(output)).await;
+        if written.is_err() {
+            self.registration.count("answers_not_read");
+        }
+        output.clear();
+        written.ok()?.ok()
+    }
+
+    /// Reads more input. Returns the number of bytes, or zero at the end.
+    fn poll_fill(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<usize, ReadError>> {
+        if self.registration.poll_closed(cx) {
+            return Poll::Ready(Err(ReadError::Closed));
+        }
+        if self.input.capacity() - self.input.len() < READ_BYTES / 2 {
+            let size = (self.input.len() + READ_BYTES).next_power_of_two();
+            if !self.registration.buffer(size + self.body_buffer()) {
+                return Poll::Ready(Err(ReadError::NoRoom));
+            }
+            self.input.reserve(READ_BYTES);
+        }
+        let tcp = Pin::new(&mut self.tcp);
+        let read = ready!(poll_read_buf(tcp, cx, &mut self.input));
+        self.registration.record_receipt();
+        Poll::Ready(read.map_err(|_| ReadError::Broken))
+    }
+
+    /// An upper bound of the buffer that collects the body.
+    fn body_buffer(&self) -> usize {
+        match self.body {
+            Body::Partial(0) | Body::Complete | Body::Failed => 0,
+            Body::Partial(bytes) => bytes.next_power_of_two(),
+        }
+    }
+
+    /// Reads more of the body.
+    fn poll_body(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, PayloadError>>> {
+        let Body::Partial(before) = self.body else {
+            return Poll::Ready(None);
+        };
+        while !self.interim.is_empty() {
+            let tcp = Pin::new(&mut self.tcp);
+            match ready!(tcp.poll_write(cx, self.interim)) {
+                Ok(written) => self.interim = &self.interim[written..],
+                // The client does not send the body, either.
+                Err(_) => self.interim = &[],
+            }
+        }
+        loop {
+            let error = match self.codec.decode(&mut self.input) {
+                Ok(Some(Message::Chunk(Some(bytes)))) => {
+                    self.body = Body::Partial(before + bytes.len());
+                    let size = READ_BYTES + self.body_buffer();
+                    if self.registration.buffer(size) {
+                        return Poll::Ready(Some(Ok(bytes)));
+                    }
+                    PayloadError::Overflow
+                }
+                Ok(Some(Message::Chunk(None))) => {
+                    self.body = Body::Complete;
+                    self.registration.set_answering(true);
+                    return Poll::Ready(None);
+                }
+                Ok(Some(Message::Item(_))) | Err(_) => {
+                    PayloadError::EncodingCorrupted
+                }
+                Ok(None) => match ready!(self.poll_fill(cx)) {
+                    Ok(1..) => continue,
+                    Ok(0) | Err(ReadError::Broken) => {
+                        PayloadError::Incomplete(None)
+                    }
+                    Err(ReadError::Closed | ReadError::NoRoom) => {
+                        PayloadError::Overflow
+                    }
+                },
+            };
+            self.body = Body::Failed;
+            return Poll::Ready(Some(Err(error)));
+        }
+    }
+}
+
+/// The body of the current request of a connection.
+struct BodyStream {
+    connection: Rc<RefCell<Connection>>,
+}
+
+impl Stream for BodyStream {
+    type Item = Result<Bytes, PayloadError>;
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Self::Item>> {
+        self.connection.borrow_mut().poll_body(cx)
+    }
+}
--- a/src/http.rs
+++ b/src/http/mod.rs
@@ -1,70 +1,33 @@
 /*!
-Helpers for HTTP servers.
+HTTP servers, and helpers for them.
 
-A server is a function from a request to a response, run on its own threads.
-Reading a body is limited in size and time, so that a slow or endless sender
-delays only its own request.
+A server is a function from a request to a response. What its clients send,
+how long they take and what they leave unread delays only their own requests:
+heads, bodies and answers have timeouts, a connection holds one request at a
+time, and the connections and what they buffer are limited, see
+[`puffinknot_core::connections`].
 */
 
-use std::convert::Infallible;
-use std::future::Future;
-use std::net::TcpListener;
+mod connection;
+mod server;
+
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
+use actix_http::error::PayloadError;
 use actix_http::header::{HeaderMap, CONTENT_TYPE};
-use actix_http::{HttpService, Payload, Request, Response, StatusCode};
-use actix_server::Server;
+use actix_http::{Payload, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use serde::Serialize;
 
+pub use self::server::{
+    limit_socket_buffers, serve, serve_with, Server, ServerOptions,
+};
+
 /// The response of a server.
 pub type Reply = Response<BoxBody>;
 
-/// The timeout of receiving the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long an idle connection is kept open.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
-/// How long a graceful stop waits for requests in progress.
-const STOP_TIMEOUT_SECS: u64 = 30;
-
-/// Starts a server on `workers` threads. `make_handler` is called on each
-/// thread to create its handler.
-///
-/// # Errors
-///
-/// If the listener can't be used.
-pub fn serve<M, F, Fut>(
-    listener: TcpListener,
-    workers: usize,
-    make_handler: M,
-) -> std::io::Result<Server>
-where
-    M: Fn() -> F + Send + Clone + 'static,
-    F: Fn(Request) -> Fut + Clone + 'static,
-    Fut: Future<Output = Reply> + 'static,
-{
-    listener.set_nonblocking(true)?;
-    let server = Server::build()
-        .workers(workers)
-        .disable_signals()
-        .shutdown_timeout(STOP_TIMEOUT_SECS)
-        .listen("http", listener, move || {
-            let handler = make_handler();
-            HttpService::build()
-                .client_request_timeout(HEAD_TIMEOUT)
-                .keep_alive(KEEP_ALIVE)
-                .finish(move |request: Request| {
-                    let reply = handler(request);
-                    async move { Ok::<_, Infallible>(reply.await) }
-                })
-                .tcp()
-        })?
-        .run();
-    Ok(server)
-}
-
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -74,14 +37,16 @@
     TooSlow,
     /// The body was cut off or is malformed.
     Broken,
+    /// The server has no room for the body.
+    NoRoom,
 }
 
 /// Reads the body of a request.
 ///
 /// # Errors
 ///
-/// If it is longer than `limit` bytes, takes longer than `time_limit`, or is
-/// cut off.
+/// If it is longer than `limit` bytes, takes longer than `time_limit`, is cut
+/// off, or the server has no room for it.
 pub async fn read_body(
     payload: Payload,
     limit: usize,
@@ -100,7 +65,10 @@
 ) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| BodyError::Broken)?;
+        let chunk = chunk.map_err(|err| match err {
+            PayloadError::Overflow => BodyError::NoRoom,
+            _ => BodyError::Broken,
+        })?;
         if body.len() + chunk.len() > limit {
             return Err(BodyError::TooLarge);
         }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod call_slots;
 mod cell;
+mod connections;
 mod crash_rate;
 mod explain;
 mod failures;
@@ -10,6 +11,7 @@
 mod fuzz;
 mod gone;
 mod health;
+mod http;
 mod input;
 mod jobs;
 mod losses;
