Limit what clients' requests buffer, by the memory of the machine

What callers saw: some hundred clients whose large bodies, chunks or heads stop just before their end, and stay open, end a node for want of memory.

Cause: nothing bounded what all connections buffer together, and nothing read the memory that the settings of a process name.

Change: each connection may buffer 16 KiB; beyond that, all of them share a sixteenth of MemoryMb. Where that is used up, connections give way from which nothing has come for half a second, and get 503, since their requests were certainly not accepted; if there are none, the request that needs the room is refused in the same way. So ordinary requests need no common room, and a request that is about to end is not given up for a newcomer.

--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -15,6 +15,7 @@
     HeaderValue, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER,
 };
 use actix_http::{HttpMessage, Request, Response, StatusCode};
+use puffinknot_core::connections::ConnectionLimits;
 use puffinknot_core::jobs::{self, CallCredentials, KeyDigest, Outcome};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
@@ -43,6 +44,7 @@
 async fn serve<P, F, Fut>(
     listener: TcpListener,
     shared: Rc<NodeState<P>>,
+    limits: ConnectionLimits,
     handler: F,
 ) where
     P: Platform,
@@ -53,7 +55,7 @@
     let options = ServerOptions {
         head_timeout: HEAD_TIMEOUT,
         keep_alive: KEEP_ALIVE,
-        ..ServerOptions::default()
+        limits,
     };
     let count = Rc::new(move |what| shared.count(what));
     let server = Rc::new(Server::new(options, count));
@@ -78,7 +80,8 @@
     listener: TcpListener,
     shared: Rc<NodeState<P>>,
 ) {
-    serve(listener, shared.clone(), move |request: Request| {
+    let limits = shared.settings.borrow().resources.monitoring();
+    serve(listener, shared.clone(), limits, move |request: Request| {
         let path_matches = request.path() == shared.platform.ready_path();
         let ready = shared.policy().is_some()
             && !shared.draining.get()
@@ -98,7 +101,8 @@
     listener: TcpListener,
     shared: Rc<NodeState<P>>,
 ) {
-    serve(listener, shared.clone(), move |_| {
+    let limits = shared.settings.borrow().resources.monitoring();
+    serve(listener, shared.clone(), limits, move |_| {
         // Everything but the writing of logs runs on this one thread.
         let busy = Handle::current().metrics().worker_total_busy_duration(0);
         shared.stats.set_busy(busy.as_micros() as Micros);
@@ -121,7 +125,8 @@
     listener: TcpListener,
     shared: Rc<NodeState<P>>,
 ) {
-    serve(listener, shared.clone(), move |request: Request| {
+    let limits = shared.settings.borrow().resources.clients();
+    serve(listener, shared.clone(), limits, move |request: Request| {
         let shared = shared.clone();
         async move {
             shared.open_requests.set(shared.open_requests.get() + 1);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -23,8 +23,9 @@
 * [`logging`] and [`stats`] provide logs and metrics for on-call engineers.
 * [`decision_log`] logs the leader's inputs and decisions; [`iteration`]
   measures how long deciding takes, and how long inputs wait for it.
-* [`ingress`] answers client requests, readiness checks and metrics scrapes;
-  [`shutdown`] stops the node after all requests are answered.
+* [`ingress`] answers client requests, readiness checks and metrics scrapes,
+  within the [`resources`] of the machine; [`shutdown`] stops the node after
+  all requests are answered.
 */
 
 pub mod call_slots;
@@ -43,6 +44,7 @@
 pub mod ports;
 pub mod reachability;
 pub mod relay;
+pub mod resources;
 pub mod shutdown;
 pub mod stats;
 pub mod store;
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -31,6 +31,7 @@
 use crate::cell::ports::{Leader, Platform};
 use crate::cell::reachability::{self, Reachability};
 use crate::cell::relay::RelayedOrder;
+use crate::cell::resources::Resources;
 use crate::cell::shutdown::{self, Closing};
 use crate::cell::stats::Stats;
 use crate::cell::store::{self, Store};
@@ -73,6 +74,8 @@
     pub cpu_millis: u32,
     /// The bandwidth of the machine's link, in bytes per millisecond.
     pub link_bytes_per_ms: u32,
+    /// What the machine provides for the process.
+    pub resources: Resources,
     /// The mechanisms, and which of them are enabled.
     pub mechanisms: Mechanisms,
 }
@@ -682,8 +685,8 @@
 }
 
 /// Applies new settings whenever it is told to. Never returns. The name, the
-/// data centre, the addresses and the mechanisms of the node don't change
-/// before the node is restarted.
+/// data centre, the addresses, the resources and the mechanisms of the node
+/// don't change before the node is restarted.
 async fn reload<P: Platform>(
     shared: Rc<NodeState<P>>,
     signals: Rc<NodeSignals>,
