Limit the connections of clients, by descriptors and memory

What callers saw: a crowd that only opens connections takes all descriptors of a node, which then reaches neither the store nor executors.

Cause: connections were accepted without a limit, and nothing read the number of descriptors that the settings of a process name.

Change: clients have half of the descriptors, and a quarter of the memory at 32 KiB for each connection; the readiness and metrics ports have 32 connections each.

--- a/src/cell/resources.rs
+++ b/src/cell/resources.rs
@@ -1,33 +1,51 @@
 /*!
 What the machine of a node provides, and which share of it clients may use.
 
-Clients are not under the control of the node. What their requests buffer is
-limited so that memory is left for the leader's state, other nodes, executors
-and the store.
+Clients are not under the control of the node. Their connections, and what
+these buffer, are limited so that memory and descriptors are left for the
+leader's state, other nodes, executors and the store.
 */
 
-use puffinknot_core::connections::ConnectionLimits;
+use puffinknot_core::connections::{ConnectionLimits, ALLOWANCE_BYTES};
 
+/// What the kernel buffers for a connection, about, in bytes.
+const KERNEL_BYTES: usize = 16 << 10;
+/// Descriptors that are left to files, timers and the like.
+const RESERVED_DESCRIPTORS: usize = 200;
+/// The connections of clients take at most this part of the memory.
+const CONNECTIONS_MEMORY_DIVISOR: usize = 4;
 /// What clients' requests buffer beyond the allowance of each connection is at
 /// most this part of the memory. A body is held several times while it is
 /// read, decoded and passed on.
 const BUFFER_MEMORY_DIVISOR: usize = 16;
-/// What the requests at the ports for readiness checks and metrics buffer
-/// beyond their allowances, in bytes.
+/// The connections of clients take at most this part of the descriptors.
+const CLIENT_DESCRIPTORS_DIVISOR: usize = 2;
+/// The connections of other nodes take at most this part of the descriptors.
+const PEER_DESCRIPTORS_DIVISOR: usize = 4;
+/// The connections to the readiness port, and to the metrics port.
+const MONITORING_CONNECTIONS: usize = 32;
+/// What the requests at these ports buffer beyond their allowances, in bytes.
 const MONITORING_BUFFER_BYTES: usize = 64 << 10;
 
-/// The memory that a process may use.
+/// The memory and the descriptors that a process may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Resources {
     /// The memory, in bytes.
     pub memory_bytes: usize,
+    /// The number of open descriptors.
+    pub descriptors: usize,
 }
 
 impl Resources {
     /// The limits of the port for clients.
     pub fn clients(&self) -> ConnectionLimits {
+        let by_memory = self.memory_bytes
+            / CONNECTIONS_MEMORY_DIVISOR
+            / (ALLOWANCE_BYTES + KERNEL_BYTES);
+        let by_descriptors =
+            self.available_descriptors() / CLIENT_DESCRIPTORS_DIVISOR;
         ConnectionLimits {
-            connections: usize::MAX,
+            connections: by_memory.min(by_descriptors).max(1),
             buffered_bytes: self.memory_bytes / BUFFER_MEMORY_DIVISOR,
         }
     }
@@ -35,8 +53,17 @@
     /// The limits of the port for readiness checks, and of that for metrics.
     pub fn monitoring(&self) -> ConnectionLimits {
         ConnectionLimits {
-            connections: usize::MAX,
+            connections: MONITORING_CONNECTIONS,
             buffered_bytes: MONITORING_BUFFER_BYTES,
         }
     }
+
+    /// The maximum number of connections from other nodes.
+    pub fn peers(&self) -> usize {
+        (self.available_descriptors() / PEER_DESCRIPTORS_DIVISOR).max(1)
+    }
+
+    fn available_descriptors(&self) -> usize {
+        self.descriptors.saturating_sub(RESERVED_DESCRIPTORS)
+    }
 }
