Limit connections and first messages at the port between nodes

What callers saw: strangers at the port between nodes take the descriptors and the memory of a node. Each could announce a first message of 32 MiB, and a connection whose channel had ended stayed open for as long as the peer wished.

Cause: connections were accepted without a limit, the length of a message was limited alike before and after the peer had said who it is, and the connection was driven on after its channel.

Change: these connections are registered like those of clients, with a third of the descriptors; those that have not said who they are give way. The first message has at most 1 KiB, later ones 8 MiB, headers 4 KiB, and a connection ends with its channel. The registry moves into a module of its own.

--- a/puffinknot-core/src/connections.rs
+++ b/puffinknot-core/src/connections.rs
@@ -9,8 +9,9 @@
 
 At a limit, connections give way from which nothing has come for a while, the
 longest silent first: clients that are about to finish are not among them. If
-there are none, the newcomer is refused. A connection whose request is being
-answered never gives way, since the request may have been carried out.
+there are none, the newcomer is refused. A connection can be pinned, so that it
+never gives way: while its request is being answered, since the request may
+have been carried out, or once its peer is known.
 
 # Example
 
@@ -65,8 +66,8 @@
     heard_at: Millis,
     /// What it buffers beyond its allowance.
     excess: usize,
-    /// Whether a request is being answered.
-    answering: bool,
+    /// Whether it never gives way.
+    pinned: bool,
 }
 
 /// The open connections of a server.
@@ -108,7 +109,7 @@
         self.last_id += 1;
         let id = self.last_id;
         let connection =
-            Connection { heard_at: now, excess: 0, answering: false };
+            Connection { heard_at: now, excess: 0, pinned: false };
         self.open.insert(id, connection);
         self.receiving.insert((now, id));
         Some((id, closed))
@@ -166,15 +167,11 @@
         self.update(id, |connection| connection.heard_at = now);
     }
 
-    /// Records whether a request of the connection is being answered.
-    pub fn set_answering(
-        &mut self,
-        id: ConnectionId,
-        answering: bool,
-        now: Millis,
-    ) {
+    /// Sets whether the connection never gives way, such as while a request is
+    /// being answered.
+    pub fn set_pinned(&mut self, id: ConnectionId, pinned: bool, now: Millis) {
         self.update(id, |connection| {
-            connection.answering = answering;
+            connection.pinned = pinned;
             connection.heard_at = now;
         });
     }
@@ -210,7 +207,7 @@
         let Some(connection) = self.open.get_mut(&id) else { return };
         self.receiving.remove(&(connection.heard_at, id));
         change(connection);
-        if !connection.answering {
+        if !connection.pinned {
             self.receiving.insert((connection.heard_at, id));
         }
     }
--- a/src/cell/channel.rs
+++ b/src/cell/channel.rs
@@ -24,6 +24,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// The initial flow-control window of a stream and of a connection.
 const WINDOW_BYTES: u32 = 4 << 20;
+/// The largest message of a known peer, in bytes.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// The largest list of headers of a peer, in bytes. Channels use none.
+const MAX_HEADER_BYTES: u32 = 4 << 10;
 /// The size of the length prefix of a message.
 const PREFIX_BYTES: usize = 4;
 
@@ -60,11 +64,18 @@
 pub struct Receiver {
     stream: RecvStream,
     buffer: BytesMut,
+    /// The largest message that is received, in bytes.
+    limit: usize,
 }
 
 impl Receiver {
-    fn new(stream: RecvStream) -> Receiver {
-        Receiver { stream, buffer: BytesMut::new() }
+    fn new(stream: RecvStream, limit: usize) -> Receiver {
+        Receiver { stream, buffer: BytesMut::new(), limit }
+    }
+
+    /// Receives larger messages from now on, since the peer is known.
+    pub fn trust(&mut self) {
+        self.limit = MAX_MESSAGE_BYTES;
     }
 
     /// Waits for the next message. Returns `None` if the channel is closed, or
@@ -73,7 +84,7 @@
         loop {
             if self.buffer.len() >= PREFIX_BYTES {
                 let length = (&self.buffer[..PREFIX_BYTES]).get_u32() as usize;
-                if length > wire::MAX_MESSAGE {
+                if length > self.limit {
                     return None;
                 }
                 if self.buffer.len() >= PREFIX_BYTES + length {
@@ -143,21 +154,24 @@
     let (response, stream) =
         client.send_request(head, false).map_err(|e| text(&e))?;
     let response = response.await.map_err(|e| text(&e))?;
-    let receiver = Receiver::new(response.into_body());
+    let receiver = Receiver::new(response.into_body(), MAX_MESSAGE_BYTES);
     Ok((Sender::new(stream), receiver))
 }
 
-/// Accepts a channel on a connection, passes it to `serve`, and drives the
-/// connection until it ends.
+/// Accepts a channel on a connection, passes it to `serve`, and closes the
+/// connection when that is done. The first message must be short; after it,
+/// `serve` may [trust](Receiver::trust) the peer.
 pub async fn accept<F, Fut>(tcp: TcpStream, serve: F)
 where
     F: FnOnce(Sender, Receiver) -> Fut,
-    Fut: std::future::Future<Output = ()> + 'static,
+    Fut: std::future::Future<Output = ()>,
 {
+    // Without it, messages are only slower.
     let _ = tcp.set_nodelay(true);
     let builder = h2::server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
+        .max_header_list_size(MAX_HEADER_BYTES)
         .max_concurrent_streams(1)
         .handshake(tcp);
     let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, builder).await
@@ -168,8 +182,23 @@
     let Ok(Some(Ok((request, mut respond)))) = first else { return };
     let head = http::Response::new(());
     let Ok(stream) = respond.send_response(head, false) else { return };
-    let receiver = Receiver::new(request.into_body());
-    actix_rt::spawn(serve(Sender::new(stream), receiver));
-    // The user of the channel notices that the connection has ended.
-    while let Some(Ok(_)) = connection.accept().await {}
+    let receiver = Receiver::new(request.into_body(), wire::MAX_HELLO);
+    let served = serve(Sender::new(stream), receiver);
+    tokio::pin!(served);
+    loop {
+        tokio::select! {
+            () = &mut served => break,
+            next = connection.accept() => {
+                if !matches!(next, Some(Ok(_))) {
+                    // The channel notices that the connection has ended.
+                    return served.await;
+                }
+            }
+        }
+    }
+    connection.graceful_shutdown();
+    let closed =
+        async { while let Some(Ok(_)) = connection.accept().await {} };
+    // A peer that does not close its side is disconnected.
+    let _ = timeout(CONNECT_TIMEOUT, closed).await;
 }
--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -25,9 +25,8 @@
 use crate::cell::ports::{Call, ClientAnswer, Platform, Refusal};
 use crate::cell::reachability;
 use crate::clock::{self, Micros};
-use crate::http::{
-    limit_socket_buffers, read_body, BodyError, Server, ServerOptions,
-};
+use crate::http::{read_body, BodyError, Server, ServerOptions};
+use crate::registry::limit_socket_buffers;
 
 /// The timeout for receiving the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -36,6 +36,7 @@
 use crate::cell::reachability;
 use crate::cell::relay::{self, JobSpecs, OrderId, RelayedOrder};
 use crate::cell::store_watch::{accept_leadership, replace_leader};
+use crate::registry::{Pin, Registration, Registry};
 
 /// How often a node sends a heartbeat to the leader.
 const PING_INTERVAL: Duration = Duration::from_millis(250);
@@ -419,12 +420,19 @@
     listener: TcpListener,
     shared: Rc<NodeState<P>>,
 ) {
+    let limits = shared.settings.borrow().resources.peers();
+    let counting = shared.clone();
+    let count = Rc::new(move |what| counting.count(what));
+    let registry = Registry::new(limits, count);
     loop {
         match listener.accept().await {
-            Ok((tcp, _)) => {
-                let shared = shared.clone();
-                actix_rt::spawn(accept_peer(tcp, shared));
-            }
+            Ok((tcp, _)) => match registry.open() {
+                Some(registration) => {
+                    let shared = shared.clone();
+                    actix_rt::spawn(accept_peer(tcp, shared, registration));
+                }
+                None => registry.count("peers_refused"),
+            },
             Err(error) => {
                 warn!(%error, "accept_failed");
                 sleep(RETRY_DELAY).await;
@@ -433,12 +441,21 @@
     }
 }
 
-async fn accept_peer<P: Platform>(tcp: TcpStream, shared: Rc<NodeState<P>>) {
-    channel::accept(tcp, |sender, receiver| async move {
-        serve_peer(shared, &sender, receiver).await;
+async fn accept_peer<P: Platform>(
+    tcp: TcpStream,
+    shared: Rc<NodeState<P>>,
+    mut registration: Registration,
+) {
+    let pin = registration.pin();
+    let served = channel::accept(tcp, |sender, receiver| async move {
+        serve_peer(shared, &sender, receiver, pin).await;
         sender.close();
-    })
-    .await;
+    });
+    tokio::select! {
+        () = served => {}
+        // Only while the peer has not said who it is.
+        () = registration.closed() => {}
+    }
 }
 
 /// Serves the channel of another node while this node leads. Otherwise tells
@@ -447,6 +464,7 @@
     shared: Rc<NodeState<P>>,
     sender: &Sender,
     mut receiver: Receiver,
+    pin: Pin,
 ) {
     let hello = timeout(HELLO_TIMEOUT, receiver.next::<ToLeader>()).await;
     let Ok(Some(ToLeader::Hello { node, life, address, dc, cpu_millis })) =
@@ -454,6 +472,8 @@
     else {
         return;
     };
+    pin.set(true);
+    receiver.trust();
     let known: Vec<SocketAddr> =
         shared.peers.borrow().iter().copied().collect();
     shared.peers.borrow_mut().insert(address);
--- a/src/cell/resources.rs
+++ b/src/cell/resources.rs
@@ -21,7 +21,7 @@
 /// The connections of clients take at most this part of the descriptors.
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 2;
 /// The connections of other nodes take at most this part of the descriptors.
-const PEER_DESCRIPTORS_DIVISOR: usize = 4;
+const PEER_DESCRIPTORS_DIVISOR: usize = 3;
 /// The connections to the readiness port, and to the metrics port.
 const MONITORING_CONNECTIONS: usize = 32;
 /// What the requests at these ports buffer beyond their allowances, in bytes.
@@ -58,9 +58,11 @@
         }
     }
 
-    /// The maximum number of connections from other nodes.
-    pub fn peers(&self) -> usize {
-        (self.available_descriptors() / PEER_DESCRIPTORS_DIVISOR).max(1)
+    /// The limits of the port for other nodes.
+    pub fn peers(&self) -> ConnectionLimits {
+        let connections =
+            self.available_descriptors() / PEER_DESCRIPTORS_DIVISOR;
+        ConnectionLimits { connections: connections.max(1), buffered_bytes: 0 }
     }
 
     fn available_descriptors(&self) -> usize {
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -28,8 +28,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::server::Registration;
 use super::Reply;
+use crate::registry::Registration;
 
 /// How much is read at once, in bytes.
 const READ_BYTES: usize = 8 << 10;
@@ -175,7 +175,7 @@
             MessageType::Payload | MessageType::Stream => Body::Partial(0),
         };
         if self.body == Body::Complete {
-            self.registration.set_answering(true);
+            self.registration.set_pinned(true);
         } else if request.head().expect() {
             self.interim = CONTINUE;
         }
@@ -232,7 +232,7 @@
             head.head_mut().set_connection_type(ConnectionType::Close);
         }
         self.write_answer(head, body).await?;
-        self.registration.set_answering(false);
+        self.registration.set_pinned(false);
         self.registration.release();
         if self.body != Body::Complete {
             // What follows a body that was not read is not a request.
@@ -357,7 +357,7 @@
                 }
                 Ok(Some(Message::Chunk(None))) => {
                     self.body = Body::Complete;
-                    self.registration.set_answering(true);
+                    self.registration.set_pinned(true);
                     return Poll::Ready(None);
                 }
                 Ok(Some(Message::Item(_))) | Err(_) => {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -2,34 +2,24 @@
 Accepts connections and serves them within limits.
 */
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::TcpListener;
-use std::os::fd::AsFd;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use actix_http::{KeepAlive, Request, ServiceConfig, StatusCode};
 use actix_server::Server as WorkerServer;
 use actix_service::fn_service;
-use puffinknot_core::connections::{
-    ConnectionId, ConnectionLimits, Connections, Decision,
-};
-use rustix::net::sockopt::{
-    set_socket_recv_buffer_size, set_socket_send_buffer_size,
-};
+use puffinknot_core::connections::ConnectionLimits;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::connection::{linger, write_refusal, Connection, HeadError};
 use super::Reply;
-use crate::clock;
+use crate::registry::{limit_socket_buffers, Registry};
 
 /// The default timeout for receiving the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -42,25 +32,10 @@
 const STOP_TIMEOUT_SECS: u64 = 30;
 /// The maximum number of refused connections that wait for their clients.
 const MAX_REFUSED_OPEN: usize = 32;
-/// The size of each buffer of a client's socket, in bytes.
-const SOCKET_BUFFER_BYTES: usize = 32 << 10;
 
 /// Counts an event of a server, such as a refused connection.
 pub type Count = Arc<dyn Fn(&'static str) + Send + Sync>;
 
-/// Limits what the kernel buffers for each connection that a listener accepts
-/// from now on, so that the buffers of all connections fit into the memory.
-pub fn limit_socket_buffers(listener: &impl AsFd) {
-    let limits = [
-        set_socket_recv_buffer_size(listener, SOCKET_BUFFER_BYTES),
-        set_socket_send_buffer_size(listener, SOCKET_BUFFER_BYTES),
-    ];
-    for error in limits.into_iter().filter_map(Result::err) {
-        // The buffers have the size that the system gives them.
-        log::warn!("http: can't limit the buffers of sockets: {error}.");
-    }
-}
-
 /// The options of a server.
 #[derive(Clone)]
 pub struct ServerOptions {
@@ -173,11 +148,7 @@
             false,
             None,
         );
-        let registry = Rc::new(Registry {
-            connections: RefCell::new(Connections::new(options.limits)),
-            closers: RefCell::default(),
-            count,
-        });
+        let registry = Registry::new(options.limits, count);
         Server { options, config, registry, refused: Cell::new(0) }
     }
 
@@ -190,7 +161,7 @@
     {
         // Without it, answers are only slower.
         let _ = tcp.set_nodelay(true);
-        let Some(registration) = Registration::open(&self.registry) else {
+        let Some(registration) = self.registry.open() else {
             return self.refuse(tcp).await;
         };
         let config = self.config.clone();
@@ -207,7 +178,7 @@
                 Ok(Ok(request)) => request,
                 Ok(Err(error)) => return self.reject(connection, error).await,
                 Err(_) => {
-                    (self.registry.count)("heads_late");
+                    self.registry.count("heads_late");
                     let status = StatusCode::REQUEST_TIMEOUT;
                     return connection.reject(status).await;
                 }
@@ -223,7 +194,7 @@
     /// Refuses a connection. The first few of those that are refused at the
     /// same time stay open until the client has read that.
     async fn refuse(&self, mut tcp: TcpStream) {
-        (self.registry.count)("connections_refused");
+        self.registry.count("connections_refused");
         write_refusal(&mut tcp).await;
         if self.refused.get() < MAX_REFUSED_OPEN {
             self.refused.set(self.refused.get() + 1);
@@ -234,120 +205,16 @@
 
     /// Refuses a request whose head can't be received.
     async fn reject(&self, connection: Connection, error: HeadError) {
-        let count = &self.registry.count;
         match error {
             HeadError::Ended | HeadError::Closed => {}
             HeadError::NoRoom => {
-                count("heads_refused");
+                self.registry.count("heads_refused");
                 connection.refuse().await;
             }
             HeadError::Invalid(status) => {
-                count("heads_invalid");
+                self.registry.count("heads_invalid");
                 connection.reject(status).await;
             }
         }
     }
 }
-
-/// The open connections of a server.
-struct Registry {
-    connections: RefCell<Connections>,
-    /// Tells connections that they are closed in favor of others.
-    closers: RefCell<HashMap<ConnectionId, oneshot::Sender<()>>>,
-    count: Rc<dyn Fn(&'static str)>,
-}
-
-impl Registry {
-    fn close_all(&self, ids: Vec<ConnectionId>) {
-        for id in ids {
-            (self.count)("connections_closed");
-            self.closers.borrow_mut().remove(&id);
-        }
-    }
-}
-
-/// An open connection, until this is dropped.
-pub struct Registration {
-    registry: Rc<Registry>,
-    id: ConnectionId,
-    /// Ends when the connection is closed in favor of others.
-    closed: oneshot::Receiver<()>,
-    is_closed: bool,
-    /// What the connection has reported to buffer.
-    buffered: usize,
-}
-
-impl Registration {
-    fn open(registry: &Rc<Registry>) -> Option<Registration> {
-        let opened = registry.connections.borrow_mut().open(clock::mono());
-        let (id, closed_ids) = opened?;
-        registry.close_all(closed_ids);
-        let (closer, closed) = oneshot::channel();
-        registry.closers.borrow_mut().insert(id, closer);
-        Some(Registration {
-            registry: registry.clone(),
-            id,
-            closed,
-            is_closed: false,
-            buffered: 0,
-        })
-    }
-
-    /// Increments the counter of an event.
-    pub fn count(&self, what: &'static str) {
-        (self.registry.count)(what);
-    }
-
-    /// Whether the connection is closed in favor of others. Otherwise wakes
-    /// the task when it is.
-    pub fn poll_closed(&mut self, cx: &mut Context<'_>) -> bool {
-        self.is_closed = self.is_closed
-            || Pin::new(&mut self.closed).poll(cx) != Poll::Pending;
-        self.is_closed
-    }
-
-    /// Asks to buffer this many bytes in all. Returns whether there is room.
-    pub fn buffer(&mut self, bytes: usize) -> bool {
-        if bytes == self.buffered {
-            return true;
-        }
-        let decision = self.registry.connections.borrow_mut().buffer(
-            self.id,
-            bytes,
-            clock::mono(),
-        );
-        match decision {
-            Decision::Granted(closed) => {
-                self.buffered = bytes;
-                self.registry.close_all(closed);
-                true
-            }
-            Decision::Refused => false,
-        }
-    }
-
-    /// Reports that nothing is buffered.
-    pub fn release(&mut self) {
-        // There is always room for less.
-        let _ = self.buffer(0);
-    }
-
-    /// Reports that something has come from the client.
-    pub fn record_receipt(&self) {
-        let mut connections = self.registry.connections.borrow_mut();
-        connections.record_receipt(self.id, clock::mono());
-    }
-
-    /// Reports whether a request is being answered.
-    pub fn set_answering(&self, answering: bool) {
-        let mut connections = self.registry.connections.borrow_mut();
-        connections.set_answering(self.id, answering, clock::mono());
-    }
-}
-
-impl Drop for Registration {
-    fn drop(&mut self) {
-        self.registry.connections.borrow_mut().close(self.id);
-        self.registry.closers.borrow_mut().remove(&self.id);
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod metrics;
 pub mod platform;
 mod platform_watch;
+mod registry;
 pub mod settings;
 pub mod target;
 pub mod traffic;
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -49,10 +49,10 @@
     let mut connections = Connections::new(LIMITS);
     for _ in 0..3 {
         let id = open(&mut connections, 0);
-        connections.set_answering(id, true, 0);
+        connections.set_pinned(id, true, 0);
     }
     assert_eq!(connections.open(60_000), None);
-    connections.set_answering(1, false, 60_000);
+    connections.set_pinned(1, false, 60_000);
     assert_eq!(connections.open(60_001), None, "it was just answered");
     let opened = connections.open(60_000 + MIN_SILENCE_MS).expect("room");
     assert_eq!(opened.1, [1]);
@@ -167,7 +167,7 @@
             }
             Step::Answer(n, answering) => {
                 let Some(id) = self.nth(n) else { return };
-                connections.set_answering(id, answering, now);
+                connections.set_pinned(id, answering, now);
                 self.open.insert(id, (now, answering));
             }
             Step::Wait(pause) => self.now += pause,
