A request that is alone is received whatever its size

A machine with little memory and a policy that allows large bodies could never serve the largest ones: they exceeded what all requests together may buffer. The limit now applies to those that buffer beyond their allowances beside others.

--- a/puffinknot-core/src/connections.rs
+++ b/puffinknot-core/src/connections.rs
@@ -9,7 +9,8 @@
 
 At a limit, connections give way from which nothing has come for a while, the
 longest silent first: clients that are about to finish are not among them. If
-there are none, the newcomer is refused. A connection can be pinned, so that it
+there are none, the newcomer is refused. A request that is alone is received
+whatever its size, which has limits of its own. A connection can be pinned, so that it
 never gives way: while its request is being answered, since the request may
 have been carried out, or once its peer is known.
 
@@ -47,7 +48,7 @@
     /// The maximum number of open connections.
     pub connections: usize,
     /// The bytes that all connections together may buffer beyond
-    /// [`ALLOWANCE_BYTES`] of each.
+    /// [`ALLOWANCE_BYTES`] of each, if there is more than one that does.
     pub buffered_bytes: usize,
 }
 
@@ -140,17 +141,19 @@
             (others + excess).saturating_sub(self.limits.buffered_bytes);
         let mut closed = Vec::new();
         if excess > connection.excess {
+            let mut left = others;
             for silent in self.silent(now).filter(|other| *other != id) {
-                if to_free == 0 {
+                if to_free == 0 || left == 0 {
                     break;
                 }
                 let freed = self.open[&silent].excess;
                 if freed > 0 {
                     closed.push(silent);
+                    left -= freed;
                     to_free = to_free.saturating_sub(freed);
                 }
             }
-            if to_free > 0 {
+            if to_free > 0 && left > 0 {
                 return Decision::Refused;
             }
         }
