--- a/puffinknot-core/src/jobs/model.rs
+++ b/puffinknot-core/src/jobs/model.rs
@@ -235,13 +235,23 @@
 }
 
 /// The most steps of a job.
-const MAX_STEPS: usize = 64;
+pub const MAX_STEPS: usize = 64;
 /// The most tasks of a job in one repetition.
 const MAX_TASKS: u64 = 20_000;
 /// The most repetitions of a job.
 const MAX_REPEATS: u32 = 10_000;
 
 impl Job {
+    /// The bytes of the texts that clients choose freely.
+    pub fn text_bytes(&self) -> usize {
+        let length =
+            |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let steps = self.steps.iter().map(|step| {
+            length(&step.label) + length(&step.near) + step.image.len()
+        });
+        self.spec.len() + steps.sum::<usize>()
+    }
+
     /// The number of repetitions; one for a job that does not repeat.
     pub fn repetitions(&self) -> u32 {
         self.repeats.map_or(1, |r| r.times)
