An account leaves room for the cancellations of others

What callers saw: after 20,000 cancellations of unknown jobs by one client, those of all other clients were refused for as long as ended jobs are known.

Cause: one limit for all of them.

Change: 20,000 more are divided evenly among the accounts and the callers without one. Nobody gets less than before. Callers without an account are not told apart from each other. The test of the scheduler failed before.

--- a/puffinknot-core/src/jobs/scheduler/early_cancels.rs
+++ b/puffinknot-core/src/jobs/scheduler/early_cancels.rs
@@ -9,7 +9,9 @@
 cancelled, as if the cancellation had come second.
 
 The number of cancellations is limited, since anyone may cancel any id. Beyond
-the limit they are refused, which promises nothing.
+the limit they are refused, which promises nothing. Half of the room is for
+whoever comes; the other half is divided evenly among the client accounts and
+the callers without one, so that none of them can use up the room of the others.
 */
 
 use std::collections::{BTreeMap, VecDeque};
@@ -24,7 +26,11 @@
 use crate::jobs::scheduler::Scheduler;
 
 /// The most cancellations that are remembered.
-const MAX_EARLY_CANCELS: usize = 20_000;
+const MAX_EARLY_CANCELS: usize = MAX_UNSHARED + MAX_SHARED;
+/// How many of them are for whoever comes first.
+const MAX_UNSHARED: usize = 20_000;
+/// How many of them are divided among the accounts.
+const MAX_SHARED: usize = 20_000;
 /// The most cancellations in one commit.
 const MAX_PER_COMMIT: usize = 500;
 
@@ -40,6 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct EarlyCancels {
     known: BTreeMap<EarlyCancel, Status>,
+    /// How many of them each account has. Callers without one count as one.
+    held: BTreeMap<Option<String>, usize>,
     /// The cancellations that are in no commit yet.
     unwritten: VecDeque<EarlyCancel>,
     /// When each stored cancellation may be forgotten, in order.
@@ -54,7 +62,7 @@
         cancel: EarlyCancel,
         until: Millis,
     ) -> Vec<RequestId> {
-        let former = self.known.insert(cancel.clone(), Status::Stored);
+        let former = self.insert(cancel.clone(), Status::Stored);
         self.forget_at.push_back((until, cancel));
         match former {
             Some(Status::Waiting(requests)) => requests,
@@ -62,6 +70,40 @@
         }
     }
 
+    fn insert(
+        &mut self,
+        cancel: EarlyCancel,
+        status: Status,
+    ) -> Option<Status> {
+        let account = cancel.account.clone();
+        let former = self.known.insert(cancel, status);
+        if former.is_none() {
+            *self.held.entry(account).or_default() += 1;
+        }
+        former
+    }
+
+    fn remove(&mut self, cancel: &EarlyCancel) {
+        if self.known.remove(cancel).is_none() {
+            return;
+        }
+        if let Some(held) = self.held.get_mut(&cancel.account) {
+            *held -= 1;
+            if *held == 0 {
+                self.held.remove(&cancel.account);
+            }
+        }
+    }
+
+    /// Whether there is room for another cancellation of an account, if the
+    /// policy has this number of accounts.
+    fn has_room(&self, account: &Option<String>, accounts: usize) -> bool {
+        let share = MAX_SHARED / (accounts + 1);
+        let held = self.held.get(account).copied().unwrap_or_default();
+        let total = self.known.len();
+        total < MAX_UNSHARED || (total < MAX_EARLY_CANCELS && held < share)
+    }
+
     /// Whether a job was cancelled before it arrived.
     pub fn contains(&self, cancel: &EarlyCancel) -> bool {
         self.known.contains_key(cancel)
@@ -82,7 +124,7 @@
     pub fn forget(&mut self, now: Millis) {
         while self.forget_at.front().is_some_and(|(until, _)| *until <= now) {
             if let Some((_, cancel)) = self.forget_at.pop_front() {
-                self.known.remove(&cancel);
+                self.remove(&cancel);
             }
         }
     }
@@ -118,9 +160,10 @@
             Some(Status::Waiting(requests)) => return requests.push(id),
             None => {}
         }
+        let accounts = self.policy.accounts.len();
         let refused = if self.commits.is_stalled(now) {
             Some("refused_store_trouble")
-        } else if self.early_cancels.known.len() >= MAX_EARLY_CANCELS {
+        } else if !self.early_cancels.has_room(&cancel.account, accounts) {
             Some("refused_early_cancels_full")
         } else {
             None
@@ -131,7 +174,7 @@
         }
         self.count("cancelled_early");
         let waiting = Status::Waiting(vec![id]);
-        self.early_cancels.known.insert(cancel.clone(), waiting);
+        self.early_cancels.insert(cancel.clone(), waiting);
         self.early_cancels.unwritten.push_back(cancel);
         self.commits.schedule(now);
     }
--- a/tests/jobs/early_cancels.rs
+++ b/tests/jobs/early_cancels.rs
@@ -7,7 +7,8 @@
 
 /// How long a cancellation is remembered, as long as an ended job.
 const RETENTION: Millis = 120_000;
-/// The most cancellations of unknown jobs that a leader remembers.
+/// The most cancellations of unknown jobs that a leader remembers of one
+/// account.
 const MAX_EARLY_CANCELS: u64 = 20_000;
 
 fn cancel(queue: &str, job: u64) -> Request {
@@ -123,6 +124,38 @@
     world.assert_no_violations();
 }
 
+/// Guards against an account that takes the room for the cancellations of all
+/// others.
+#[test]
+fn an_account_leaves_room_for_the_cancellations_of_others() {
+    let mut world = World::new(2);
+    world.set_policy(|policy| {
+        for name in ["one", "two"] {
+            policy.accounts.insert(name.into(), account(name, 0));
+        }
+    });
+    let mut last = 0;
+    for job in 1..=MAX_EARLY_CANCELS + 1 {
+        last = world.request_as("one", cancel("owned", job));
+        if job % 2_000 == 0 {
+            world.run(500);
+        }
+    }
+    world.run(500);
+    assert!(matches!(world.answer_to(last), Outcome::Refused(1..)));
+    for job in 1..=MAX_EARLY_CANCELS / 10 {
+        last = world.request_as("two", cancel("owned", job));
+    }
+    world.run(500);
+    assert_eq!(world.answer_to(last), Outcome::NoSuchJob);
+    world.cancel_before_arrival(1);
+    world.run(RETENTION);
+    let id = world.request_as("one", cancel("owned", MAX_EARLY_CANCELS));
+    world.run(500);
+    assert_eq!(world.answer_to(id), Outcome::NoSuchJob);
+    world.assert_no_violations();
+}
+
 /// Guards against memory that grows with the ids that clients make up, and
 /// against a promise that is broken to keep it small.
 #[test]
