Limit the texts of live jobs at the leader

What callers saw: accepted jobs of legal size that are due later, with labels of 250,000 bytes, end the leader for want of memory; the number of live jobs is limited, but not their size.

Change: beyond 8 KiB of each job, the texts of live jobs share a sixteenth of MemoryMb. A job that does not fit is refused with 503 unless it is the only one, which is counted as refused_large_text.

--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -164,6 +164,9 @@
     pub max_advice_batch: usize,
     /// The minimum time between two writes to the store, in milliseconds.
     pub min_commit_interval: Millis,
+    /// The bytes that the texts of live jobs may take beyond an allowance of
+    /// each job.
+    pub large_text_bytes: usize,
     /// Which mechanisms are enabled.
     pub mechanisms: Mechanisms,
 }
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -18,6 +18,9 @@
 
 /// The most live jobs. Further jobs are refused.
 const MAX_LIVE_JOBS: usize = 20_000;
+/// The bytes of texts that each job may have besides the common limit. Larger
+/// than the largest spec.
+const TEXT_ALLOWANCE_BYTES: usize = 8 << 10;
 /// After which time a refused client is to retry, unless it is given another.
 pub(super) const RETRY_AFTER: Millis = 1_000;
 
@@ -155,6 +158,9 @@
         if self.jobs.len() >= MAX_LIVE_JOBS {
             return Some("refused_full");
         }
+        if !self.has_room_for_text(job) {
+            return Some("refused_large_text");
+        }
         let store_unavailable = match self.is_enabled(Mechanism::AfterOutage) {
             true => !self.may_wait_for_store(job, queue, now),
             false => self.commits.is_stalled(now),
@@ -166,6 +172,20 @@
         (job.repeats.is_none() && cordoned).then_some("refused_cordoned")
     }
 
+    /// Whether the texts of a job fit beside those of the live jobs. They do if
+    /// no live job has large ones.
+    fn has_room_for_text(&self, job: &Job) -> bool {
+        let excess =
+            |job: &Job| job.text_bytes().saturating_sub(TEXT_ALLOWANCE_BYTES);
+        let added = excess(job);
+        if added == 0 {
+            return true;
+        }
+        let live = self.jobs.values().map(|live| excess(&live.job));
+        let held: usize = live.sum();
+        held == 0 || held + added <= self.config.large_text_bytes
+    }
+
     /// Whether a job has a gang or a task that needs more than the limit of
     /// its account, so that it would wait forever.
     fn exceeds_limit(&mut self, job: &Job) -> bool {
--- a/puffinknot-measure/src/leader.rs
+++ b/puffinknot-measure/src/leader.rs
@@ -133,6 +133,7 @@
         token,
         lease: 10_000,
         ended_retention: 120_000,
+        large_text_bytes: 16 << 20,
         inherited_order_lifetime: 16_700,
         max_advice_batch: 100,
         min_commit_interval: 25,
--- a/src/cell/resources.rs
+++ b/src/cell/resources.rs
@@ -18,6 +18,9 @@
 /// most this part of the memory. A body is held several times while it is
 /// read, decoded and passed on.
 const BUFFER_MEMORY_DIVISOR: usize = 16;
+/// The texts of live jobs beyond the allowance of each job are at most this
+/// part of the memory. A leader holds them several times.
+const TEXT_MEMORY_DIVISOR: usize = 16;
 /// The connections of clients take at most this part of the descriptors.
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 2;
 /// The connections of other nodes take at most this part of the descriptors.
@@ -65,6 +68,15 @@
         ConnectionLimits { connections: connections.max(1), buffered_bytes: 0 }
     }
 
+    /// The bytes that the texts of live jobs may take at the leader, see
+    /// [`SchedulerConfig::large_text_bytes`].
+    ///
+    /// [`SchedulerConfig::large_text_bytes`]:
+    /// puffinknot_core::jobs::SchedulerConfig::large_text_bytes
+    pub fn large_text_bytes(&self) -> usize {
+        self.memory_bytes / TEXT_MEMORY_DIVISOR
+    }
+
     fn available_descriptors(&self) -> usize {
         self.descriptors.saturating_sub(RESERVED_DESCRIPTORS)
     }
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -18,6 +18,7 @@
 mod fuzz;
 mod incarnations;
 mod indirect_evidence;
+mod large_texts;
 mod membership;
 mod placement_rounds;
 mod placement_stats;
