puffinknotd limits connections and what they buffer, too

What callers saw: crowds that end a node end puffinknotd as well: stalled bodies took 167 MiB, chunks of one byte 278, pipelined calls 194, and idle connections left 641 to 791 descriptors open at the ports for callers, operators and entry VMs.

Cause: as for nodes; nothing told the daemon what it may use.

A call that finds no room ends with no-room. Entry VMs that have not shown the secret give way, and get the large window only after it. Events of the servers are sent as metrics.

Measured: six crowds, with daemons of 64 MiB and 600 descriptors. All failed before, with the figures above, and hold now. The clients of crowds move to the stand-ins, and the test cell of daemons into a module of its own.

--- a/puffinknot-core/src/connections.rs
+++ b/puffinknot-core/src/connections.rs
@@ -52,6 +52,17 @@
     pub buffered_bytes: usize,
 }
 
+impl ConnectionLimits {
+    /// The limits of each of several threads that share these limits.
+    pub fn per_thread(self, threads: usize) -> ConnectionLimits {
+        let threads = threads.max(1);
+        ConnectionLimits {
+            connections: (self.connections / threads).max(1),
+            buffered_bytes: self.buffered_bytes / threads,
+        }
+    }
+}
+
 /// Whether a connection may buffer more.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
--- a/puffinknot-measure/src/processes.rs
+++ b/puffinknot-measure/src/processes.rs
@@ -115,6 +115,8 @@
             ttl: 3,
             threads: 1,
             max_calls: 10_000,
+            memory_mb: 1_024,
+            max_fds: 16_384,
             drain_ms: 0,
             statsd: None,
             log: log_off(),
--- a/puffinknot-standin/src/lib.rs
+++ b/puffinknot-standin/src/lib.rs
@@ -9,6 +9,7 @@
 * [`worker`]: runs tasks under leases and records every run.
 * [`users`]: the users' platform: a metadata store, executors and advice.
 * [`proxy`]: delays, silences or resets connections, or blocks one direction.
+* [`crowd`]: clients that send as much as they may, and what that costs.
 * [`load`]: sends calls as callers do and counts their outcomes.
 
 The servers speak plain HTTP, and a test can run each on its own port. The
@@ -17,6 +18,7 @@
 */
 #![deny(missing_docs)]
 
+pub mod crowd;
 pub mod executor;
 pub mod load;
 pub mod platform;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -24,8 +24,10 @@
 * [`decision_log`] logs the leader's inputs and decisions; [`iteration`]
   measures how long deciding takes, and how long inputs wait for it.
 * [`ingress`] answers client requests, readiness checks and metrics scrapes,
-  within the [`resources`] of the machine; [`shutdown`] stops the node after
+  within the [`resources`] of the process; [`shutdown`] stops the node after
   all requests are answered.
+
+[`resources`]: crate::resources
 */
 
 pub mod call_slots;
@@ -44,7 +46,6 @@
 pub mod ports;
 pub mod reachability;
 pub mod relay;
-pub mod resources;
 pub mod shutdown;
 pub mod stats;
 pub mod store;
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -31,13 +31,13 @@
 use crate::cell::ports::{Leader, Platform};
 use crate::cell::reachability::{self, Reachability};
 use crate::cell::relay::RelayedOrder;
-use crate::cell::resources::Resources;
 use crate::cell::shutdown::{self, Closing};
 use crate::cell::stats::Stats;
 use crate::cell::store::{self, Store};
 use crate::cell::{ingress, store_watch};
 use crate::clock;
 use crate::error::{Error, ErrorKind, Result};
+use crate::resources::Resources;
 
 /// The settings of a node.
 #[derive(Clone, Debug)]
@@ -74,7 +74,7 @@
     pub cpu_millis: u32,
     /// The bandwidth of the machine's link, in bytes per millisecond.
     pub link_bytes_per_ms: u32,
-    /// What the machine provides for the process.
+    /// What the process may use.
     pub resources: Resources,
     /// The mechanisms, and which of them are enabled.
     pub mechanisms: Mechanisms,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,16 +28,18 @@
 use crate::clock;
 use crate::control::{Control, Input, Origin, Step, TrafficConfig};
 use crate::error::{Error, ErrorKind, Result};
+use crate::http::{serve_with, Count, ServerOptions};
 use crate::link::Links;
 use crate::link_server::{accept, Credentials};
 use crate::metrics::Metrics;
 use crate::platform::{http_client, Platform};
 use crate::platform_watch::{read_with_retries, watch_forever, LeaseKeeper};
+use crate::registry::Registry;
 use crate::settings::Settings;
 use crate::traffic::Traffic;
 use crate::vm_list::VmList;
 use crate::wire::{self, Handover, Hello, Request, Response};
-use crate::{admin, entry, http, target};
+use crate::{admin, entry, target};
 
 /// The interval between the core's [`Event::Tick`]s.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -295,34 +298,61 @@
         callers: TcpListener,
         operators: TcpListener,
     ) -> Vec<actix_server::ServerHandle> {
+        let servers =
+            [self.serve_callers(callers), self.serve_operators(operators)];
+        let mut handles = Vec::new();
+        for server in servers.into_iter().flatten() {
+            handles.push(server.handle());
+            actix_rt::spawn(async move {
+                let _ = server.await;
+            });
+        }
+        handles
+    }
+
+    fn serve_callers(
+        &self,
+        listener: TcpListener,
+    ) -> std::io::Result<actix_server::Server> {
         let ip = self.settings.ip();
+        let threads = self.settings.threads;
         let (control, hello) = (self.control.clone(), self.hello.clone());
         let draining = self.draining.clone();
-        let callers = http::serve(callers, self.settings.threads, move || {
+        let make_handler = move || {
             let traffic = Traffic::new(control.clone(), hello.clone(), ip);
             let draining = draining.clone();
             move |request| {
                 let draining = draining.load(Ordering::Relaxed);
                 entry::handle(traffic.clone(), draining, request)
             }
-        });
+        };
+        let limits = self.settings.resources().clients().per_thread(threads);
+        let options = ServerOptions { limits, ..ServerOptions::default() };
+        serve_with(listener, threads, options, self.count(), make_handler)
+    }
+
+    fn serve_operators(
+        &self,
+        listener: TcpListener,
+    ) -> std::io::Result<actix_server::Server> {
         let control = self.control.clone();
         let secret = self.settings.secret.clone();
-        let operators = http::serve(operators, 1, move || {
+        let make_handler = move || {
             let control = control.clone();
             let secret = secret.clone();
             move |request| {
                 admin::handle(control.clone(), secret.clone(), request)
             }
-        });
-        let mut handles = Vec::new();
-        for server in [callers, operators].into_iter().flatten() {
-            handles.push(server.handle());
-            actix_rt::spawn(async move {
-                let _ = server.await;
-            });
-        }
-        handles
+        };
+        let limits = self.settings.resources().monitoring();
+        let options = ServerOptions { limits, ..ServerOptions::default() };
+        serve_with(listener, 1, options, self.count(), make_handler)
+    }
+
+    /// Counts the events of servers.
+    fn count(&self) -> Count {
+        let events = self.metrics.events();
+        Arc::new(move |what| events.count(what))
     }
 
     fn serve_links(&self, listener: TcpListener) -> actix_rt::Arbiter {
@@ -332,13 +362,19 @@
         };
         let ip = self.settings.ip();
         let (control, hello) = (self.control.clone(), self.hello.clone());
+        let limits = self.settings.resources().peers();
+        let events = self.metrics.events();
         let arbiter = actix_rt::Arbiter::new();
         arbiter.spawn_fn(move || {
+            let count = Rc::new(move |what| events.count(what));
+            let registry = Registry::new(limits, count);
             let _ = listener.set_nonblocking(true);
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => {
                     let traffic = Traffic::new(control, hello, ip);
-                    actix_rt::spawn(accept(listener, credentials, traffic));
+                    let accept =
+                        accept(listener, credentials, traffic, registry);
+                    actix_rt::spawn(accept);
                 }
                 Err(err) => warn!("link: can't use the listener: {err}."),
             }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -21,7 +21,7 @@
 use futures_util::StreamExt;
 use serde::Serialize;
 
-pub use self::server::{serve, serve_with, Server, ServerOptions};
+pub use self::server::{serve, serve_with, Count, Server, ServerOptions};
 
 /// The response of a server.
 pub type Reply = Response<BoxBody>;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod platform;
 mod platform_watch;
 mod registry;
+pub mod resources;
 pub mod settings;
 pub mod target;
 pub mod traffic;
--- a/src/link_server.rs
+++ b/src/link_server.rs
@@ -19,6 +19,7 @@
 
 use crate::control::{Input, Origin};
 use crate::link::read;
+use crate::registry::{Registration, Registry};
 use crate::traffic::Traffic;
 use crate::wire::{self, Handover, Hop, Request, Response};
 
@@ -26,7 +27,10 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(3);
 /// The maximum number of concurrent exchanges on one connection.
 const MAX_STREAMS: u32 = 4_096;
-/// The flow-control window of a stream and of a connection, in bytes.
+/// The largest list of headers of a request, in bytes. Links use none.
+const MAX_HEADER_BYTES: u32 = 4 << 10;
+/// The flow-control window of a stream and of a connection of a known peer, in
+/// bytes.
 const WINDOW: u32 = 4 << 20;
 
 /// What the hello of a peer must match.
@@ -38,11 +42,12 @@
     pub proof: [u8; 32],
 }
 
-/// Accepts links forever.
+/// Accepts links forever, within the limits of a registry.
 pub async fn accept(
     listener: TcpListener,
     credentials: Credentials,
     traffic: Traffic,
+    registry: Rc<Registry>,
 ) {
     let credentials = Rc::new(credentials);
     loop {
@@ -53,7 +58,12 @@
                     traffic: traffic.clone(),
                     from,
                 };
-                actix_rt::spawn(peer.serve(stream));
+                match registry.open() {
+                    Some(registration) => {
+                        actix_rt::spawn(peer.serve(stream, registration));
+                    }
+                    None => registry.count("peers_refused"),
+                }
             }
             Err(err) => {
                 warn!("link: can't accept a connection: {err}.");
@@ -71,12 +81,24 @@
 }
 
 impl PeerConnection {
-    async fn serve(self, stream: TcpStream) {
+    async fn serve(self, stream: TcpStream, mut registration: Registration) {
+        // Without it, messages are only slower.
         let _ = stream.set_nodelay(true);
         let from = self.from;
-        let handshake = timeout(HELLO_TIMEOUT, self.handshake(stream)).await;
+        let handshake = timeout(HELLO_TIMEOUT, self.handshake(stream));
+        let handshake = tokio::select! {
+            result = handshake => result,
+            () = registration.closed() => return,
+        };
         match handshake {
-            Ok(Ok(connection)) => self.serve_exchanges(connection).await,
+            Ok(Ok(mut connection)) => {
+                registration.set_pinned(true);
+                connection.set_target_window_size(WINDOW);
+                if let Err(err) = connection.set_initial_window_size(WINDOW) {
+                    debug!("link: {from} keeps its small window: {err}.");
+                }
+                self.serve_exchanges(connection).await;
+            }
             Ok(Err(problem)) => {
                 warn!("link: refused {from}: {problem}.");
             }
@@ -93,8 +115,7 @@
     ) -> Result<Connection<TcpStream, Bytes>, String> {
         let mut connection = h2::server::Builder::new()
             .max_concurrent_streams(MAX_STREAMS)
-            .initial_window_size(WINDOW)
-            .initial_connection_window_size(WINDOW)
+            .max_header_list_size(MAX_HEADER_BYTES)
             .handshake(stream)
             .await
             .map_err(|err| err.to_string())?;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::net::UdpSocket;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cadence::{
     Counted, MetricSink, NopMetricSink, StatsdClient, UdpMetricSink,
@@ -21,10 +22,33 @@
 /// The prefix of every metric name.
 const PREFIX: &str = "puffinknot";
 
+/// Counts the events of servers, such as refused connections, on any thread.
+#[derive(Debug, Default)]
+pub struct EventCounts {
+    counts: Mutex<BTreeMap<&'static str, u64>>,
+}
+
+impl EventCounts {
+    /// Increments the counter of an event.
+    pub fn count(&self, what: &'static str) {
+        *self.lock().entry(what).or_default() += 1;
+    }
+
+    fn get(&self) -> BTreeMap<&'static str, u64> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<&'static str, u64>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Sends metrics.
 pub struct Metrics {
     client: StatsdClient,
     last_sent: Counters,
+    events: Arc<EventCounts>,
+    last_events: BTreeMap<&'static str, u64>,
 }
 
 impl Metrics {
@@ -41,11 +65,27 @@
             },
             None => statsd_client(NopMetricSink),
         };
-        Metrics { client, last_sent: Counters::default() }
+        Metrics {
+            client,
+            last_sent: Counters::default(),
+            events: Arc::default(),
+            last_events: BTreeMap::new(),
+        }
+    }
+
+    /// The counters of servers, which are sent, too.
+    pub fn events(&self) -> Arc<EventCounts> {
+        self.events.clone()
     }
 
     /// Sends the increase of each counter since the previous call.
     pub fn send(&mut self, counters: &Counters) {
+        let events = self.events.get();
+        let sent = std::mem::replace(&mut self.last_events, events.clone());
+        for (name, after) in events {
+            let before = sent.get(name).copied().unwrap_or_default();
+            self.send_increase(&format!("server.{name}"), before, after);
+        }
         let sent = std::mem::replace(&mut self.last_sent, counters.clone());
         self.send_increase("calls", sent.calls, counters.calls);
         self.send_increase("hops", sent.hops, counters.hops);
--- a/src/cell/resources.rs
+++ b/src/resources.rs
@@ -1,9 +1,9 @@
 /*!
-What the machine of a node provides, and which share of it clients may use.
+What a process may use, and which share of it clients may use.
 
-Clients are not under the control of the node. Their connections, and what
-these buffer, are limited so that memory and descriptors are left for the
-leader's state, other nodes, executors and the store.
+Clients are not under the control of the process. Their connections, and what
+these buffer, are limited so that memory and descriptors are left for its own
+state, its peers, executors and the store.
 */
 
 use puffinknot_core::connections::{ConnectionLimits, ALLOWANCE_BYTES};
@@ -23,11 +23,11 @@
 const TEXT_MEMORY_DIVISOR: usize = 16;
 /// The connections of clients take at most this part of the descriptors.
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 2;
-/// The connections of other nodes take at most this part of the descriptors.
+/// The connections of peers take at most this part of the descriptors.
 const PEER_DESCRIPTORS_DIVISOR: usize = 3;
-/// The connections to the readiness port, and to the metrics port.
+/// The connections to a port for monitoring.
 const MONITORING_CONNECTIONS: usize = 32;
-/// What the requests at these ports buffer beyond their allowances, in bytes.
+/// What the requests at such a port buffer beyond their allowances, in bytes.
 const MONITORING_BUFFER_BYTES: usize = 64 << 10;
 
 /// The memory and the descriptors that a process may use.
@@ -40,7 +40,7 @@
 }
 
 impl Resources {
-    /// The limits of the port for clients.
+    /// The limits of the port for clients or callers.
     pub fn clients(&self) -> ConnectionLimits {
         let by_memory = self.memory_bytes
             / CONNECTIONS_MEMORY_DIVISOR
@@ -53,7 +53,8 @@
         }
     }
 
-    /// The limits of the port for readiness checks, and of that for metrics.
+    /// The limits of the ports for readiness checks, for metrics and for
+    /// operators, each.
     pub fn monitoring(&self) -> ConnectionLimits {
         ConnectionLimits {
             connections: MONITORING_CONNECTIONS,
@@ -61,7 +62,7 @@
         }
     }
 
-    /// The limits of the port for other nodes.
+    /// The limits of the port for other nodes or entry VMs.
     pub fn peers(&self) -> ConnectionLimits {
         let connections =
             self.available_descriptors() / PEER_DESCRIPTORS_DIVISOR;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,7 @@
 use puffinknot_core::node::NodeConfig;
 
 use crate::error::{Error, ErrorKind, Result};
+use crate::resources::Resources;
 
 /// The entry daemon of puffinknot.
 ///
@@ -61,6 +62,14 @@
     /// The maximum number of calls in progress.
     #[arg(long, env = "PUFFINKNOT_MAX_CALLS", default_value_t = 10_000)]
     pub max_calls: usize,
+    /// The memory that the daemon may use, in MiB. Limits what callers have
+    /// open and what their requests buffer.
+    #[arg(long, env = "PUFFINKNOT_MEMORY_MB", default_value_t = 1_024)]
+    pub memory_mb: usize,
+    /// The number of descriptors that the daemon may open. Limits what callers
+    /// and other entry VMs have open.
+    #[arg(long, env = "PUFFINKNOT_MAX_FDS", default_value_t = 16_384)]
+    pub max_fds: usize,
     /// How long a planned shutdown waits for the load balancer to notice it,
     /// in milliseconds.
     #[arg(long, env = "PUFFINKNOT_DRAIN_MS", default_value_t = 1_000)]
@@ -108,6 +117,8 @@
         check_range("--threads", self.threads as u64, 1, 64)?;
         check_range("--call-scopes", self.call_scopes.into(), 1, 64)?;
         check_range("--max-calls", self.max_calls as u64, 1, 1_000_000)?;
+        check_range("--memory-mb", self.memory_mb as u64, 16, 1 << 20)?;
+        check_range("--max-fds", self.max_fds as u64, 256, 1 << 20)?;
         Ok(())
     }
 
@@ -116,6 +127,14 @@
         self.link.ip()
     }
 
+    /// What the daemon may use.
+    pub fn resources(&self) -> Resources {
+        Resources {
+            memory_bytes: self.memory_mb << 20,
+            descriptors: self.max_fds,
+        }
+    }
+
     /// The settings of the core, for the incarnation of this VM with this
     /// suffix.
     pub fn node_config(&self, incarnation: &str) -> NodeConfig {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,6 +5,8 @@
 mod cell;
 mod connections;
 mod crash_rate;
+#[allow(dead_code, reason = "another test binary uses the rest")]
+mod daemons;
 mod explain;
 mod failures;
 mod fair;
