Bodies of many small chunks yield to other tasks

A body whose chunks have one byte each kept the thread of a node for as long as its socket had more: decoding a chunk was not counted as work. Each chunk now counts against the budget of the task like a read.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -26,6 +26,7 @@
 use futures_util::Stream;
 use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::coop;
 use tokio::time::timeout;
 
 use super::Reply;
@@ -345,9 +346,12 @@
                 Err(_) => self.interim = &[],
             }
         }
+        // Many small chunks of one body must not delay other tasks.
+        let progress = ready!(coop::poll_proceed(cx));
         loop {
             let error = match self.codec.decode(&mut self.input) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => {
+                    progress.made_progress();
                     self.body = Body::Partial(before + bytes.len());
                     let size = READ_BYTES + self.body_buffer();
                     if self.registration.buffer(size) {
