Limit how many tasks wait at the leader

What callers saw: two jobs of 120 bytes, of 20,000 tasks with 1,000 repetitions that are due at once, take 261 MiB of the leader. Such jobs are legal, are accepted and stored, and so end each successor as well.

Cause: all tasks of all due repetitions were made ready at once, whatever their number.

Change: the number of waiting tasks is limited by the memory. Jobs beyond it are refused, and repetitions, whose jobs are accepted already, are put off until there is room. They use half of it, so that jobs that do not repeat are still accepted. A legal job alone always fits.

What tasks take once their starts are ordered is not limited yet.

--- a/puffinknot-core/src/jobs/model.rs
+++ b/puffinknot-core/src/jobs/model.rs
@@ -242,6 +242,11 @@
 const MAX_REPEATS: u32 = 10_000;
 
 impl Job {
+    /// The number of tasks of one repetition.
+    pub fn task_count(&self) -> usize {
+        self.steps.iter().map(|step| step.count as usize).sum()
+    }
+
     /// The bytes of the texts that clients choose freely.
     pub fn text_bytes(&self) -> usize {
         let length =
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -12,6 +12,7 @@
 - `admission` refuses jobs that can't be done while they are useful, by the
   work that waits (`service_backlog`) and that is to come (`demand`)
 - `retry_schedule` tells refused clients when to retry
+- `task_room` limits how many tasks wait
 - `early_cancels` remembers cancellations of jobs that have not arrived
 - `ledger` counts what client accounts have running
 - `account_shares` finds accounts that hold more than their fair share
@@ -118,6 +119,7 @@
 mod silence_alarm;
 mod speeds;
 mod store_outage;
+mod task_room;
 mod throttle;
 mod token_buckets;
 mod urgent_headroom;
@@ -145,6 +147,7 @@
 use self::silence_alarm::SilenceAlarm;
 use self::speeds::EstimateErrors;
 use self::store_outage::StoreOutages;
+use self::task_room::TaskRoom;
 use self::token_buckets::TokenBuckets;
 use self::urgent_headroom::UrgentHeadroom;
 
@@ -167,6 +170,8 @@
     /// The bytes that the texts of live jobs may take beyond an allowance of
     /// each job.
     pub large_text_bytes: usize,
+    /// The maximum number of tasks that wait to be started.
+    pub max_waiting_tasks: usize,
     /// Which mechanisms are enabled.
     pub mechanisms: Mechanisms,
 }
@@ -222,6 +227,7 @@
     jobs: BTreeMap<JobId, LiveJob>,
     ended: EndedJobs,
     early_cancels: EarlyCancels,
+    task_room: TaskRoom,
     executors: Executors,
     /// The newest incarnation of each executor, by the executor's ID.
     by_id: BTreeMap<String, ExecutorIndex>,
@@ -305,6 +311,7 @@
             jobs: BTreeMap::new(),
             ended: EndedJobs::default(),
             early_cancels: EarlyCancels::default(),
+            task_room: TaskRoom::default(),
             executors: Executors::default(),
             unheard_executors: BTreeSet::new(),
             entries_read: false,
@@ -444,6 +451,7 @@
         self.expire_in_flight_starts(now);
         self.reassign_overdue_calls(now);
         self.resend_stops(now);
+        self.count_waiting_tasks(now);
         self.release_due(now);
         self.check_takeover(now);
         self.refuse_waiting(now);
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -161,6 +161,9 @@
         if !self.has_room_for_text(job) {
             return Some("refused_large_text");
         }
+        if !self.has_room_for_tasks(job) {
+            return Some("refused_many_tasks");
+        }
         let store_unavailable = match self.is_enabled(Mechanism::AfterOutage) {
             true => !self.may_wait_for_store(job, queue, now),
             false => self.commits.is_stalled(now),
@@ -319,7 +322,8 @@
         }
     }
 
-    /// Releases the repetitions of a job that are due.
+    /// Releases the repetitions of a job that are due, as far as there is room
+    /// for their tasks.
     pub(super) fn release_due_of(&mut self, job: JobId, now: Millis) {
         let wall = (now as i64 + self.wall_offset).max(0) as Millis;
         let Some(live) = self.jobs.get_mut(&job) else { return };
@@ -332,8 +336,15 @@
             }
         };
         let from = live.due_repeats;
-        live.due_repeats = due.max(from);
+        let repeats = live.job.repeats.is_some();
+        let tasks = live.job.task_count();
         for time in from..due {
+            if repeats && !self.has_room_for_repetition(tasks) {
+                return self.count("repetitions_put_off");
+            }
+            if let Some(live) = self.jobs.get_mut(&job) {
+                live.due_repeats = time + 1;
+            }
             self.release(job, time);
         }
     }
@@ -345,6 +356,9 @@
             return;
         }
         for number in live.release(time) {
+            let state = live.steps.get(&(time, number));
+            let waiting = state.map_or(0, |state| state.waiting.len());
+            self.task_room.add(waiting);
             if live.written {
                 self.ready.insert(StepKey { job, time, step: number });
                 self.needs_placement = true;
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -21,6 +21,10 @@
 /// The texts of live jobs beyond the allowance of each job are at most this
 /// part of the memory. A leader holds them several times.
 const TEXT_MEMORY_DIVISOR: usize = 16;
+/// The waiting tasks take at most this part of the memory of the leader.
+const TASKS_MEMORY_DIVISOR: usize = 4;
+/// What a leader holds for a waiting task, about, in bytes.
+const TASK_BYTES: usize = 16;
 /// The connections of clients take at most this part of the descriptors.
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 2;
 /// The connections of peers take at most this part of the descriptors.
@@ -78,6 +82,15 @@
         self.memory_bytes / TEXT_MEMORY_DIVISOR
     }
 
+    /// The maximum number of waiting tasks at the leader, see
+    /// [`SchedulerConfig::max_waiting_tasks`].
+    ///
+    /// [`SchedulerConfig::max_waiting_tasks`]:
+    /// puffinknot_core::jobs::SchedulerConfig::max_waiting_tasks
+    pub fn max_waiting_tasks(&self) -> usize {
+        self.memory_bytes / TASKS_MEMORY_DIVISOR / TASK_BYTES
+    }
+
     fn available_descriptors(&self) -> usize {
         self.descriptors.saturating_sub(RESERVED_DESCRIPTORS)
     }
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -33,5 +33,6 @@
 mod start_backlog;
 mod store_outage;
 mod suspension;
+mod task_room;
 mod urgent_tasks;
 mod world;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -422,6 +422,7 @@
         lease: LEASE,
         ended_retention: 120_000,
         large_text_bytes: 16 << 20,
+        max_waiting_tasks: 100_000,
         inherited_order_lifetime: INHERITED_ORDER_LIFETIME,
         max_advice_batch: ADVICE_BATCH,
         min_commit_interval: 20,
