--- a/src/cell/ingress.rs
+++ b/src/cell/ingress.rs
@@ -50,7 +50,9 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Reply> + 'static,
 {
-    limit_socket_buffers(&listener);
+    if let Err(error) = limit_socket_buffers(&listener) {
+        warn!(%error, "socket_buffers_not_limited");
+    }
     let options = ServerOptions {
         head_timeout: HEAD_TIMEOUT,
         keep_alive: KEEP_ALIVE,
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -102,7 +102,9 @@
     Fut: Future<Output = Reply> + 'static,
 {
     listener.set_nonblocking(true)?;
-    limit_socket_buffers(&listener);
+    if let Err(err) = limit_socket_buffers(&listener) {
+        log::warn!("http: can't limit the buffers of sockets: {err}.");
+    }
     let server = WorkerServer::build()
         .workers(workers)
         .disable_signals()
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -29,15 +29,14 @@
 
 /// Limits what the kernel buffers for each connection that a listener accepts
 /// from now on, so that the buffers of all connections fit into the memory.
-pub fn limit_socket_buffers(listener: &impl AsFd) {
-    let limits = [
-        set_socket_recv_buffer_size(listener, SOCKET_BUFFER_BYTES),
-        set_socket_send_buffer_size(listener, SOCKET_BUFFER_BYTES),
-    ];
-    for error in limits.into_iter().filter_map(Result::err) {
-        // The buffers have the size that the system gives them.
-        log::warn!("http: can't limit the buffers of sockets: {error}.");
-    }
+///
+/// # Errors
+///
+/// If the system refuses that. The buffers then have its default size.
+pub fn limit_socket_buffers(listener: &impl AsFd) -> std::io::Result<()> {
+    set_socket_recv_buffer_size(listener, SOCKET_BUFFER_BYTES)?;
+    set_socket_send_buffer_size(listener, SOCKET_BUFFER_BYTES)?;
+    Ok(())
 }
 
 /// The open connections of a server.
