HTTP/1.1 is decoded without another crate

The traits of the codec of actix-http are in such a crate, so that heads, bodies and answers are decoded and encoded here now, with the types of actix-http and its checks of names, values, methods and targets. What can be read in two ways is refused.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -9,18 +9,16 @@
 */
 
 use std::cell::RefCell;
-use std::future::poll_fn;
-use std::pin::Pin;
+use std::future::{poll_fn, Future};
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use actix_codec::{poll_read_buf, Decoder, Encoder};
 use actix_http::body::{BodySize, BoxBody, MessageBody};
-use actix_http::error::{ParseError, PayloadError};
-use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::error::PayloadError;
 use actix_http::{
-    ConnectionType, Payload, Request, Response, ServiceConfig, StatusCode,
+    ConnectionType, Method, Payload, Request, Response, StatusCode, Version,
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
@@ -29,6 +27,10 @@
 use tokio::task::coop;
 use tokio::time::timeout;
 
+use super::format::{
+    append_chunk, append_last_chunk, AnswerFormat, BodyDecoder, Head,
+    HeadDecoder, InvalidBody, InvalidHead, Part,
+};
 use super::Reply;
 use crate::registry::Registration;
 
@@ -90,10 +92,10 @@
 }
 
 /// How far the body of the current request has been read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Body {
-    /// This many bytes of it.
-    Partial(usize),
+    /// This many bytes of it. The decoder decodes the rest.
+    Partial(usize, BodyDecoder),
     Complete,
     Failed,
 }
@@ -101,25 +103,30 @@
 /// A connection, and the request that it holds.
 pub struct Connection {
     tcp: TcpStream,
-    codec: Codec,
     input: BytesMut,
+    head_decoder: HeadDecoder,
     body: Body,
+    /// How the current request is answered.
+    format: AnswerFormat,
+    /// Whether the answer to the current request has no body.
+    omits_body: bool,
     /// What is left to send before the client sends the body.
     interim: &'static [u8],
     registration: Registration,
 }
 
 impl Connection {
-    pub fn new(
-        tcp: TcpStream,
-        config: ServiceConfig,
-        registration: Registration,
-    ) -> Connection {
+    pub fn new(tcp: TcpStream, registration: Registration) -> Connection {
         Connection {
             tcp,
-            codec: Codec::new(config),
             input: BytesMut::new(),
+            head_decoder: HeadDecoder::default(),
             body: Body::Complete,
+            format: AnswerFormat {
+                version: Version::HTTP_11,
+                keep_alive: false,
+            },
+            omits_body: false,
             interim: &[],
             registration,
         }
@@ -144,19 +151,15 @@
     /// If there is no such request.
     pub async fn read_head(&mut self) -> Result<Request, HeadError> {
         loop {
-            match self.codec.decode(&mut self.input) {
-                Ok(Some(Message::Item(request))) => {
-                    self.begin_body(&request);
-                    return Ok(request);
-                }
-                Ok(Some(Message::Chunk(_))) => return Err(HeadError::Ended),
+            match self.head_decoder.decode(&mut self.input) {
+                Ok(Some(head)) => return Ok(self.begin(head)),
                 Ok(None) => {}
-                Err(ParseError::TooLarge) => {
+                Err(InvalidHead::TooLarge) => {
                     let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
                     return Err(HeadError::Invalid(status));
                 }
-                Err(_) => {
-                    return Err(HeadError::Invalid(StatusCode::BAD_REQUEST))
+                Err(InvalidHead::Malformed) => {
+                    return Err(HeadError::Invalid(StatusCode::BAD_REQUEST));
                 }
             }
             match poll_fn(|cx| self.poll_fill(cx)).await {
@@ -170,16 +173,20 @@
         }
     }
 
-    fn begin_body(&mut self, request: &Request) {
-        self.body = match self.codec.message_type() {
-            MessageType::None => Body::Complete,
-            MessageType::Payload | MessageType::Stream => Body::Partial(0),
-        };
-        if self.body == Body::Complete {
-            self.registration.set_pinned(true);
-        } else if request.head().expect() {
-            self.interim = CONTINUE;
+    fn begin(&mut self, head: Head) -> Request {
+        let Head { request, body, keep_alive, expects_continue } = head;
+        let version = request.version();
+        self.format = AnswerFormat { version, keep_alive };
+        self.omits_body = request.method() == Method::HEAD;
+        self.interim = if expects_continue { CONTINUE } else { &[] };
+        match body {
+            Some(decoder) => self.body = Body::Partial(0, decoder),
+            None => {
+                self.body = Body::Complete;
+                self.registration.set_pinned(true);
+            }
         }
+        request
     }
 
     /// Answers a request with `handle`. Returns the connection if it can be
@@ -190,7 +197,7 @@
         handle: impl FnOnce(Request) -> F,
     ) -> Option<Connection>
     where
-        F: std::future::Future<Output = Reply>,
+        F: Future<Output = Reply>,
     {
         let (reply, connection) = if self.body == Body::Complete {
             (handle(request).await, self)
@@ -228,9 +235,10 @@
 
     /// Sends an answer. Returns the connection if another request can follow.
     async fn send(mut self, reply: Reply) -> Option<Connection> {
-        let (mut head, body) = reply.into_parts();
-        if self.body != Body::Complete {
-            head.head_mut().set_connection_type(ConnectionType::Close);
+        let (head, body) = reply.into_parts();
+        let close = head.head().connection_type() == ConnectionType::Close;
+        if close || self.body != Body::Complete {
+            self.format.keep_alive = false;
         }
         self.write_answer(head, body).await?;
         self.registration.set_pinned(false);
@@ -243,7 +251,7 @@
         if self.input.is_empty() {
             self.input = BytesMut::new();
         }
-        self.codec.keep_alive().then_some(self)
+        self.format.keep_alive.then_some(self)
     }
 
     /// Returns `None` if the client does not get the answer.
@@ -253,22 +261,30 @@
         mut body: BoxBody,
     ) -> Option<()> {
         let size = body.size();
-        let mut output = BytesMut::new();
-        self.codec.encode(Message::Item((head, size)), &mut output).ok()?;
-        if matches!(size, BodySize::None | BodySize::Sized(0)) {
+        let chunked = self.format.is_chunked(size);
+        if size == BodySize::Stream && !chunked {
+            // The end of the connection ends such a body.
+            self.format.keep_alive = false;
+        }
+        let head = self.format.head(&head, size);
+        let mut output = BytesMut::from(head.as_bytes());
+        let is_empty = matches!(size, BodySize::None | BodySize::Sized(0));
+        if is_empty || self.omits_body {
             return self.write(&mut output).await;
         }
         loop {
             if size == BodySize::Stream {
                 self.write(&mut output).await?;
             }
-            let chunk = self.next_chunk(&mut body, size).await?;
-            let ended = chunk.is_none();
-            self.codec.encode(Message::Chunk(chunk), &mut output).ok()?;
-            if ended {
-                break;
+            match self.next_chunk(&mut body, size).await? {
+                Some(chunk) if chunked => append_chunk(&mut output, &chunk),
+                Some(chunk) => output.extend_from_slice(&chunk),
+                None => break,
             }
         }
+        if chunked {
+            append_last_chunk(&mut output);
+        }
         self.write(&mut output).await
     }
 
@@ -316,8 +332,8 @@
             }
             self.input.reserve(READ_BYTES);
         }
-        let tcp = Pin::new(&mut self.tcp);
-        let read = ready!(poll_read_buf(tcp, cx, &mut self.input));
+        let read = pin!(self.tcp.read_buf(&mut self.input));
+        let read = ready!(read.poll(cx));
         self.registration.record_receipt();
         Poll::Ready(read.map_err(|_| ReadError::Broken))
     }
@@ -325,8 +341,8 @@
     /// An upper bound of the buffer that collects the body.
     fn body_buffer(&self) -> usize {
         match self.body {
-            Body::Partial(0) | Body::Complete | Body::Failed => 0,
-            Body::Partial(bytes) => bytes.next_power_of_two(),
+            Body::Partial(0, _) | Body::Complete | Body::Failed => 0,
+            Body::Partial(bytes, _) => bytes.next_power_of_two(),
         }
     }
 
@@ -335,9 +351,9 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, PayloadError>>> {
-        let Body::Partial(before) = self.body else {
+        if !matches!(self.body, Body::Partial(..)) {
             return Poll::Ready(None);
-        };
+        }
         while !self.interim.is_empty() {
             let tcp = Pin::new(&mut self.tcp);
             match ready!(tcp.poll_write(cx, self.interim)) {
@@ -349,24 +365,25 @@
         // Many small chunks of one body must not delay other tasks.
         let progress = ready!(coop::poll_proceed(cx));
         loop {
-            let error = match self.codec.decode(&mut self.input) {
-                Ok(Some(Message::Chunk(Some(bytes)))) => {
+            let Body::Partial(received, decoder) = &mut self.body else {
+                return Poll::Ready(None);
+            };
+            let error = match decoder.decode(&mut self.input) {
+                Ok(Some(Part::Data(bytes))) => {
                     progress.made_progress();
-                    self.body = Body::Partial(before + bytes.len());
+                    *received += bytes.len();
                     let size = READ_BYTES + self.body_buffer();
                     if self.registration.buffer(size) {
                         return Poll::Ready(Some(Ok(bytes)));
                     }
                     PayloadError::Overflow
                 }
-                Ok(Some(Message::Chunk(None))) => {
+                Ok(Some(Part::End)) => {
                     self.body = Body::Complete;
                     self.registration.set_pinned(true);
                     return Poll::Ready(None);
                 }
-                Ok(Some(Message::Item(_))) | Err(_) => {
-                    PayloadError::EncodingCorrupted
-                }
+                Err(InvalidBody) => PayloadError::EncodingCorrupted,
                 Ok(None) => match ready!(self.poll_fill(cx)) {
                     Ok(1..) => continue,
                     Ok(0) | Err(ReadError::Broken) => {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -9,6 +9,7 @@
 */
 
 mod connection;
+mod format;
 mod server;
 
 use std::time::Duration;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::{KeepAlive, Request, ServiceConfig, StatusCode};
+use actix_http::{Request, StatusCode};
 use actix_server::Server as WorkerServer;
 use actix_service::fn_service;
 use puffinknot_core::connections::ConnectionLimits;
@@ -129,7 +129,6 @@
 /// Serves connections on one thread.
 pub struct Server {
     options: ServerOptions,
-    config: ServiceConfig,
     registry: Rc<Registry>,
     /// The refused connections that are open.
     refused: Cell<usize>,
@@ -142,16 +141,8 @@
         options: ServerOptions,
         count: Rc<dyn Fn(&'static str)>,
     ) -> Server {
-        let keep_alive = KeepAlive::Timeout(options.keep_alive);
-        let config = ServiceConfig::new(
-            keep_alive,
-            options.head_timeout,
-            Duration::ZERO,
-            false,
-            None,
-        );
         let registry = Registry::new(options.limits, count);
-        Server { options, config, registry, refused: Cell::new(0) }
+        Server { options, registry, refused: Cell::new(0) }
     }
 
     /// Serves a connection until it ends. A connection that breaks affects
@@ -166,8 +157,7 @@
         let Some(registration) = self.registry.open() else {
             return self.refuse(tcp).await;
         };
-        let config = self.config.clone();
-        let mut connection = Connection::new(tcp, config, registration);
+        let mut connection = Connection::new(tcp, registration);
         let mut idle_timeout = self.options.head_timeout;
         loop {
             let next = timeout(idle_timeout, connection.has_next()).await;
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -265,3 +265,105 @@
     drop(second);
     assert_eq!(server.counted("connections_refused"), refused);
 }
+
+/// The status line of the only answer to a request, which ends the connection
+/// if it is refused.
+fn status(server: &TestServer, request: &str) -> String {
+    let answers = server.exchange(request.as_bytes());
+    answers.lines().next().unwrap_or_default().to_string()
+}
+
+#[test]
+fn heads_that_can_be_read_in_two_ways_are_refused() {
+    let server = TestServer::start(ROOMY);
+    let invalid = [
+        "GET / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        "GET / HTTP/2.0\r\nHost: h\r\n\r\n",
+        "GET  / HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET / HTTP/1.1 \r\nHost: h\r\n\r\n",
+        "GET /\x01 HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h\r\nX : y\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h\r\nX: y\r\n folded\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h\r\nX: y\nZ: z\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +1\r\n\r\nx",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1, 1\r\n\r\nx",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: \r\n\r\nx",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\
+         Content-Length: 1\r\n\r\nx",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\
+         Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\n\
+         Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ];
+    for request in invalid {
+        let status = status(&server, request);
+        assert_eq!(status, "HTTP/1.1 400 Bad Request", "{request:?}");
+    }
+    assert_eq!(server.counted("heads_invalid"), invalid.len());
+    let headers = "X: y\r\n".repeat(96);
+    let request = format!("GET / HTTP/1.1\r\nHost: h\r\n{headers}\r\n");
+    assert!(status(&server, &request).starts_with("HTTP/1.1 431 "));
+}
+
+#[test]
+fn chunks_that_are_malformed_are_refused() {
+    let server = TestServer::start(ROOMY);
+    let head = "POST / HTTP/1.1\r\nHost: h\r\n\
+        Transfer-Encoding: chunked\r\n\r\n";
+    let long = format!("1;{}\r\nx\r\n0\r\n\r\n", "e".repeat(5_000));
+    let trailers = format!("0\r\n{}\r\n", "X: y\r\n".repeat(97));
+    for chunks in [
+        "x\r\n",
+        "\r\n",
+        "-1\r\nx\r\n0\r\n\r\n",
+        "0x1\r\nx\r\n0\r\n\r\n",
+        "1\nx\r\n0\r\n\r\n",
+        "1;\x00\r\nx\r\n0\r\n\r\n",
+        "1\r\nxy\r\n0\r\n\r\n",
+        "11111111111111111\r\nx\r\n0\r\n\r\n",
+        &long,
+        &trailers,
+    ] {
+        let status = status(&server, &format!("{head}{chunks}"));
+        assert_eq!(status, "HTTP/1.1 400 Bad Request", "{chunks:?}");
+    }
+}
+
+#[test]
+fn a_request_may_come_in_any_pieces() {
+    let server = TestServer::start(ROOMY);
+    let request = b"\r\nPOST /p HTTP/1.1\r\nhost:h\r\nX-Empty:\r\n\
+        Connection: Keep-Alive\r\nTransfer-Encoding: Chunked\r\n\r\n\
+        3;name=value\r\nabc\r\n0A \r\n0123456789\r\n00\r\nX: y\r\n\r\n";
+    for size in [1, 2, 3, 7, 50, request.len()] {
+        let mut tcp = server.connect();
+        tcp.set_nodelay(true).expect("it is open");
+        for piece in request.chunks(size) {
+            tcp.write_all(piece).expect("it is read");
+        }
+        read_until(&mut tcp, "/p 13\n");
+        tcp.write_all(&post("/again", 3)).expect("it is open");
+        read_until(&mut tcp, "/again 3\n");
+    }
+}
+
+#[test]
+fn a_connection_is_kept_open_if_the_client_wishes() {
+    let server = TestServer::start(ROOMY);
+    for (version, option, kept) in [
+        ("HTTP/1.1", "", true),
+        ("HTTP/1.1", "Connection: x, close\r\n", false),
+        ("HTTP/1.0", "", false),
+        ("HTTP/1.0", "Connection: keep-alive\r\n", true),
+    ] {
+        let request = format!("GET /k {version}\r\nHost: h\r\n{option}\r\n");
+        let answers = server.exchange(request.repeat(2).as_bytes());
+        let count = answers.matches("HTTP/1.1 200 OK\r\n").count();
+        assert_eq!(count, if kept { 2 } else { 1 }, "{version} {option}");
+        let says_close = answers.contains("connection: close");
+        assert_eq!(says_close, !kept, "{version} {option}");
+    }
+}
