--- a/puffinknot-core/src/connections.rs
+++ b/puffinknot-core/src/connections.rs
@@ -10,9 +10,9 @@
 At a limit, connections give way from which nothing has come for a while, the
 longest silent first: clients that are about to finish are not among them. If
 there are none, the newcomer is refused. A request that is alone is received
-whatever its size, which has limits of its own. A connection can be pinned, so that it
-never gives way: while its request is being answered, since the request may
-have been carried out, or once its peer is known.
+whatever its size, which has limits of its own. A connection can be pinned, so
+that it never gives way: while its request is being answered, since the request
+may have been carried out, or once its peer is known.
 
 # Example
 
--- a/puffinknot-core/src/jobs/scheduler/early_cancels.rs
+++ b/puffinknot-core/src/jobs/scheduler/early_cancels.rs
@@ -11,7 +11,7 @@
 The number of cancellations is limited, since anyone may cancel any id. Beyond
 the limit they are refused, which promises nothing. Half of the room is for
 whoever comes; the other half is divided evenly among the client accounts and
-the callers without one, so that none of them can use up the room of the others.
+the callers without one, so that none of them can use up the room of others.
 */
 
 use std::collections::{BTreeMap, VecDeque};
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -175,8 +175,8 @@
         (job.repeats.is_none() && cordoned).then_some("refused_cordoned")
     }
 
-    /// Whether the texts of a job fit beside those of the live jobs. They do if
-    /// no live job has large ones.
+    /// Whether the texts of a job fit beside those of the live jobs. They do
+    /// if no live job has large ones.
     fn has_room_for_text(&self, job: &Job) -> bool {
         let excess =
             |job: &Job| job.text_bytes().saturating_sub(TEXT_ALLOWANCE_BYTES);
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -53,9 +53,8 @@
     let _ = timeout(WRITE_TIMEOUT, tcp.write_all(REFUSAL)).await;
 }
 
-/// Closes the connection of a client after an answer to a request that is not
-/// read: reads what the client still sends, until it closes the connection,
-/// too.
+/// Closes a connection after the answer to a request that was not read. Until
+/// the client closes it, too, what the client sends is dropped.
 pub async fn linger(mut tcp: TcpStream) {
     let mut unread = [0; 1 << 10];
     let drain = async {
--- a/src/http/format.rs
+++ b/src/http/format.rs
@@ -1,11 +1,10 @@
 /*!
 The format of HTTP/1.1 messages on a connection.
 
-Heads and bodies of requests are decoded from what has been received so far,
-without a copy of it elsewhere: a connection holds what it has read and nothing
-else. Names, values, methods and targets are checked by the types of the `http`
-crate. Where a message could be read in two ways, such as one with two lengths,
-it is refused.
+Requests are decoded step by step, each from what has been received so far, so
+that a connection decides how much of them it holds. Names, values, methods and
+targets are checked by their types. Where a message could be read in two ways,
+such as one with two lengths, it is refused.
 */
 
 use std::fmt::Write;
@@ -335,13 +334,14 @@
     }
 }
 
-/// Parses the line before a chunk: its size, and extensions, which are ignored.
+/// Parses the line before a chunk: its size, and extensions, which are not
+/// used.
 fn parse_chunk_size(line: &[u8]) -> Option<u64> {
     let size = line.split(|byte| *byte == b';').next()?;
     parse_number(size.trim_ascii_end(), 16)
 }
 
-/// How an answer ends, and whether it has a body.
+/// What the form of an answer depends on, besides the answer itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerFormat {
     /// The version of the request.
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -211,7 +211,9 @@
     })]
 
     #[test]
-    fn no_limit_is_ever_exceeded(steps in prop::collection::vec(step(), 0..99)) {
+    fn no_limit_is_ever_exceeded(
+        steps in prop::collection::vec(step(), 0..99),
+    ) {
         let mut connections = Connections::new(LIMITS);
         let mut known = Known::default();
         for step in steps {
