--- /dev/null
+++ b/review/standins-3/src/world.rs
@@ -0,0 +1,602 @@
+//! A small deployment on loopback addresses: node processes, the platform's
+//! store and its list of machines, and machines with executors.
+
+use std::fs::File;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use actix_http::{HttpMessage, Request, StatusCode};
+use base64::prelude::{Engine, BASE64_STANDARD};
+use puffinknot::http::{json, read_body, text, Reply};
+use puffinknot_standin::server::Running;
+use puffinknot_standin::users::Store;
+use serde_json::{json, Value};
+use tokio::time::sleep;
+
+use crate::executor::{body_of, Executor, Run, HOLD_MAX_MS};
+
+pub const HOST: &str = "nony24.example";
+/// `value_bytes` of the settings.
+const VALUE_BYTES: usize = 1_048_576;
+/// The most entries in one transaction.
+const TXN_ENTRIES: usize = 32;
+/// `HeartbeatMs` of the settings.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+/// What was seen, for `record.txt`.
+#[derive(Clone)]
+pub struct Record {
+    began: Instant,
+    file: Arc<Mutex<File>>,
+}
+
+impl Record {
+    fn new(path: &str) -> Record {
+        let file = File::create(path).expect("record.txt can be written");
+        let file = Arc::new(Mutex::new(file));
+        Record { began: Instant::now(), file }
+    }
+
+    pub fn at(&self, when: Instant, line: &str) {
+        let at = when.saturating_duration_since(self.began).as_secs_f64();
+        let line = format!("{at:8.3} {line}");
+        println!("{line}");
+        let mut file = self.file.lock().expect("no panic while writing");
+        let _ = writeln!(file, "{line}");
+    }
+
+    pub fn note(&self, line: &str) {
+        self.at(Instant::now(), line);
+    }
+}
+
+/// A start that the network holds back: it stays without an answer, and is
+/// delivered once this time has passed.
+#[derive(Clone, Copy)]
+pub struct Late {
+    pub after: Duration,
+}
+
+/// A machine, which runs at most one executor at a time.
+pub struct Machine {
+    pub name: String,
+    pub addr: SocketAddr,
+    state: Arc<Mutex<MachineState>>,
+    _server: Running,
+}
+
+#[derive(Default)]
+struct MachineState {
+    executor: Option<Executor>,
+    /// All incarnations so far.
+    lives: Vec<Executor>,
+    /// What happens to the next start that arrives.
+    late: Option<Late>,
+    /// When a start was held back.
+    held: Option<(Instant, String)>,
+    /// When the entry was written last.
+    written: Option<Instant>,
+    /// The machine is down for its upkeep until then.
+    upkeep_until: Option<Instant>,
+    seq: u64,
+}
+
+impl Machine {
+    fn start(name: String, log: Record) -> Machine {
+        let state: Arc<Mutex<MachineState>> = Arc::default();
+        let served = state.clone();
+        let server = Running::start("127.0.0.1:0", move || {
+            let (state, log) = (served.clone(), log.clone());
+            move |request: Request| {
+                let (state, log) = (state.clone(), log.clone());
+                async move { serve_executor(request, state, log).await }
+            }
+        });
+        let server = server.expect("a free port");
+        Machine { name, addr: server.addr(), state, _server: server }
+    }
+
+    pub fn begin(&self, id: &str, start_time: Duration) {
+        let mut state = self.state.lock().expect("no panic");
+        let life = state.lives.len() as u32 + 1;
+        let executor = Executor::new(id, life, start_time);
+        state.lives.push(executor.clone());
+        state.executor = Some(executor);
+        state.written = None;
+    }
+
+    pub fn crash(&self) {
+        let mut state = self.state.lock().expect("no panic");
+        if let Some(executor) = state.executor.take() {
+            executor.end();
+        }
+    }
+
+    pub fn hold_next_start(&self, late: Option<Late>) {
+        self.state.lock().expect("no panic").late = late;
+    }
+
+    pub fn held(&self) -> Option<(Instant, String)> {
+        self.state.lock().expect("no panic").held.clone()
+    }
+
+    pub fn lives(&self) -> Vec<Executor> {
+        self.state.lock().expect("no panic").lives.clone()
+    }
+}
+
+async fn never() -> Reply {
+    sleep(Duration::from_secs(3_600)).await;
+    text(StatusCode::SERVICE_UNAVAILABLE, "")
+}
+
+async fn serve_executor(
+    mut request: Request,
+    state: Arc<Mutex<MachineState>>,
+    log: Record,
+) -> Reply {
+    let path = request.path().to_string();
+    let expected = request.headers().get("X-Expect-Instance");
+    let expected = expected.and_then(|id| id.to_str().ok());
+    let expected = expected.map(str::to_string);
+    let body = body_of(&mut request).await;
+    let late = if path == "/v1/run-start" {
+        state.lock().expect("no panic").late.take()
+    } else {
+        None
+    };
+    if let Some(late) = late {
+        let task = body["Task"].as_str().unwrap_or_default().to_string();
+        log.note(&format!("the start of {task} is held back unanswered"));
+        state.lock().expect("no panic").held =
+            Some((Instant::now(), task.clone()));
+        let (state, path) = (state.clone(), path.clone());
+        actix_rt::spawn(async move {
+            sleep(late.after).await;
+            let reply = deliver(&state, &expected, &path, &body).await;
+            let status = reply.map(|reply| reply.status().as_u16());
+            log.note(&format!(
+                "the held start of {task} (run {}) is carried out: {status:?}",
+                body["Run"]
+            ));
+        });
+        return never().await;
+    }
+    match deliver(&state, &expected, &path, &body).await {
+        Some(reply) => reply,
+        None => never().await,
+    }
+}
+
+/// Hands a call to the executor that runs on the machine, if any.
+async fn deliver(
+    state: &Mutex<MachineState>,
+    expected: &Option<String>,
+    path: &str,
+    body: &Value,
+) -> Option<Reply> {
+    let executor = state.lock().expect("no panic").executor.clone()?;
+    if expected.as_ref().is_some_and(|id| *id != executor.id) {
+        return Some(text(StatusCode::MISDIRECTED_REQUEST, "another life"));
+    }
+    executor.answer(path, body).await
+}
+
+pub struct Node {
+    pub ip: String,
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+pub struct World {
+    pub record: Record,
+    pub store: Store,
+    pub machines: Arc<Vec<Machine>>,
+    pub nodes: Vec<Node>,
+    ports: [u16; 3],
+    _servers: Vec<Running>,
+}
+
+/// A port that is free on all loopback addresses for now.
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("0.0.0.0:0").expect("a free port");
+    listener.local_addr().expect("an address").port()
+}
+
+impl World {
+    /// Starts the store, the list of machines and so many machines, each with
+    /// an executor. Nodes are started by [`World::start_nodes`].
+    pub fn start(record: &str, machines: usize, start_time: u64) -> World {
+        let record = Record::new(record);
+        let store = Store::default();
+        let machines: Vec<Machine> = (0..machines)
+            .map(|n| Machine::start(format!("m-{n}"), record.clone()))
+            .collect();
+        for (n, machine) in machines.iter().enumerate() {
+            let start_time = Duration::from_millis(start_time);
+            machine.begin(&format!("i-{n:04}"), start_time);
+        }
+        let machines = Arc::new(machines);
+        let ports = [free_port(), free_port(), free_port()];
+        let servers = Vec::new();
+        World { record, store, machines, nodes: vec![], ports, _servers: servers }
+    }
+
+    pub fn start_nodes(&mut self, count: usize) {
+        let inner = self.store.serve("127.0.0.1:0").expect("a store");
+        let store = serve_store(inner.addr(), self.record.clone());
+        let cloud = serve_cloud(self.machines.clone(), self.record.clone());
+        spawn_heartbeats(self.machines.clone(), self.store.clone());
+        let id = std::process::id();
+        let net = format!("127.{}.{}", 20 + id % 200, id / 200 % 250);
+        for number in 1..=count {
+            let ip = format!("{net}.{number}");
+            let text = settings(&net, &ip, self.ports, store.addr(), cloud.addr());
+            let file = format!("review-3-{id}-{number}.toml");
+            let path = std::env::temp_dir().join(file);
+            std::fs::write(&path, text).expect("a temporary file");
+            // As the `run` line of the deploy file says.
+            let mut command = Command::new("target/release/puffinknot-node");
+            command.args(["--without", "urgent-room"]);
+            command.env("PUFFINKNOT_SETTINGS", &path);
+            command.stdout(match std::env::var("REVIEW_LOGS") {
+                Ok(dir) => File::create(format!("{dir}/node-{number}.log"))
+                    .map_or_else(|_| Stdio::null(), Stdio::from),
+                Err(_) => Stdio::null(),
+            });
+            let child = command.spawn().expect("the program is built");
+            self.nodes.push(Node { ip, child, settings: path });
+        }
+        self._servers.extend([inner, store, cloud]);
+    }
+
+    pub fn url(&self, node: usize, path: &str) -> String {
+        let node = &self.nodes[node % self.nodes.len()];
+        format!("http://{}:{}{path}", node.ip, self.ports[0])
+    }
+
+    /// Calls a node as a client does. Status 0 stands for no answer.
+    pub async fn call(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> (u16, String) {
+        let method = awc::http::Method::from_bytes(method.as_bytes());
+        let url = self.url(node, path);
+        let client = awc::Client::builder().disable_timeout().finish();
+        let request = client
+            .request(method.expect("a method"), url)
+            .insert_header(("Host", HOST))
+            .insert_header(("X-Deadline-Ms", "3000"))
+            .timeout(Duration::from_secs(3));
+        let sent = match body {
+            Some(body) => request
+                .insert_header(("Content-Type", "application/json"))
+                .send_body(body.to_string())
+                .await,
+            None => request.send().await,
+        };
+        let Ok(mut response) = sent else { return (0, String::new()) };
+        let body = response.body().await.unwrap_or_default();
+        let body = String::from_utf8_lossy(&body).into_owned();
+        (response.status().as_u16(), body)
+    }
+
+    /// Hands a job in, at one node after the other, until it is accepted.
+    pub async fn submit(&self, id: u64, body: &Value) -> bool {
+        for attempt in 0..40 {
+            let path = job(id);
+            let node = id as usize + attempt;
+            let (status, _) = self.call(node, "POST", &path, Some(body)).await;
+            if status == 200 {
+                return true;
+            }
+            sleep(Duration::from_millis(250)).await;
+        }
+        false
+    }
+
+    pub async fn state(&self, id: u64) -> String {
+        for attempt in 0..8 {
+            let (status, body) =
+                self.call(id as usize + attempt, "GET", &job(id), None).await;
+            if status == 200 || status == 410 {
+                return format!("{status} {body}");
+            }
+            sleep(Duration::from_millis(250)).await;
+        }
+        "no answer".to_string()
+    }
+
+    pub async fn wait_for_success(&self, id: u64, limit: Duration) -> bool {
+        let began = Instant::now();
+        while began.elapsed() < limit {
+            if self.state(id).await.contains("succeeded") {
+                return true;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
+
+    /// Every run so far, oldest first.
+    pub fn runs(&self) -> Vec<Run> {
+        let lives = self.machines.iter().flat_map(Machine::lives);
+        let mut runs: Vec<Run> = lives.flat_map(|e| e.record()).collect();
+        runs.sort_by_key(|run| run.began);
+        runs
+    }
+}
+
+/// The path of a job.
+pub fn job(id: u64) -> String {
+    format!("/lohu930/{id:016x}")
+}
+
+pub fn config(max_attempts: u32) -> Value {
+    json!({
+        "Version": 1,
+        "Routes": [{
+            "Name": "r-3hwrr6x", "Host": HOST, "PathPrefix": "/lohu930/",
+            "Kind": "unsafe", "TimeoutMs": 3000, "TargetLatencyMs": 3000,
+            "Priority": 1, "Backend": "huvo11a", "MaxAttempts": max_attempts,
+            "Stretch": 4.0,
+        }],
+        "Services": [{
+            "Name": "huvo11a", "HealthPath": "/health", "MaxConns": 64,
+            "Protocol": "h1", "Tls": false, "EnforcesCapacity": false,
+            "Headroom": false,
+        }],
+        "Limits": {
+            "MaxHeaderBytes": 16384, "MaxBodyBytes": 262144,
+            "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
+        },
+    })
+}
+
+/// Writes the executors' entries, and removes those of executors that were
+/// silent for three heartbeats.
+fn spawn_heartbeats(machines: Arc<Vec<Machine>>, store: Store) {
+    std::thread::spawn(move || loop {
+        for machine in machines.iter() {
+            let mut state = machine.state.lock().expect("no panic");
+            let written = state.written;
+            let id = state.lives.last().map(|e| e.id.clone());
+            let Some(id) = id else { continue };
+            let key = format!("servers/{id}");
+            let Some(executor) = state.executor.clone() else {
+                if written.is_some_and(|at| at.elapsed() > HEARTBEAT * 3) {
+                    store.remove(&key);
+                    state.written = None;
+                }
+                continue;
+            };
+            if written.is_some_and(|at| at.elapsed() < HEARTBEAT) {
+                continue;
+            }
+            state.seq += 1;
+            store.write(&key, &json!({
+                "Backend": "huvo11a", "Address": machine.addr.to_string(),
+                "Zone": "kariakoo-hall", "Version": "v1", "Slots": 8,
+                "State": "ready", "ColdLeftMs": 0, "Machine": machine.name,
+                "Capacity": { "Cpu": 16_000, "MemMb": 65_536, "Gpus": 0 },
+                "Labels": ["a", "r1-1"], "ClockMs": executor.clock(),
+                "born": executor.born_ms, "Seq": state.seq,
+            }));
+            state.written = Some(Instant::now());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    });
+}
+
+/// Serves the list of machines, and their upkeep.
+fn serve_cloud(machines: Arc<Vec<Machine>>, log: Record) -> Running {
+    let server = Running::start("127.0.0.1:0", move || {
+        let (machines, log) = (machines.clone(), log.clone());
+        move |mut request: Request| {
+            let (machines, log) = (machines.clone(), log.clone());
+            async move {
+                if request.path() == "/v1/machines" {
+                    return list_machines(&machines);
+                }
+                let body = body_of(&mut request).await;
+                begin_upkeep(&machines, &body, &log)
+            }
+        }
+    });
+    server.expect("a free port")
+}
+
+fn list_machines(machines: &[Machine]) -> Reply {
+    let rows = machines.iter().map(|machine| {
+        let state = machine.state.lock().expect("no panic");
+        let down = state.upkeep_until.is_some_and(|at| at > Instant::now());
+        let id = state.lives.last().map(|e| e.id.clone()).unwrap_or_default();
+        json!({
+            "Machine": machine.name, "Pool": "huvo11a",
+            "State": if down { "upkeep" } else { "up" },
+            "Zone": "kariakoo-hall", "Labels": ["a", "r1-1"],
+            "Capacity": { "Cpu": 16_000, "MemMb": 65_536, "Gpus": 0 },
+            "Id": if down { String::new() } else { id },
+        })
+    });
+    let rows: Vec<Value> = rows.collect();
+    json(StatusCode::OK, &json!({ "Machines": rows, "NextToken": null }))
+}
+
+/// Takes a machine down: all that runs there dies, and after `UpkeepS` a new
+/// executor enters the pool.
+fn begin_upkeep(machines: &[Machine], body: &Value, log: &Record) -> Reply {
+    const UPKEEP: Duration = Duration::from_secs(2);
+    let name = body["Machine"].as_str().unwrap_or_default();
+    let machine = machines.iter().find(|m| m.name == name);
+    let Some(machine) = machine else {
+        return text(StatusCode::BAD_REQUEST, "no such machine");
+    };
+    let done = machine.state.lock().expect("no panic").upkeep_until;
+    if done.is_some() {
+        return json(StatusCode::OK, &json!({}));
+    }
+    log.note(&format!("upkeep of {name} begins"));
+    machine.crash();
+    machine.state.lock().expect("no panic").upkeep_until =
+        Some(Instant::now() + UPKEEP);
+    let state = machine.state.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(UPKEEP);
+        let mut state = state.lock().expect("no panic");
+        let former = state.lives.last().map(|e| e.id.clone());
+        let id = format!("{}-b", former.unwrap_or_default());
+        let life = state.lives.len() as u32 + 1;
+        let executor = Executor::new(&id, life, Duration::from_millis(500));
+        state.lives.push(executor.clone());
+        state.executor = Some(executor);
+        state.written = None;
+    });
+    json(StatusCode::OK, &json!({}))
+}
+
+/// Serves the platform's store: the project's own stand-in, behind the bounds
+/// on values and transactions that the pages state.
+fn serve_store(inner: SocketAddr, log: Record) -> Running {
+    let refusals: Arc<Mutex<u64>> = Arc::default();
+    let server = Running::start("127.0.0.1:0", move || {
+        let (log, refusals) = (log.clone(), refusals.clone());
+        move |request: Request| {
+            let (log, refusals) = (log.clone(), refusals.clone());
+            async move { serve_store_call(request, inner, &log, &refusals).await }
+        }
+    });
+    server.expect("a free port")
+}
+
+async fn serve_store_call(
+    mut request: Request,
+    inner: SocketAddr,
+    log: &Record,
+    refusals: &Mutex<u64>,
+) -> Reply {
+    let limit = Duration::from_secs(5);
+    let payload = request.take_payload();
+    let body = read_body(payload, 64 << 20, limit).await.unwrap_or_default();
+    if request.path() == "/v1/kv-txn" {
+        let call: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        if let Some(why) = txn_problem(&call) {
+            let mut refusals = refusals.lock().expect("no panic");
+            *refusals += 1;
+            if *refusals <= 5 || *refusals % 100 == 0 {
+                log.note(&format!("store refuses a write ({refusals}): {why}"));
+            }
+            return text(StatusCode::BAD_REQUEST, &why);
+        }
+    }
+    let query = request.uri().path_and_query().map(|p| p.as_str().to_string());
+    let url = format!("http://{inner}{}", query.unwrap_or_default());
+    let method = awc::http::Method::from_bytes(request.method().as_str().as_bytes());
+    let client = awc::Client::builder().disable_timeout().finish();
+    let sent = client
+        .request(method.expect("a method"), url)
+        .timeout(Duration::from_secs(40))
+        .send_body(body)
+        .await;
+    let Ok(mut answer) = sent else {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "");
+    };
+    let status = StatusCode::from_u16(answer.status().as_u16());
+    let body = answer.body().limit(64 << 20).await.unwrap_or_default();
+    let value: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    json(status.expect("a status"), &value)
+}
+
+/// Why a sound store refuses a transaction, if it does.
+fn txn_problem(call: &Value) -> Option<String> {
+    let rows = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+    let entries = rows("ExpectedRev").len() + rows("put").len() + rows("Remove").len();
+    if entries > TXN_ENTRIES {
+        return Some(format!("{entries} entries, at most {TXN_ENTRIES}"));
+    }
+    rows("put").iter().find_map(|row| {
+        let value = row["Value"].as_str().unwrap_or_default();
+        let bytes = BASE64_STANDARD.decode(value).map_or(0, |v| v.len());
+        let key = row["Key"].as_str().unwrap_or_default();
+        (bytes > VALUE_BYTES).then(|| {
+            format!("{key} has {bytes} bytes, at most {VALUE_BYTES}")
+        })
+    })
+}
+
+fn settings(
+    net: &str,
+    ip: &str,
+    ports: [u16; 3],
+    store: SocketAddr,
+    cloud: SocketAddr,
+) -> String {
+    let [front, ready, control] = ports;
+    format!(
+        r#"Node = "edge-{ip}"
+Role = "node"
+MachineClass = "edge"
+Serves = ["edge","control"]
+Ip = "{ip}"
+Zone = "kariakoo-hall"
+Region = "dar-coast"
+Seeds = ["{net}.1:{control}"]
+Bootstrap = true
+HeartbeatMs = 1500
+Commands = "invoke"
+[Zones]
+kariakoo-hall = "dar-coast"
+[Listen]
+Front = "{ip}:{front}"
+Ready = "{ip}:{ready}"
+Control = "{ip}:{control}"
+[Limits]
+CpuShare = 0.25
+Cores = 1
+MemoryMb = 260
+MaxFds = 4100
+LinkMbps = 1000.0
+[Bounds]
+ContactMs = 3000
+AckMs = 4000
+DrainMs = 2000
+GraceS = 6
+ConfigMs = 2000
+HoldMaxMs = {HOLD_MAX_MS}
+StopMs = 400
+cancel_ms = 3000
+visible_ms = 3000
+status_s = 120
+UpkeepS = 2
+FenceChecked = false
+LeaseMs = 3000
+[platform]
+Address = "{store}"
+form = "kv"
+writes_per_s = 400
+reads_per_s = 2000
+HistoryS = 20
+value_bytes = {VALUE_BYTES}
+ttl_min_ms = 1000
+[CloudApi]
+Address = "{cloud}"
+RatePerS = 60.0
+DutyPerS = 60.0
+"#
+    )
+}
