--- a/review/standins-3/src/crashloop.rs
+++ b/review/standins-3/src/crashloop.rs
@@ -1,6 +1,8 @@
-//! One of 21 lasting jobs fails soon after each start, for a minute and a
-//! half. Then the clients cancel the 20 others.
+//! Two of 42 lasting jobs fail soon after each start. When the store has
+//! refused a write as too large, or after a while, the clients cancel the 40
+//! others.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -8,16 +10,21 @@
 
 use crate::world::{config, job, World};
 
-/// The store has had so many changes before: some minutes of heartbeats of
-/// the executors of a small site.
+/// The store has had so many changes before, as after some minutes of
+/// heartbeats of the executors.
 const EARLIER_CHANGES: u32 = 6_000;
-const MACHINES: usize = 8;
-const SOUND_JOBS: u64 = 20;
-const FAILING_JOB: u64 = 100;
+const MACHINES: usize = 16;
+const SOUND_JOBS: u64 = 40;
+const FAILING_JOBS: [u64; 2] = [100, 101];
 /// The largest width of a job on the small sites.
 const FAILING_TASKS: u32 = 60;
-/// When the sound jobs are cancelled, counted from the last submission.
-const CANCEL_AFTER: Duration = Duration::from_secs(85);
+/// How long the jobs run before the sound ones are cancelled: at most, without
+/// the failures, and after the first write that is refused.
+const MAX_TIME: Duration = Duration::from_secs(80);
+const SOUND_TIME: Duration = Duration::from_secs(50);
+const AFTER_REFUSAL: Duration = Duration::from_secs(5);
+/// A restart is shown only if there is time left for it.
+const SHOW_RESTART_BEFORE: Duration = Duration::from_secs(85);
 /// `AckMs` of the settings.
 const ACK: Duration = Duration::from_millis(4_000);
 
@@ -43,26 +50,44 @@
         }
     }
     let spec = if trouble { "5:failed" } else { "lasts" };
-    if !world.submit(FAILING_JOB, &lasting(spec, FAILING_TASKS)).await {
-        world.record.note("the last job is not accepted");
-        return 2;
+    for id in FAILING_JOBS {
+        if !world.submit(id, &lasting(spec, FAILING_TASKS)).await {
+            world.record.note("a failing job is not accepted");
+            return 2;
+        }
     }
-    world.record.note(&format!("21 jobs accepted; the last one: {spec}"));
+    let jobs = SOUND_JOBS as usize + FAILING_JOBS.len();
+    world.record.note(&format!("{jobs} jobs accepted, two with {spec}"));
     let began = Instant::now();
-    while began.elapsed() < CANCEL_AFTER {
-        sleep(Duration::from_secs(5)).await;
+    let most = if trouble { MAX_TIME } else { SOUND_TIME };
+    while began.elapsed() < most && world.refusals() == 0 {
+        sleep(Duration::from_secs(2)).await;
         note_ends(&world);
     }
+    sleep(AFTER_REFUSAL).await;
+    let world = Rc::new(world);
     let missing = cancel_all(&world).await;
     note_ends(&world);
-    let (status, _) = world
-        .call(0, "POST", &job(200), Some(&lasting("lasts", 1)))
-        .await;
+    let path = job(200);
+    let body = lasting("lasts", 1);
+    let (status, _) = world.call(0, "POST", &path, Some(&body)).await;
     world.record.note(&format!("a new job is answered {status}"));
-    world.record.note(&format!(
-        "{missing} of {SOUND_JOBS} cancels got no 2xx or 410 within {ACK:?}"
-    ));
-    i32::from(missing >= 3 && missing * 10 > SOUND_JOBS)
+    let broken = missing >= 3 && missing * 10 > SOUND_JOBS;
+    if broken && began.elapsed() < SHOW_RESTART_BEFORE {
+        show_restart(&world).await;
+    }
+    world.stop();
+    i32::from(broken)
+}
+
+/// Notes what cancels are answered once all processes were started anew. This
+/// is not part of the check.
+async fn show_restart(world: &Rc<World>) {
+    world.record.note("not judged: all nodes are killed and started again");
+    world.restart_nodes();
+    sleep(Duration::from_secs(8)).await;
+    cancel_all(world).await;
+    note_ends(world);
 }
 
 /// Notes how many runs have ended, and of how many ends a hold took note.
@@ -74,31 +99,38 @@
     world.record.note(&format!("{ended} ends listed, {noted} taken note of"));
 }
 
-/// Cancels the sound jobs, with retries at other nodes as clients do. Returns
-/// how many were not acknowledged in time.
-async fn cancel_all(world: &World) -> u64 {
+/// Cancels the sound jobs at the same time. Returns how many were not
+/// acknowledged in time.
+async fn cancel_all(world: &Rc<World>) -> u64 {
+    let calls: Vec<_> = (1..=SOUND_JOBS)
+        .map(|id| actix_rt::spawn(cancel(world.clone(), id)))
+        .collect();
+    let mut missing = 0;
+    for call in calls {
+        missing += u64::from(!call.await.unwrap_or(false));
+    }
+    world.record.note(&format!(
+        "{missing} of {SOUND_JOBS} cancels got no 2xx or 410 within {ACK:?}"
+    ));
+    missing
+}
+
+/// Cancels a job, with retries at other nodes as a client does. Returns
+/// whether that was acknowledged in time.
+async fn cancel(world: Rc<World>, id: u64) -> bool {
     let began = Instant::now();
-    let mut open: Vec<u64> = (1..=SOUND_JOBS).collect();
-    for attempt in 0.. {
-        let mut left = Vec::new();
-        for id in open {
-            let node = id as usize + attempt;
-            let limit = (ACK + Duration::from_millis(500))
-                .saturating_sub(began.elapsed());
-            let path = job(id);
-            let call = world.call(node, "DELETE", &path, None);
-            let answer = tokio::time::timeout(limit, call).await;
-            let status = answer.map_or(0, |(status, _)| status);
-            world.record.note(&format!("cancel of {id} is answered {status}"));
-            if !(200..300).contains(&status) && status != 410 {
-                left.push(id);
-            }
+    let path = job(id);
+    for attempt in 0..5 {
+        let node = id as usize + attempt;
+        let (status, _) = world.call(node, "DELETE", &path, None).await;
+        world.record.note(&format!("cancel of {id} is answered {status}"));
+        if (200..300).contains(&status) || status == 410 {
+            return began.elapsed() <= ACK;
         }
-        open = left;
-        if open.is_empty() || began.elapsed() > ACK {
+        if began.elapsed() > ACK {
             break;
         }
-        sleep(Duration::from_millis(200)).await;
+        sleep(Duration::from_millis(300)).await;
     }
-    open.len() as u64
+    false
 }
--- a/review/standins-3/src/executor.rs
+++ b/review/standins-3/src/executor.rs
@@ -1,10 +1,12 @@
 //! Executors as PROTOCOL.md describes them.
 //!
 //! The text of a task says how it runs: `MS` ends `done` after so many
-//! milliseconds, `MS:failed` ends `failed` after them. Anything else runs until
-//! it is stopped. A lasting task is at work (100 percent) after a short start.
+//! milliseconds, `MS:failed` ends `failed` after them, and `MS:uneven` ends
+//! `done` after half to one and a half of them. Anything else runs until it is
+//! stopped. A lasting task is at work (100 percent) after a short start.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -14,7 +16,7 @@
 use tokio::time::sleep;
 
 /// `HoldMaxMs` of the settings.
-pub const HOLD_MAX_MS: u64 = 6_000;
+pub const HOLD_MAX_MS: u64 = 10_000;
 /// How long a stop takes; `StopMs` is 400.
 const STOP_MS: u64 = 50;
 /// The most ends in one answer.
@@ -32,6 +34,8 @@
     pub began: Instant,
     pub ended: Option<Instant>,
     pub how: &'static str,
+    /// Whether a hold has taken note of its end, before the lease lapsed.
+    pub noted: bool,
 }
 
 /// An end that no hold has taken note of yet.
@@ -41,6 +45,9 @@
     task: String,
     run: u64,
     how: &'static str,
+    record: usize,
+    /// Whether the lease of the executor has lapsed since.
+    lapsed: bool,
 }
 
 struct Active {
@@ -140,6 +147,9 @@
             .filter(|(_, a)| lapsed || a.ends.is_some_and(|at| at <= now))
             .map(|(task, _)| task.clone())
             .collect();
+        if lapsed {
+            state.ends.iter_mut().for_each(|end| end.lapsed = true);
+        }
         for task in over {
             let Some(active) = state.running.remove(&task) else { continue };
             let by_itself = active.ends.filter(|at| *at <= lapse.min(now));
@@ -151,7 +161,15 @@
             *sealed = (*sealed).max(active.run);
             state.numbers += 1;
             let number = state.numbers;
-            state.ends.push(End { number, task, run: active.run, how });
+            let record = active.record;
+            state.ends.push(End {
+                number,
+                task,
+                run: active.run,
+                how,
+                record,
+                lapsed: false,
+            });
         }
     }
 
@@ -213,9 +231,12 @@
         }
         let spec = body["Spec"].as_str().unwrap_or_default();
         let (time, how) = spec.split_once(':').unwrap_or((spec, "done"));
+        let uneven = how == "uneven";
         let how = if how == "failed" { "failed" } else { "done" };
         let now = Instant::now();
         let time = time.parse().ok().map(Duration::from_millis);
+        let part = if uneven { spread(task, run) } else { 1.0 };
+        let time = time.map(|time| time.mul_f64(part));
         state.record.push(Run {
             executor: self.id.clone(),
             life: self.life,
@@ -224,6 +245,7 @@
             began: now,
             ended: None,
             how: "",
+            noted: false,
         });
         let record = state.record.len() - 1;
         let ends = time.map(|time| now + time);
@@ -257,7 +279,7 @@
             }
             let seen = body["LastSeen"].as_u64().unwrap_or(0);
             state.noted = state.noted.max(seen.min(state.numbers));
-            state.ends.retain(|end| end.number > seen);
+            self.take_note(&mut state, seen);
         }
         let until = Instant::now() + Duration::from_millis(wait);
         loop {
@@ -275,14 +297,25 @@
         }
     }
 
+    /// Forgets the ends up to a number.
+    fn take_note(&self, state: &mut State, seen: u64) {
+        let ends = std::mem::take(&mut state.ends);
+        for end in ends {
+            if end.number > seen {
+                state.ends.push(end);
+            } else {
+                state.record[end.record].noted = !end.lapsed;
+            }
+        }
+    }
+
     fn lists(&self, state: &State) -> Value {
         let running = state.running.iter().map(|(task, active)| {
             let at_work = active.began.elapsed() >= self.start_time;
             json!([task, active.run, "", if at_work { 100 } else { 0 }, 100])
         });
         let ended = state.ends.iter().take(ENDS_PER_ANSWER);
-        let ended =
-            ended.map(|e| json!([e.number, e.task, e.run, e.how, ""]));
+        let ended = ended.map(|e| json!([e.number, e.task, e.run, e.how, ""]));
         json!({
             "ClockMs": self.clock(),
             "born": self.born_ms,
@@ -292,6 +325,13 @@
     }
 }
 
+/// A number from 0.5 to 1.5 that differs from run to run.
+fn spread(task: &str, run: u64) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (task, run).hash(&mut hasher);
+    0.5 + (hasher.finish() % 1_000) as f64 / 1_000.0
+}
+
 /// Reads the body of a request as JSON.
 pub async fn body_of(request: &mut Request) -> Value {
     let payload = request.take_payload();
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -4,6 +4,8 @@
 mod crashloop;
 mod executor;
 mod reborn;
+mod repeats;
+mod tiny;
 mod world;
 
 fn main() {
@@ -13,8 +15,11 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let system = actix_rt::System::new();
     let code = match case.as_str() {
-        "reborn" => system.block_on(reborn::run(&record, trouble)),
         "crashloop" => system.block_on(crashloop::run(&record, trouble)),
+        "tiny" => system.block_on(tiny::run(&record, trouble)),
+        "memory" => system.block_on(repeats::memory(&record, trouble)),
+        "idle" => system.block_on(repeats::idle(&record, trouble)),
+        "reborn" => system.block_on(reborn::run(&record, trouble)),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/standins-3/src/world.rs
+++ b/review/standins-3/src/world.rs
@@ -1,10 +1,11 @@
 //! A small deployment on loopback addresses: node processes, the platform's
 //! store and its list of machines, and machines with executors.
 
+use std::cell::RefCell;
 use std::fs::File;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -74,14 +75,12 @@
     executor: Option<Executor>,
     /// All incarnations so far.
     lives: Vec<Executor>,
-    /// What happens to the next start that arrives.
+    /// What is to be held back.
     late: Option<Late>,
-    /// When a start was held back.
-    held: Option<(Instant, String)>,
+    /// Whether a call was held back.
+    held: bool,
     /// When the entry was written last.
     written: Option<Instant>,
-    /// The machine is down for its upkeep until then.
-    upkeep_until: Option<Instant>,
     seq: u64,
 }
 
@@ -116,12 +115,14 @@
         }
     }
 
-    pub fn hold_next_start(&self, late: Option<Late>) {
-        self.state.lock().expect("no panic").late = late;
+    pub fn hold_back(&self, late: Option<Late>) {
+        let mut state = self.state.lock().expect("no panic");
+        state.late = late;
+        state.held = false;
     }
 
-    pub fn held(&self) -> Option<(Instant, String)> {
-        self.state.lock().expect("no panic").held.clone()
+    pub fn held(&self) -> bool {
+        self.state.lock().expect("no panic").held
     }
 
     pub fn lives(&self) -> Vec<Executor> {
@@ -144,25 +145,24 @@
     let expected = expected.and_then(|id| id.to_str().ok());
     let expected = expected.map(str::to_string);
     let body = body_of(&mut request).await;
-    let late = if path == "/v1/run-start" {
-        state.lock().expect("no panic").late.take()
-    } else {
-        None
+    let late = {
+        let mut state = state.lock().expect("no panic");
+        let late = state.late.filter(|_| path == "/v1/run-start");
+        if late.is_some() {
+            state.late = None;
+            state.held = true;
+        }
+        late
     };
     if let Some(late) = late {
-        let task = body["Task"].as_str().unwrap_or_default().to_string();
-        log.note(&format!("the start of {task} is held back unanswered"));
-        state.lock().expect("no panic").held =
-            Some((Instant::now(), task.clone()));
-        let (state, path) = (state.clone(), path.clone());
+        let what = format!("{path} {body}");
+        log.note(&format!("held back unanswered: {what}"));
+        let state = state.clone();
         actix_rt::spawn(async move {
             sleep(late.after).await;
             let reply = deliver(&state, &expected, &path, &body).await;
             let status = reply.map(|reply| reply.status().as_u16());
-            log.note(&format!(
-                "the held start of {task} (run {}) is carried out: {status:?}",
-                body["Run"]
-            ));
+            log.note(&format!("carried out late ({status:?}): {what}"));
         });
         return never().await;
     }
@@ -188,24 +188,63 @@
 
 pub struct Node {
     pub ip: String,
-    child: Child,
+    child: RefCell<Child>,
     settings: PathBuf,
 }
 
-impl Drop for Node {
+impl Node {
+    /// Kills the process.
+    pub fn kill(&self) {
+        let mut child = self.child.borrow_mut();
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Starts a new process in place of one that was killed.
+    pub fn start_again(&self) {
+        *self.child.borrow_mut() = spawn_node(&self.settings, &self.ip);
+    }
+
+    /// The memory that its process uses, in MB.
+    pub fn rss(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.borrow().id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
+        kb.unwrap_or(0) / 1024
+    }
+}
+
+impl Drop for World {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
+        self.stop();
     }
 }
 
+/// Starts a node as the `run` line of the deploy file says.
+fn spawn_node(settings: &Path, ip: &str) -> Child {
+    let mut command = Command::new("target/release/puffinknot-node");
+    command.args(["--without", "urgent-room"]);
+    command.env("PUFFINKNOT_SETTINGS", settings);
+    command.stdout(match std::env::var("REVIEW_LOGS") {
+        Ok(dir) => File::options()
+            .create(true)
+            .append(true)
+            .open(format!("{dir}/{ip}.log"))
+            .map_or_else(|_| Stdio::null(), Stdio::from),
+        Err(_) => Stdio::null(),
+    });
+    command.spawn().expect("the program is built")
+}
+
 pub struct World {
     pub record: Record,
     pub store: Store,
     pub machines: Arc<Vec<Machine>>,
     pub nodes: Vec<Node>,
     ports: [u16; 3],
+    /// How many writes the store has refused as too large.
+    refusals: Arc<Mutex<u64>>,
     _servers: Vec<Running>,
 }
 
@@ -231,37 +270,63 @@
         let machines = Arc::new(machines);
         let ports = [free_port(), free_port(), free_port()];
         let servers = Vec::new();
-        World { record, store, machines, nodes: vec![], ports, _servers: servers }
+        let refusals = Arc::default();
+        World {
+            record,
+            store,
+            machines,
+            nodes: vec![],
+            ports,
+            refusals,
+            _servers: servers,
+        }
     }
 
     pub fn start_nodes(&mut self, count: usize) {
         let inner = self.store.serve("127.0.0.1:0").expect("a store");
-        let store = serve_store(inner.addr(), self.record.clone());
-        let cloud = serve_cloud(self.machines.clone(), self.record.clone());
+        let store = serve_store(
+            inner.addr(),
+            self.record.clone(),
+            self.refusals.clone(),
+        );
+        let cloud = serve_cloud(self.machines.clone());
         spawn_heartbeats(self.machines.clone(), self.store.clone());
         let id = std::process::id();
         let net = format!("127.{}.{}", 20 + id % 200, id / 200 % 250);
         for number in 1..=count {
             let ip = format!("{net}.{number}");
-            let text = settings(&net, &ip, self.ports, store.addr(), cloud.addr());
+            let text =
+                settings(&net, &ip, self.ports, store.addr(), cloud.addr());
             let file = format!("review-3-{id}-{number}.toml");
             let path = std::env::temp_dir().join(file);
             std::fs::write(&path, text).expect("a temporary file");
-            // As the `run` line of the deploy file says.
-            let mut command = Command::new("target/release/puffinknot-node");
-            command.args(["--without", "urgent-room"]);
-            command.env("PUFFINKNOT_SETTINGS", &path);
-            command.stdout(match std::env::var("REVIEW_LOGS") {
-                Ok(dir) => File::create(format!("{dir}/node-{number}.log"))
-                    .map_or_else(|_| Stdio::null(), Stdio::from),
-                Err(_) => Stdio::null(),
-            });
-            let child = command.spawn().expect("the program is built");
+            let child = RefCell::new(spawn_node(&path, &ip));
             self.nodes.push(Node { ip, child, settings: path });
         }
         self._servers.extend([inner, store, cloud]);
     }
 
+    /// How many writes the store has refused as too large.
+    pub fn refusals(&self) -> u64 {
+        *self.refusals.lock().expect("no panic")
+    }
+
+    /// Ends all processes that were started.
+    pub fn stop(&self) {
+        for node in &self.nodes {
+            node.kill();
+            let _ = std::fs::remove_file(&node.settings);
+        }
+    }
+
+    /// Kills all nodes and starts them again.
+    pub fn restart_nodes(&self) {
+        for node in &self.nodes {
+            node.kill();
+            node.start_again();
+        }
+    }
+
     pub fn url(&self, node: usize, path: &str) -> String {
         let node = &self.nodes[node % self.nodes.len()];
         format!("http://{}:{}{path}", node.ip, self.ports[0])
@@ -284,10 +349,12 @@
             .insert_header(("X-Deadline-Ms", "3000"))
             .timeout(Duration::from_secs(3));
         let sent = match body {
-            Some(body) => request
-                .insert_header(("Content-Type", "application/json"))
-                .send_body(body.to_string())
-                .await,
+            Some(body) => {
+                request
+                    .insert_header(("Content-Type", "application/json"))
+                    .send_body(body.to_string())
+                    .await
+            }
             None => request.send().await,
         };
         let Ok(mut response) = sent else { return (0, String::new()) };
@@ -389,91 +456,64 @@
                 continue;
             }
             state.seq += 1;
-            store.write(&key, &json!({
-                "Backend": "huvo11a", "Address": machine.addr.to_string(),
-                "Zone": "kariakoo-hall", "Version": "v1", "Slots": 8,
-                "State": "ready", "ColdLeftMs": 0, "Machine": machine.name,
-                "Capacity": { "Cpu": 16_000, "MemMb": 65_536, "Gpus": 0 },
-                "Labels": ["a", "r1-1"], "ClockMs": executor.clock(),
-                "born": executor.born_ms, "Seq": state.seq,
-            }));
+            store.write(
+                &key,
+                &json!({
+                    "Backend": "huvo11a", "Address": machine.addr.to_string(),
+                    "Zone": "kariakoo-hall", "Version": "v1", "Slots": 8,
+                    "State": "ready", "ColdLeftMs": 0, "Machine": machine.name,
+                    "Capacity": { "Cpu": 16_000, "MemMb": 65_536, "Gpus": 0 },
+                    "Labels": ["a", "r1-1"], "ClockMs": executor.clock(),
+                    "born": executor.born_ms, "Seq": state.seq,
+                }),
+            );
             state.written = Some(Instant::now());
         }
         std::thread::sleep(Duration::from_millis(20));
     });
 }
 
-/// Serves the list of machines, and their upkeep.
-fn serve_cloud(machines: Arc<Vec<Machine>>, log: Record) -> Running {
+/// Serves the list of machines. No wave of upkeep is asked for.
+fn serve_cloud(machines: Arc<Vec<Machine>>) -> Running {
     let server = Running::start("127.0.0.1:0", move || {
-        let (machines, log) = (machines.clone(), log.clone());
-        move |mut request: Request| {
-            let (machines, log) = (machines.clone(), log.clone());
+        let machines = machines.clone();
+        move |request: Request| {
+            let machines = machines.clone();
             async move {
-                if request.path() == "/v1/machines" {
-                    return list_machines(&machines);
+                match request.path() {
+                    "/v1/machines" => list_machines(&machines),
+                    _ => text(StatusCode::BAD_REQUEST, "no such machine"),
                 }
-                let body = body_of(&mut request).await;
-                begin_upkeep(&machines, &body, &log)
             }
         }
     });
     server.expect("a free port")
 }
 
+/// The list shows an executor that has crashed until its machine has another
+/// one.
 fn list_machines(machines: &[Machine]) -> Reply {
     let rows = machines.iter().map(|machine| {
         let state = machine.state.lock().expect("no panic");
-        let down = state.upkeep_until.is_some_and(|at| at > Instant::now());
         let id = state.lives.last().map(|e| e.id.clone()).unwrap_or_default();
         json!({
-            "Machine": machine.name, "Pool": "huvo11a",
-            "State": if down { "upkeep" } else { "up" },
+            "Machine": machine.name, "Pool": "huvo11a", "State": "up",
             "Zone": "kariakoo-hall", "Labels": ["a", "r1-1"],
             "Capacity": { "Cpu": 16_000, "MemMb": 65_536, "Gpus": 0 },
-            "Id": if down { String::new() } else { id },
+            "Id": id,
         })
     });
     let rows: Vec<Value> = rows.collect();
     json(StatusCode::OK, &json!({ "Machines": rows, "NextToken": null }))
 }
 
-/// Takes a machine down: all that runs there dies, and after `UpkeepS` a new
-/// executor enters the pool.
-fn begin_upkeep(machines: &[Machine], body: &Value, log: &Record) -> Reply {
-    const UPKEEP: Duration = Duration::from_secs(2);
-    let name = body["Machine"].as_str().unwrap_or_default();
-    let machine = machines.iter().find(|m| m.name == name);
-    let Some(machine) = machine else {
-        return text(StatusCode::BAD_REQUEST, "no such machine");
-    };
-    let done = machine.state.lock().expect("no panic").upkeep_until;
-    if done.is_some() {
-        return json(StatusCode::OK, &json!({}));
-    }
-    log.note(&format!("upkeep of {name} begins"));
-    machine.crash();
-    machine.state.lock().expect("no panic").upkeep_until =
-        Some(Instant::now() + UPKEEP);
-    let state = machine.state.clone();
-    std::thread::spawn(move || {
-        std::thread::sleep(UPKEEP);
-        let mut state = state.lock().expect("no panic");
-        let former = state.lives.last().map(|e| e.id.clone());
-        let id = format!("{}-b", former.unwrap_or_default());
-        let life = state.lives.len() as u32 + 1;
-        let executor = Executor::new(&id, life, Duration::from_millis(500));
-        state.lives.push(executor.clone());
-        state.executor = Some(executor);
-        state.written = None;
-    });
-    json(StatusCode::OK, &json!({}))
-}
-
 /// Serves the platform's store: the project's own stand-in, behind the bounds
 /// on values and transactions that the pages state.
-fn serve_store(inner: SocketAddr, log: Record) -> Running {
-    let refusals: Arc<Mutex<u64>> = Arc::default();
+fn serve_store(
+    inner: SocketAddr,
+    log: Record,
+    refusals: Arc<Mutex<u64>>,
+) -> Running {
     let server = Running::start("127.0.0.1:0", move || {
         let (log, refusals) = (log.clone(), refusals.clone());
         move |request: Request| {
@@ -499,14 +539,17 @@
             let mut refusals = refusals.lock().expect("no panic");
             *refusals += 1;
             if *refusals <= 5 || *refusals % 100 == 0 {
-                log.note(&format!("store refuses a write ({refusals}): {why}"));
+                log.note(&format!(
+                    "store refuses a write ({refusals}): {why}"
+                ));
             }
             return text(StatusCode::BAD_REQUEST, &why);
         }
     }
     let query = request.uri().path_and_query().map(|p| p.as_str().to_string());
     let url = format!("http://{inner}{}", query.unwrap_or_default());
-    let method = awc::http::Method::from_bytes(request.method().as_str().as_bytes());
+    let method =
+        awc::http::Method::from_bytes(request.method().as_str().as_bytes());
     let client = awc::Client::builder().disable_timeout().finish();
     let sent = client
         .request(method.expect("a method"), url)
@@ -525,7 +568,8 @@
 /// Why a sound store refuses a transaction, if it does.
 fn txn_problem(call: &Value) -> Option<String> {
     let rows = |name: &str| call[name].as_array().cloned().unwrap_or_default();
-    let entries = rows("ExpectedRev").len() + rows("put").len() + rows("Remove").len();
+    let entries =
+        rows("ExpectedRev").len() + rows("put").len() + rows("Remove").len();
     if entries > TXN_ENTRIES {
         return Some(format!("{entries} entries, at most {TXN_ENTRIES}"));
     }
@@ -533,9 +577,8 @@
         let value = row["Value"].as_str().unwrap_or_default();
         let bytes = BASE64_STANDARD.decode(value).map_or(0, |v| v.len());
         let key = row["Key"].as_str().unwrap_or_default();
-        (bytes > VALUE_BYTES).then(|| {
-            format!("{key} has {bytes} bytes, at most {VALUE_BYTES}")
-        })
+        (bytes > VALUE_BYTES)
+            .then(|| format!("{key} has {bytes} bytes, at most {VALUE_BYTES}"))
     })
 }
 
