--- a/review/standins-3/src/tiny.rs
+++ b/review/standins-3/src/tiny.rs
@@ -6,8 +6,8 @@
 use serde_json::{json, Value};
 use tokio::time::sleep;
 
-use crate::repeats::{judge, one_task, start, FILLING};
-use crate::world::World;
+use crate::repeats::{judge, one_task, start, watch_memory, FILLING};
+use crate::world::{config, World};
 
 const JOBS: u64 = 40;
 const TASKS: u32 = 500;
@@ -67,6 +67,37 @@
     code
 }
 
+/// Large jobs of tasks that all fit come at once, and processes over their
+/// memory are killed.
+pub async fn memory(record: &str, trouble: bool) -> i32 {
+    const JOBS: u64 = 10;
+    const TASKS: u32 = 20_000;
+    const MACHINES: usize = 48;
+    const WATCHED: Duration = Duration::from_secs(75);
+    let mut world = World::start(record, MACHINES);
+    world.store.write("op/config", &config(2));
+    world.start_nodes(3);
+    sleep(Duration::from_secs(4)).await;
+    let world = Rc::new(world);
+    let jobs = if trouble { JOBS } else { 1 };
+    for number in 0..jobs {
+        let world = world.clone();
+        actix_rt::spawn(async move {
+            let body = json!({ "Spec": "1000", "Phases": [{
+                "Count": TASKS, "Cpu": 1, "MemMb": 1, "EstRuntimeMs": 1000,
+            }] });
+            let accepted = world.submit(FILLING + number, &body).await;
+            let line = format!("job {number} is accepted: {accepted}");
+            world.record.note(&line);
+        });
+    }
+    let code = watch_memory(&world, WATCHED).await;
+    let began = world.runs().len();
+    world.record.note(&format!("{began} runs began"));
+    world.stop();
+    code
+}
+
 /// Notes who leads whenever that changes.
 async fn note_leaders(world: &World) {
     let mut known = None;
