Count due repetitions instead of giving each a state

What callers saw: 40 accepted scheduled jobs whose 10,000 times were all due took each leader over its memory within a second, and each successor too.

Cause: all repetitions that were due were released at once, each with step states of its own, and those that were done kept theirs until the job ended. The limit on waiting work reckoned 16 bytes for each of them; a step with one task takes close to a kilobyte. The stored progress grew in the same way.

Change: a repetition that is due and has no turn is a number, and so is one that is done. A step counts as 64 waiting tasks in the limit on waiting work. Done repetitions are stored as ranges.

--- a/puffinknot-core/src/jobs/record.rs
+++ b/puffinknot-core/src/jobs/record.rs
@@ -13,6 +13,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
+use std::ops::Range;
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -78,6 +79,32 @@
     pub accepted: Vec<(Job, Queue)>,
     /// The progress of jobs; the latest record with a job counts.
     pub progress: Vec<(JobId, Progress)>,
+    /// The repetitions that are done of each of these jobs that has any, as
+    /// ranges with exclusive ends.
+    pub done_repetitions: Vec<(JobId, Vec<Range<u32>>)>,
+}
+
+impl Record {
+    /// Encodes a record. One without done repetitions is encoded as by earlier
+    /// versions, which know none.
+    pub fn write(&self) -> Vec<u8> {
+        match self.done_repetitions.is_empty() {
+            true => encode(&(&self.accepted, &self.progress)),
+            false => encode(self),
+        }
+    }
+
+    /// Decodes a record.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are not a record of this version or an earlier one.
+    pub fn read(bytes: &[u8]) -> Result<Record, String> {
+        decode(bytes).or_else(|err| {
+            let (accepted, progress) = decode(bytes).map_err(|_| err)?;
+            Ok(Record { accepted, progress, done_repetitions: Vec::new() })
+        })
+    }
 }
 
 /// The progress of one step in one repetition.
@@ -96,7 +123,8 @@
 /// The progress of one job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
-    /// The steps that have any, by repetition and index.
+    /// The steps that have any, by repetition and index, except for those of
+    /// repetitions that are done.
     pub steps: BTreeMap<(u32, u32), StepProgress>,
 }
 
--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -286,6 +286,10 @@
             let Some(live) = self.jobs.get(job) else { continue };
             if live.ended.is_none() {
                 record.progress.push((*job, live.progress()));
+                let done = live.repetitions.done();
+                if !done.is_empty() {
+                    record.done_repetitions.push((*job, done));
+                }
             }
         }
         batch.number = self.commits.records.next_number();
@@ -301,7 +305,7 @@
             now,
         );
         let name = record::record_name(batch.number);
-        let value = record::encode(&record);
+        let value = record.write();
         changes.push(Change::Put { name, value });
     }
 
--- a/puffinknot-core/src/jobs/scheduler/live_job.rs
+++ b/puffinknot-core/src/jobs/scheduler/live_job.rs
@@ -13,6 +13,7 @@
 use crate::jobs::model::{Job, JobState, Step};
 use crate::jobs::policy::Queue;
 use crate::jobs::record::{Progress, StepProgress};
+use crate::jobs::scheduler::repetitions::Repetitions;
 use crate::jobs::speed::StepTimes;
 
 /// The permission, given by advice, to run a step on an executor.
@@ -262,8 +263,8 @@
     pub started: bool,
     /// The states of its steps, by repetition and step number.
     pub steps: BTreeMap<(u32, u32), StepState>,
-    /// The number of repetitions that have become due so far.
-    pub due_repeats: u32,
+    /// The progress of its repetitions.
+    pub repetitions: Repetitions,
 }
 
 impl LiveJob {
@@ -296,14 +297,21 @@
         JOB_BYTES + self.job.spec.len() + links
     }
 
-    /// The sum of what its waiting tasks need. Those of an inherited job may
-    /// already run without this leader knowing.
+    /// The sum of what its waiting tasks need, including those of repetitions
+    /// that are due and not released. Those of an inherited job may already
+    /// run without this leader knowing.
     pub fn waiting_need(&self) -> Resources {
         let steps = self.steps.iter().map(|(&(_, number), state)| {
             let need = self.job.steps[number as usize].need;
             need.times(state.waiting.len() as u32)
         });
-        steps.fold(Resources::default(), |sum, need| sum.plus(&need))
+        let waiting =
+            steps.fold(Resources::default(), |sum, need| sum.plus(&need));
+        let per_repetition =
+            self.job.steps.iter().fold(Resources::default(), |sum, step| {
+                sum.plus(&step.need.times(step.count))
+            });
+        waiting.plus(&per_repetition.times(self.repetitions.unreleased()))
     }
 
     /// The progress to be stored.
@@ -325,22 +333,27 @@
 
     /// Whether every step of every repetition is done.
     pub fn is_complete(&self) -> bool {
-        let all = self.job.repetitions() as usize * self.job.steps.len();
+        let left =
+            self.job.repetitions() as usize - self.repetitions.done_count();
+        let left = left * self.job.steps.len();
+        if self.steps.len() < left {
+            return false;
+        }
         let done = self.steps.iter().filter(|(&(_, number), state)| {
             state.is_complete(&self.job.steps[number as usize])
         });
-        done.count() == all
+        done.count() == left
     }
 
     /// The state of a step, which is created if needed. `None` if the job has
-    /// no such step or repetition.
+    /// no such step or repetition, or if the repetition is done.
     pub fn step_state(
         &mut self,
         time: u32,
         number: u32,
     ) -> Option<&mut StepState> {
         let step = self.job.steps.get(number as usize)?;
-        if time >= self.job.repetitions() {
+        if time >= self.job.repetitions() || self.repetitions.is_done(time) {
             return None;
         }
         let state = self.steps.entry((time, number));
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -110,6 +110,7 @@
 mod records;
 mod renewal_queue;
 mod renewals;
+mod repetitions;
 mod requests;
 mod restore;
 mod retry_schedule;
@@ -228,6 +229,8 @@
     ended: EndedJobs,
     early_cancels: EarlyCancels,
     task_room: TaskRoom,
+    /// The number of jobs with repetitions that are not released.
+    repeating_jobs: usize,
     executors: Executors,
     /// The newest incarnation of each executor, by the executor's ID.
     by_id: BTreeMap<String, ExecutorIndex>,
@@ -312,6 +315,7 @@
             ended: EndedJobs::default(),
             early_cancels: EarlyCancels::default(),
             task_room: TaskRoom::default(),
+            repeating_jobs: 0,
             executors: Executors::default(),
             unheard_executors: BTreeSet::new(),
             entries_read: false,
--- a/puffinknot-core/src/jobs/scheduler/renewals.rs
+++ b/puffinknot-core/src/jobs/scheduler/renewals.rs
@@ -469,6 +469,8 @@
         self.put_run(index, row.task, placed);
         if wanted {
             self.count("runs_adopted");
+            // The other tasks of its step may have to start.
+            self.release(key.job, key.time);
         } else {
             self.count("runs_unwanted");
             self.stop(index, row.task, row.run);
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -14,6 +14,7 @@
 use crate::jobs::scheduler::authorization::JobScope;
 use crate::jobs::scheduler::early_cancels::early_cancel;
 use crate::jobs::scheduler::live_job::LiveJob;
+use crate::jobs::scheduler::repetitions::Repetitions;
 use crate::jobs::scheduler::Scheduler;
 
 /// The most live jobs. Further jobs are refused.
@@ -226,7 +227,7 @@
             ended: None,
             started: false,
             steps: BTreeMap::new(),
-            due_repeats: 0,
+            repetitions: Repetitions::default(),
             job,
         }
     }
@@ -309,60 +310,4 @@
         self.drop_advice_calls(job);
         self.commits.job_ended(job);
     }
-
-    /// Releases the repetitions of all repeating jobs that are due.
-    pub(super) fn release_due(&mut self, now: Millis) {
-        let waiting = self.jobs.iter().filter(|(_, live)| {
-            live.job.repeats.is_some()
-                && live.due_repeats < live.job.repetitions()
-        });
-        let jobs: Vec<JobId> = waiting.map(|(id, _)| *id).collect();
-        for job in jobs {
-            self.release_due_of(job, now);
-        }
-    }
-
-    /// Releases the repetitions of a job that are due, as far as there is room
-    /// for their tasks.
-    pub(super) fn release_due_of(&mut self, job: JobId, now: Millis) {
-        let wall = (now as i64 + self.wall_offset).max(0) as Millis;
-        let Some(live) = self.jobs.get_mut(&job) else { return };
-        let due = match live.job.repeats {
-            None => 1,
-            Some(r) if wall < r.first => 0,
-            Some(r) => {
-                let past = (wall - r.first) / r.every.max(1);
-                (past + 1).min(r.times.into()) as u32
-            }
-        };
-        let from = live.due_repeats;
-        let repeats = live.job.repeats.is_some();
-        let tasks = live.job.task_count();
-        for time in from..due {
-            if repeats && !self.has_room_for_repetition(tasks) {
-                return self.count("repetitions_put_off");
-            }
-            if let Some(live) = self.jobs.get_mut(&job) {
-                live.due_repeats = time + 1;
-            }
-            self.release(job, time);
-        }
-    }
-
-    /// Releases the steps of a repetition whose dependencies are done.
-    pub(super) fn release(&mut self, job: JobId, time: u32) {
-        let Some(live) = self.jobs.get_mut(&job) else { return };
-        if live.ended.is_some() || time >= live.due_repeats {
-            return;
-        }
-        for number in live.release(time) {
-            let state = live.steps.get(&(time, number));
-            let waiting = state.map_or(0, |state| state.waiting.len());
-            self.task_room.add(waiting);
-            if live.written {
-                self.ready.insert(StepKey { job, time, step: number });
-                self.needs_placement = true;
-            }
-        }
-    }
 }
--- a/puffinknot-core/src/jobs/scheduler/restore.rs
+++ b/puffinknot-core/src/jobs/scheduler/restore.rs
@@ -9,6 +9,7 @@
 */
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 
 use crate::ids::Millis;
@@ -24,10 +25,19 @@
     FINISHED_MAINTENANCE, LEGACY_EXECUTORS, LEGACY_MACHINES, RECORD_PREFIX,
     SHARD_PREFIX, STOPPING_RESOURCES,
 };
+use crate::jobs::scheduler::live_job::LiveJob;
 use crate::jobs::scheduler::maintenance::Machines;
 use crate::jobs::scheduler::{Scheduler, SchedulerConfig};
 use crate::jobs::speed::Speed;
 
+/// The latest progress of a job in the store.
+#[derive(Default)]
+struct RestoredProgress {
+    progress: Progress,
+    /// The repetitions that are done.
+    done: Vec<Range<u32>>,
+}
+
 impl Scheduler {
     /// Creates a scheduler from the state in the store.
     ///
@@ -58,7 +68,7 @@
                     stored.name
                 ));
             };
-            records.push((number, record::decode(&stored.value)?));
+            records.push((number, Record::read(&stored.value)?));
         }
         records.sort_by_key(|(number, _)| *number);
         scheduler.restore_records(records, now);
@@ -179,7 +189,7 @@
         records: Vec<(RecordNumber, Record)>,
         now: Millis,
     ) {
-        let mut newest: BTreeMap<JobId, Progress> = BTreeMap::new();
+        let mut newest: BTreeMap<JobId, RestoredProgress> = BTreeMap::new();
         for (number, record) in records {
             let live = |job: &JobId| !self.ended.jobs.contains_key(job);
             let jobs = record.accepted.iter().map(|(job, _)| job.id);
@@ -192,10 +202,22 @@
             for (job, queue) in record.accepted {
                 self.restore_job(job, queue, now);
             }
-            newest.extend(record.progress);
+            for (job, progress) in record.progress {
+                let done = Vec::new();
+                newest.insert(job, RestoredProgress { progress, done });
+            }
+            for (job, done) in record.done_repetitions {
+                newest.entry(job).or_default().done = done;
+            }
         }
         for (job, progress) in newest {
-            self.restore_progress(job, &progress);
+            self.restore_progress(job, progress);
+        }
+        let repeating = |live: &&LiveJob| live.job.repeats.is_some();
+        self.repeating_jobs = self.jobs.values().filter(repeating).count();
+        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        for job in jobs {
+            self.release_due_of(job, now);
         }
     }
 
@@ -213,13 +235,15 @@
         live.written = true;
         live.inherited = true;
         self.jobs.insert(id, live);
-        self.release_due_of(id, now);
     }
 
-    fn restore_progress(&mut self, id: JobId, progress: &Progress) {
+    fn restore_progress(&mut self, id: JobId, restored: RestoredProgress) {
         let Some(live) = self.jobs.get_mut(&id) else { return };
         live.started = true;
-        for ((time, number), done) in &progress.steps {
+        for done in restored.done {
+            live.repetitions.add_done(done);
+        }
+        for ((time, number), done) in &restored.progress.steps {
             let Some(live) = self.jobs.get_mut(&id) else { return };
             let Some(step) = live.job.steps.get(*number as usize) else {
                 continue;
@@ -229,7 +253,13 @@
                 continue;
             };
             state.restore(&step, done);
-            self.release(id, *time);
+        }
+        let Some(live) = self.jobs.get_mut(&id) else { return };
+        // Earlier versions store the steps of repetitions that are done.
+        if live.job.repeats.is_some() {
+            for (time, _) in restored.progress.steps.keys() {
+                live.complete_repetition(*time);
+            }
         }
     }
 
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -443,6 +443,11 @@
         self.ready.remove(&key);
         self.release(key.job, key.time);
         self.finish_if_complete(key.job);
+        if let Some(live) = self.jobs.get_mut(&key.job) {
+            if live.ended.is_none() {
+                live.complete_repetition(key.time);
+            }
+        }
     }
 
     pub(super) fn finish_if_complete(&mut self, job: JobId) {
--- a/puffinknot-core/src/jobs/scheduler/store_outage.rs
+++ b/puffinknot-core/src/jobs/scheduler/store_outage.rs
@@ -190,11 +190,11 @@
         _ => None,
     });
     for value in values {
-        let Ok(mut record) = record::decode::<Record>(value) else {
+        let Ok(mut record) = Record::read(value) else {
             return false;
         };
         record.accepted.retain(|(job, _)| !jobs.contains(&job.id));
-        *value = record::encode(&record);
+        *value = record.write();
     }
     true
 }
--- a/puffinknot-core/src/jobs/scheduler/task_room.rs
+++ b/puffinknot-core/src/jobs/scheduler/task_room.rs
@@ -3,14 +3,15 @@
 
 A short request may describe any number of tasks: thousands in a step, and
 thousands of repetitions that are due at once. Each waiting task takes memory
-of the leader, and of its successors. So their number is limited. Beyond the
-limit, jobs are refused. Repetitions, whose jobs are accepted already, are put
-off until there is room, and use only a part of it, so that one such job does
-not keep others out.
+of the leader, and of its successors. So their number is limited, where a step
+counts as many tasks, since it takes far more. Beyond the limit, jobs are
+refused. Repetitions, whose jobs are accepted already, are put off until there
+is room, and use only a part of it, so that one such job does not keep others
+out.
 */
 
 use crate::ids::Millis;
-use crate::jobs::model::Job;
+use crate::jobs::model::{Job, JobId};
 use crate::jobs::scheduler::Scheduler;
 
 /// How often the waiting tasks are counted, in milliseconds. In between, only
@@ -18,8 +19,11 @@
 const COUNT_INTERVAL: Millis = 1_000;
 /// Repetitions use this part of the room.
 const REPETITIONS_DIVISOR: usize = 2;
+/// What the state of a step takes beside its waiting tasks, as a number of
+/// waiting tasks.
+const STEP_TASKS: usize = 64;
 
-/// An upper bound of the number of waiting tasks.
+/// An upper bound of the number of waiting tasks, steps included.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct TaskRoom {
     waiting: usize,
@@ -27,14 +31,16 @@
 }
 
 impl TaskRoom {
-    /// Adds tasks that begin to wait.
-    pub fn add(&mut self, tasks: usize) {
-        self.waiting += tasks;
+    /// Adds a step, this many tasks of which begin to wait.
+    pub fn add_step(&mut self, tasks: usize) {
+        self.waiting += STEP_TASKS + tasks;
     }
 
-    /// Whether further tasks fit. They do if none wait.
-    fn has_room_for(&self, tasks: usize, limit: usize) -> bool {
-        self.waiting == 0 || self.waiting.saturating_add(tasks) <= limit
+    /// Whether one repetition of a job fits. It does if nothing waits.
+    fn has_room_for(&self, job: &Job, limit: usize) -> bool {
+        let steps = job.steps.len() * STEP_TASKS;
+        let added = job.task_count() + steps;
+        self.waiting == 0 || self.waiting.saturating_add(added) <= limit
     }
 }
 
@@ -43,14 +49,14 @@
     /// they do.
     pub(super) fn has_room_for_tasks(&self, job: &Job) -> bool {
         let limit = self.config.max_waiting_tasks;
-        job.repeats.is_some()
-            || self.task_room.has_room_for(job.task_count(), limit)
+        job.repeats.is_some() || self.task_room.has_room_for(job, limit)
     }
 
-    /// Whether the tasks of a repetition fit.
-    pub(super) fn has_room_for_repetition(&self, tasks: usize) -> bool {
+    /// Whether the tasks of a repetition of a live job fit.
+    pub(super) fn has_room_for_repetition(&self, job: JobId) -> bool {
         let limit = self.config.max_waiting_tasks / REPETITIONS_DIVISOR;
-        self.task_room.has_room_for(tasks, limit)
+        let live = self.jobs.get(&job);
+        live.is_some_and(|live| self.task_room.has_room_for(&live.job, limit))
     }
 
     /// Counts the waiting tasks, if that was not done lately.
@@ -58,8 +64,11 @@
         if now < self.task_room.counted_at + COUNT_INTERVAL {
             return;
         }
+        self.task_room = TaskRoom { waiting: 0, counted_at: now };
         let steps = self.jobs.values().flat_map(|live| live.steps.values());
-        let waiting = steps.map(|state| state.waiting.len()).sum();
-        self.task_room = TaskRoom { waiting, counted_at: now };
+        let waiting = steps.map(|state| state.waiting.len());
+        for tasks in waiting.filter(|tasks| *tasks > 0) {
+            self.task_room.add_step(tasks);
+        }
     }
 }
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -27,6 +27,7 @@
 mod ranking;
 mod renamed_queues;
 mod renewals;
+mod repetitions;
 mod rules;
 mod services;
 mod speeds;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -315,10 +315,13 @@
     pub max_down: usize,
     /// The number of renewals sent so far.
     pub renewals: u64,
+    /// The most starts that a leader has ordered in one call.
+    pub most_starts_in_a_call: usize,
     /// The number of executors in each advice call.
     pub advice_sizes: Vec<usize>,
     submitted: BTreeMap<u64, JobId>,
     mechanisms: Mechanisms,
+    max_waiting_tasks: usize,
     /// The account whose key each job was submitted with.
     owners: BTreeMap<JobId, String>,
     /// The limits that were in force, each with the time from which on.
@@ -416,13 +419,20 @@
     }
 }
 
-fn scheduler_config(token: u64, mechanisms: Mechanisms) -> SchedulerConfig {
+/// The most tasks that may wait, unless a test sets another number.
+const MAX_WAITING_TASKS: usize = 100_000;
+
+fn scheduler_config(
+    token: u64,
+    mechanisms: Mechanisms,
+    max_waiting_tasks: usize,
+) -> SchedulerConfig {
     SchedulerConfig {
         token,
         lease: LEASE,
         ended_retention: 120_000,
         large_text_bytes: 16 << 20,
-        max_waiting_tasks: 100_000,
+        max_waiting_tasks,
         inherited_order_lifetime: INHERITED_ORDER_LIFETIME,
         max_advice_batch: ADVICE_BATCH,
         min_commit_interval: 20,
@@ -454,12 +464,24 @@
 
     /// A world whose leaders run with these mechanisms.
     pub fn with_mechanisms(executors: usize, mechanisms: Mechanisms) -> World {
+        World::with_task_room(executors, mechanisms, MAX_WAITING_TASKS)
+    }
+
+    /// Like [`World::with_mechanisms`], with leaders that let so many tasks
+    /// wait.
+    pub fn with_task_room(
+        executors: usize,
+        mechanisms: Mechanisms,
+        max_waiting_tasks: usize,
+    ) -> World {
         let policy = Arc::new(policy());
-        let config = scheduler_config(1, mechanisms.clone());
+        let config =
+            scheduler_config(1, mechanisms.clone(), max_waiting_tasks);
         let mut world = World {
             now: 1_000,
             scheduler: Scheduler::new(config, policy.clone()),
             mechanisms,
+            max_waiting_tasks,
             token: 1,
             event_lag: 0,
             delivered_until: 0,
@@ -524,6 +546,7 @@
             time_examining: Duration::ZERO,
             max_down: 0,
             renewals: 0,
+            most_starts_in_a_call: 0,
             advice_sizes: Vec::new(),
             submitted: BTreeMap::new(),
             owners: BTreeMap::new(),
@@ -776,6 +799,10 @@
     }
 
     fn perform(&mut self, token: u64, actions: Vec<Action>) {
+        let starts = actions.iter();
+        let starts = starts.filter(|a| matches!(a, Action::Start { .. }));
+        self.most_starts_in_a_call =
+            self.most_starts_in_a_call.max(starts.count());
         for action in actions {
             if let Action::Advise { executors, .. } = &action {
                 self.advice_sizes.push(executors.len());
@@ -981,7 +1008,11 @@
                 revision: 0,
             })
             .collect();
-        let config = scheduler_config(self.token, self.mechanisms.clone());
+        let config = scheduler_config(
+            self.token,
+            self.mechanisms.clone(),
+            self.max_waiting_tasks,
+        );
         let policy = self.policy.clone();
         let restored = Scheduler::restore(config, policy, &kept, self.now);
         let restored = restored.expect("readable values");
