Bound the pause between placement rounds for a backlog

What callers saw: with tens of thousands of waiting steps, tasks were placed about once in six seconds. Ordinary jobs waited for up to 50 s for their first start while all executors were free.

Cause: each full round put the next one off by 20 ms for each 256 waiting steps, without an upper bound, urgent steps included and whether or not there was free capacity.

Change: the pause for the sake of a backlog is 200 ms at most, as long as the one that follows any long round.

Evidence: pauses_of_placement_do_not_grow_with_the_backlog failed before the fix ("job 1002 has waited 3000 ms") and passes with it.

--- a/puffinknot-core/src/jobs/scheduler/placement.rs
+++ b/puffinknot-core/src/jobs/scheduler/placement.rs
@@ -35,10 +35,12 @@
 /// are at least [`FULL_ROUND_INTERVAL`] apart.
 const FEW_NORMAL_STEPS: usize = 8;
 /// Every this many waiting steps delay the round after a full one, also for
-/// urgent steps, by [`FULL_ROUND_INTERVAL`]. Otherwise capacity that becomes
-/// free goes to urgent steps one at a time, before other steps within their
-/// share are considered.
+/// urgent steps, by [`FULL_ROUND_INTERVAL`], and by [`MAX_BACKLOG_PAUSE`] at
+/// most. Otherwise capacity that becomes free goes to urgent steps one at a
+/// time, before other steps within their share are considered.
 const BACKLOG_UNIT: usize = 256;
+/// The longest delay for the sake of a backlog. Urgent callers can tolerate it.
+const MAX_BACKLOG_PAUSE: Millis = 200;
 /// The time between two full rounds, which consider all steps.
 const FULL_ROUND_INTERVAL: Millis = 20;
 /// The maximum number of expired tickets that one call for advice renews.
@@ -74,7 +76,7 @@
 
     fn place_round(&mut self, now: Millis) {
         let units = (self.ready.len() / BACKLOG_UNIT) as Millis;
-        let gap = FULL_ROUND_INTERVAL * units;
+        let gap = (FULL_ROUND_INTERVAL * units).min(MAX_BACKLOG_PAUSE);
         if !self.placement_rounds.may_begin(now)
             || now < self.last_full_round + gap
         {
--- /dev/null
+++ b/tests/jobs/backlogs.rs
@@ -0,0 +1,47 @@
+//! What a long backlog of accepted work costs the leader and others.
+
+use puffinknot_core::ids::Millis;
+use puffinknot_core::jobs::{Job, Mechanism, Mechanisms, Outcome, Step};
+
+use super::world::{job, resources, step, World, WORK};
+
+/// The most that an ordinary job may wait while executors are free.
+const MAX_WAIT: Millis = 3_000;
+
+/// A step that no executor may run.
+fn impossible() -> Step {
+    let mut step = step(1, resources(1_000, 100));
+    step.label = Some("nowhere".into());
+    step
+}
+
+/// A job of as many steps as a job may have, none of which can start.
+fn impossible_steps(id: u64) -> Job {
+    job(id, "background", vec![impossible(); 64])
+}
+
+/// Guards against pauses between placement rounds that grow with the number
+/// of steps that wait, so that nothing starts for seconds on free executors.
+#[test]
+fn pauses_of_placement_do_not_grow_with_the_backlog() {
+    let mechanisms = Mechanisms::all_except([Mechanism::Admission]);
+    let mut world = World::with_task_room(2, mechanisms, usize::MAX);
+    world.run(200);
+    for id in 1..=800 {
+        let submitted = world.submit(impossible_steps(id));
+        world.run(5);
+        world.run(if id % 20 == 0 { 50 } else { 0 });
+        assert_ne!(world.replies.get(&submitted), Some(&Outcome::Refused(0)));
+    }
+    world.run(500);
+    for id in 1_001..=1_003 {
+        world.submit(job(id, "urgent", vec![step(1, resources(1_000, 100))]));
+        let submitted_at = world.now;
+        while world.executors_with(id).is_empty() {
+            world.run(10);
+            let waited = world.now - submitted_at;
+            assert!(waited < MAX_WAIT, "job {id} has waited {waited} ms");
+        }
+        world.run(2 * WORK);
+    }
+}
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod advice;
 mod backlog;
+mod backlogs;
 mod capacity;
 mod cell_size;
 mod cordons;
