--- a/puffinknot-core/src/jobs/mod.rs
+++ b/puffinknot-core/src/jobs/mod.rs
@@ -36,6 +36,7 @@
 pub mod mechanism;
 pub mod message;
 pub mod model;
+pub mod number_set;
 pub mod policy;
 pub mod policy_age;
 pub mod record;
--- a/puffinknot-core/src/jobs/scheduler/repetitions.rs
+++ b/puffinknot-core/src/jobs/scheduler/repetitions.rs
@@ -13,10 +13,9 @@
 use std::collections::BTreeSet;
 use std::ops::Range;
 
-use rangemap::RangeSet;
-
 use crate::ids::Millis;
 use crate::jobs::model::{JobId, StepKey};
+use crate::jobs::number_set::NumberSet;
 use crate::jobs::scheduler::live_job::LiveJob;
 use crate::jobs::scheduler::Scheduler;
 
@@ -35,45 +34,40 @@
     /// predecessor has released them.
     next: u32,
     /// Those that are done. They have no step states.
-    done: RangeSet<u32>,
+    done: NumberSet,
 }
 
 impl Repetitions {
     /// Whether a repetition is done.
     pub fn is_done(&self, time: u32) -> bool {
-        self.done.contains(&time)
+        self.done.contains(time)
     }
 
     /// Adds repetitions that are done.
     pub fn add_done(&mut self, times: Range<u32>) {
-        if !times.is_empty() {
-            self.done.insert(times);
-        }
+        self.done.insert(times);
     }
 
     /// The repetitions that are done.
     pub fn done(&self) -> Vec<Range<u32>> {
-        self.done.iter().cloned().collect()
+        self.done.ranges().collect()
     }
 
     /// The number of repetitions that are done.
     pub fn done_count(&self) -> usize {
-        self.done.iter().map(|times| times.len()).sum()
+        self.done.count_in(&(0..u32::MAX)) as usize
     }
 
     /// The number of repetitions that are due and neither released in order
     /// nor done.
     pub fn unreleased(&self) -> u32 {
         let rest = self.next..self.due;
-        let done = self.done.overlapping(&rest).map(|times| {
-            times.end.min(rest.end) - times.start.max(rest.start)
-        });
-        (rest.len() as u32).saturating_sub(done.sum())
+        (rest.len() as u32).saturating_sub(self.done.count_in(&rest))
     }
 
     /// The next repetition to release, if one is due.
     fn next_due(&mut self) -> Option<u32> {
-        if let Some(times) = self.done.get(&self.next) {
+        if let Some(times) = self.done.range_of(self.next) {
             self.next = times.end;
         }
         (self.next < self.due).then_some(self.next)
--- a/tests/jobs/repetitions.rs
+++ b/tests/jobs/repetitions.rs
@@ -1,5 +1,10 @@
 //! Repeating jobs whose repetitions are due long before they can start.
 
+use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+use proptest::test_runner::TestRunner;
+use puffinknot_core::jobs::number_set::NumberSet;
 use puffinknot_core::jobs::record::{self, Progress, Record, StepProgress};
 use puffinknot_core::jobs::{Job, JobId, JobState, Repeats, Step};
 
@@ -123,3 +128,35 @@
     assert_eq!(Record::read(&written.write()), Ok(written));
     assert!(Record::read(&earlier[..earlier.len() - 1]).is_err());
 }
+
+/// Ranges are joined wherever they meet or overlap.
+#[test]
+fn sets_of_numbers_agree_with_ordinary_sets() {
+    let mut runner = TestRunner::deterministic();
+    let ranges = proptest::collection::vec((0..60_u32, 0..12_u32), 1..30);
+    let checked = runner.run(&ranges, |ranges| {
+        let mut set = NumberSet::default();
+        let mut expected = BTreeSet::new();
+        for (start, length) in ranges {
+            set.insert(start..start + length);
+            expected.extend(start..start + length);
+            let all: Vec<u32> = set.ranges().flatten().collect();
+            prop_assert!(all.iter().eq(&expected));
+            let ends: Vec<u32> = set.ranges().map(|r| r.end).collect();
+            let starts: Vec<u32> = set.ranges().map(|r| r.start).collect();
+            prop_assert!(ends
+                .iter()
+                .zip(starts.iter().skip(1))
+                .all(|(e, s)| e < s));
+            prop_assert_eq!(
+                set.count_in(&(10..30)) as usize,
+                expected.range(10..30).count()
+            );
+            prop_assert!(
+                (0..80).all(|n| set.contains(n) == expected.contains(&n))
+            );
+        }
+        Ok(())
+    });
+    checked.expect("the same numbers");
+}
