Bound what one call starts, and what a placed run costs

What callers saw: 40 accepted jobs of 500 tiny tasks stopped the whole cell. The lead went round, each leader lost its lease within a second, no task began, and ordinary jobs were answered 503 or 504.

Cause: one call of the scheduler started everything that fitted. Each start and each end summed up all runs of its executor anew, and each report was compared with its runs by a search for each of them, so that a call took the square of what it started. Nothing else ran meanwhile, the renewal of the lease included.

Change: at most 32 starts at one executor have no outcome yet, and a step of which something runs leaves eight of them to others. The sums of an executor are kept up to date instead of computed anew, and its reports are compared by a set. A round copies no more waiting tasks than can be started.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -2,7 +2,7 @@
 Executors as the leader knows them: their capacity, and its allocation.
 */
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -57,6 +57,58 @@
     Stopping(bool),
 }
 
+/// The most starts whose orders to one executor have no outcome yet. A node
+/// has few calls to an executor open at a time, and drops those that wait for
+/// too long.
+pub const MAX_OPEN_STARTS: usize = 32;
+/// How many of them are left to steps of which nothing runs, so that a step of
+/// many tasks does not delay the first tasks of others.
+const RESERVED_FIRST_STARTS: usize = 8;
+
+/// A sum of resources. Unlike [`Resources`], it does not saturate, so that
+/// what was added can be subtracted again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ResourceSum {
+    cpu_millis: u64,
+    memory_mb: u64,
+    accelerators: u64,
+}
+
+impl ResourceSum {
+    fn add(&mut self, more: &Resources) {
+        self.cpu_millis += u64::from(more.cpu_millis);
+        self.memory_mb += u64::from(more.memory_mb);
+        self.accelerators += u64::from(more.accelerators);
+    }
+
+    /// Subtracts what was added before.
+    fn subtract(&mut self, less: &Resources) {
+        self.cpu_millis -= u64::from(less.cpu_millis);
+        self.memory_mb -= u64::from(less.memory_mb);
+        self.accelerators -= u64::from(less.accelerators);
+    }
+
+    fn plus(&self, other: &ResourceSum) -> ResourceSum {
+        ResourceSum {
+            cpu_millis: self.cpu_millis + other.cpu_millis,
+            memory_mb: self.memory_mb + other.memory_mb,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// What is left of a capacity, at least zero.
+    fn remaining_of(&self, capacity: &Resources) -> Resources {
+        let left = |whole: u32, used: u64| {
+            whole.saturating_sub(u32::try_from(used).unwrap_or(u32::MAX))
+        };
+        Resources {
+            cpu_millis: left(capacity.cpu_millis, self.cpu_millis),
+            memory_mb: left(capacity.memory_mb, self.memory_mb),
+            accelerators: left(capacity.accelerators, self.accelerators),
+        }
+    }
+}
+
 /// The resources that a run counts for against the limit of a client account.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Charge {
@@ -172,6 +224,12 @@
     pub liveness: Liveness,
     /// Its capacity less all runs and reservations.
     pub free: Resources,
+    /// The sum of what its runs need.
+    used_by_runs: ResourceSum,
+    /// The sum of its reservations.
+    used_by_reservations: ResourceSum,
+    /// The starts that were ordered and whose orders have no outcome yet.
+    open_starts: BTreeSet<(TaskKey, u64)>,
     /// All runs that take up capacity, in any phase.
     pub runs: BTreeMap<TaskKey, PlacedRun>,
     /// Capacity reserved for steps that wait for a ticket.
@@ -272,6 +330,9 @@
             shard: record::shard_of(&info.id),
             info,
             machine: String::new(),
+            used_by_runs: ResourceSum::default(),
+            used_by_reservations: ResourceSum::default(),
+            open_starts: BTreeSet::new(),
             incarnation_end: None,
             listed: true,
             description: DescriptionSource::Entry,
@@ -483,34 +544,59 @@
         task: TaskKey,
         run: PlacedRun,
     ) -> Option<PlacedRun> {
+        self.used_by_runs.add(&run.need);
         let before = self.runs.insert(task, run);
+        if let Some(before) = &before {
+            self.used_by_runs.subtract(&before.need);
+        }
         self.recompute_free();
         before
     }
 
+    /// Records that the start of a run was ordered.
+    pub fn start_ordered(&mut self, task: TaskKey, run: u64) {
+        self.open_starts.insert((task, run));
+    }
+
+    /// Records the outcome of the order to start a run. Returns whether more
+    /// starts may be ordered only now.
+    pub fn start_concluded(&mut self, task: TaskKey, run: u64) -> bool {
+        let full = !self.may_order_start(false);
+        self.open_starts.remove(&(task, run)) && full
+    }
+
+    /// Whether another start may be ordered. If `first`, the task belongs to a
+    /// step of which nothing runs.
+    pub fn may_order_start(&self, first: bool) -> bool {
+        let most = match first {
+            true => MAX_OPEN_STARTS,
+            false => MAX_OPEN_STARTS - RESERVED_FIRST_STARTS,
+        };
+        self.open_starts.len() < most
+    }
+
     /// The free capacity for a step. Its own reservation counts as free,
     /// unless runs that are being stopped still take it up.
     pub fn free_for(&self, step: &StepKey) -> Resources {
-        if !self.reserved.contains_key(step) {
-            return self.free;
-        }
-        let runs = self.runs.values().map(|run| &run.need);
-        let others = self.reserved.iter();
-        let others = others.filter(|(s, _)| *s != step).map(|(_, n)| n);
-        let none = Resources::default();
-        let used = runs.chain(others).fold(none, |sum, n| sum.plus(n));
-        self.info.capacity.minus(&used)
+        let Some(own) = self.reserved.get(step) else { return self.free };
+        let mut used = self.used();
+        used.subtract(own);
+        used.remaining_of(&self.info.capacity)
     }
 
     /// Reserves capacity for a step until [`Self::unreserve`].
     pub fn reserve(&mut self, step: StepKey, need: Resources) {
-        self.reserved.insert(step, need);
+        self.used_by_reservations.add(&need);
+        if let Some(before) = self.reserved.insert(step, need) {
+            self.used_by_reservations.subtract(&before);
+        }
         self.recompute_free();
     }
 
     /// Releases the capacity reserved for a step.
     pub fn unreserve(&mut self, step: &StepKey) {
-        if self.reserved.remove(step).is_some() {
+        if let Some(before) = self.reserved.remove(step) {
+            self.used_by_reservations.subtract(&before);
             self.recompute_free();
         }
     }
@@ -518,6 +604,7 @@
     /// Removes a run and releases its capacity.
     pub fn remove_run(&mut self, task: &TaskKey) -> Option<PlacedRun> {
         let run = self.runs.remove(task)?;
+        self.used_by_runs.subtract(&run.need);
         self.recompute_free();
         let tried = self.trial.as_ref().and_then(|trial| trial.run);
         if tried.is_some_and(|run| self.runs.values().all(|r| r.run != run)) {
@@ -526,16 +613,15 @@
         Some(run)
     }
 
-    /// Recomputes the free capacity from all runs and reservations.
+    /// Recomputes the free capacity after a change of the capacity or of what
+    /// is in use.
     pub fn recompute_free(&mut self) {
-        let mut used = Resources::default();
-        for run in self.runs.values() {
-            used = used.plus(&run.need);
-        }
-        for need in self.reserved.values() {
-            used = used.plus(need);
-        }
-        self.free = self.info.capacity.minus(&used);
+        self.free = self.used().remaining_of(&self.info.capacity);
+    }
+
+    /// The sum of what its runs need and of its reservations.
+    fn used(&self) -> ResourceSum {
+        self.used_by_runs.plus(&self.used_by_reservations)
     }
 
     /// Whether it has a label.
--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -95,6 +95,11 @@
             .filter(|(at, _)| !self.is_closed_by_trial(*at, now))
             .map(|(at, _)| at)
             .collect();
+        let (open, busy): (Vec<ExecutorIndex>, Vec<ExecutorIndex>) =
+            open.into_iter().partition(|at| {
+                let executor = self.executors.get(at);
+                executor.is_some_and(|e| e.may_order_start(true))
+            });
         let open = self.trial_candidates(key, open, now);
         self.placement_stats.add_executors(open.len());
         let suspect = self.trial_evidence(key.task(0)).cloned();
@@ -131,6 +136,9 @@
         if self.is_preempting(key, now) {
             return false;
         }
+        if !busy.is_empty() {
+            return true;
+        }
         self.note_no_capacity(key);
         self.unreserve(key);
         let waiting = WaitingTasks { key, step: &step, count: step.count };
--- a/puffinknot-core/src/jobs/scheduler/placement.rs
+++ b/puffinknot-core/src/jobs/scheduler/placement.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use crate::ids::Millis;
-use crate::jobs::executor::{DescriptionSource, Executor};
+use crate::jobs::executor::{DescriptionSource, Executor, MAX_OPEN_STARTS};
 use crate::jobs::mechanism::Mechanism;
 use crate::jobs::message::{AccountIndex, ExecutorIndex};
 use crate::jobs::model::{Step, StepKey};
@@ -282,12 +282,24 @@
             return true;
         };
         let Some(state) = self.step_state(key) else { return true };
-        let (suspects, waiting): (Vec<u32>, Vec<u32>) = state
-            .waiting
-            .iter()
-            .partition(|index| state.trial_evidence(**index).is_some());
+        let is_suspect = |index: &u32| state.trial_evidence(*index).is_some();
+        let suspects = match state.crash_evidence.is_empty() {
+            true => Vec::new(),
+            false => {
+                state.waiting.iter().copied().filter(is_suspect).collect()
+            }
+        };
         let open =
             self.eligible_candidates(&context, reserved_from, urgent, now);
+        // No more than this can be started at once.
+        let most = open.len() * MAX_OPEN_STARTS + 1;
+        let waiting: Vec<u32> = state
+            .waiting
+            .iter()
+            .copied()
+            .filter(|index| !is_suspect(index))
+            .take(most)
+            .collect();
         let may_use = |at: ExecutorIndex| {
             open.binary_search_by_key(&at, |(at, _)| *at).is_ok()
         };
@@ -299,9 +311,14 @@
         let prefer_fast = self.needs_fast_executor(key, now);
         let leave_slots = !urgent && self.must_leave_urgent_slots(key, now);
         let mut held_back = false;
+        let mut first = state.placements.is_empty();
+        // Whether tasks wait for the outcomes of other starts.
+        let mut awaits_starts = false;
         let mut per_executor: BTreeMap<ExecutorIndex, u32> = BTreeMap::new();
-        for (index, _) in state.placements.values() {
-            *per_executor.entry(*index).or_default() += 1;
+        if step.max_per_executor > 0 {
+            for (index, _) in state.placements.values() {
+                *per_executor.entry(*index).or_default() += 1;
+            }
         }
         for index in waiting {
             if !self.ledger.remaining(account).fits(&step.need) {
@@ -331,6 +348,11 @@
                     expired_tickets = true;
                     continue;
                 }
+                let executor = self.executors.get(at);
+                if !executor.is_some_and(|e| e.may_order_start(first)) {
+                    awaits_starts = true;
+                    continue;
+                }
                 // A step that failed on an executor may fail there again.
                 let penalty = if failed_on.contains(at) {
                     PRIOR_FAILURE_COST
@@ -349,6 +371,7 @@
             *per_executor.entry(at).or_default() += 1;
             self.unreserve_one(key, at, &step);
             self.start(at, key.task(index), run, ticket, now);
+            first = false;
         }
         if held_back {
             self.record_deferral(key);
@@ -361,6 +384,9 @@
             self.unreserve(key);
             return true;
         }
+        if awaits_starts {
+            return true;
+        }
         self.request_further_advice(key, now);
         if expired_tickets {
             // By the time the advice arrives, the free capacity may have moved
--- a/puffinknot-core/src/jobs/scheduler/renewals.rs
+++ b/puffinknot-core/src/jobs/scheduler/renewals.rs
@@ -2,6 +2,8 @@
 Lease renewals: they extend the leases of executors and return their reports.
 */
 
+use std::collections::HashSet;
+
 use crate::ids::Millis;
 use crate::jobs::executor::{
     Charge, Executor, Liveness, PlacedRun, RunPhase, CLOCK_TOLERANCE_MS,
@@ -350,9 +352,9 @@
         sent_at: Millis,
     ) {
         let Some(executor) = self.executors.get(&index) else { return };
-        let listed = |task: &TaskKey, run: u64| {
-            running.iter().any(|row| row.task == *task && row.run == run)
-        };
+        let rows: HashSet<(TaskKey, u64)> =
+            running.iter().map(|row| (row.task, row.run)).collect();
+        let listed = |task: &TaskKey, run: u64| rows.contains(&(*task, run));
         let missing = executor.runs.iter().filter(|(task, placed)| {
             let is_active = matches!(
                 placed.phase,
@@ -434,12 +436,11 @@
             let gang = gang.is_some_and(|step| step.gang);
             let state = live.step_state(key.time, key.step);
             if let (None, Some(state)) = (ended, state) {
-                let others =
-                    state.placements.values().all(|(_, r)| *r == row.run);
+                let joins = !gang
+                    || state.placements.values().all(|(_, r)| *r == row.run);
                 let was_waiting =
                     state.add_run(row.task.index, index, row.run);
-                wanted =
-                    was_waiting && !state.stopping_gang && (others || !gang);
+                wanted = was_waiting && !state.stopping_gang && joins;
             }
         }
         let Some(executor) = self.executors.get(&index) else { return };
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -61,6 +61,7 @@
         executor.next_renewal = executor.next_renewal.min(now);
         self.renewal_queue.enqueue(index);
         executor.breaker.record_start(now);
+        executor.start_ordered(task, run);
         self.actions.push(Action::Start {
             executor: index,
             task,
@@ -106,6 +107,9 @@
         answer: Result<Option<Millis>, OrderFailure>,
         now: Millis,
     ) {
+        if let Some(executor) = self.executors.get_mut(&index) {
+            self.needs_placement |= executor.start_concluded(task, run);
+        }
         if !self.has_run(index, task, run)
             || self.handle_terminal_failure(index, answer, now)
         {
--- a/tests/jobs/backlogs.rs
+++ b/tests/jobs/backlogs.rs
@@ -20,6 +20,13 @@
     job(id, "background", vec![impossible(); 64])
 }
 
+/// A job of as many tasks as a job may have, all of which fit at once.
+fn tiny_tasks(id: u64) -> Job {
+    let mut tiny = step(20_000, resources(100, 0));
+    tiny.fills = true;
+    job(id, "batch", vec![tiny])
+}
+
 /// Guards against pauses between placement rounds that grow with the number
 /// of steps that wait, so that nothing starts for seconds on free executors.
 #[test]
@@ -45,3 +52,27 @@
         world.run(2 * WORK);
     }
 }
+
+/// Guards against a call of the leader that starts everything that fits at
+/// once. Nothing else is done meanwhile, so the leader's lease runs out and
+/// each successor does the same.
+#[test]
+fn one_call_does_not_start_all_that_fits() {
+    const EXECUTORS: usize = 8;
+    let mut world = World::new(EXECUTORS);
+    world.run(200);
+    for id in 1..=4 {
+        world.submit(tiny_tasks(id));
+    }
+    world.run(100);
+    let most = world.most_starts_in_a_call;
+    assert!(most > 0, "some start");
+    assert!(most <= 100 * EXECUTORS, "{most} starts in one call");
+    let submitted_at = world.now;
+    world.submit(job(10, "batch", vec![step(1, resources(1_000, 100))]));
+    while world.executors_with(10).is_empty() {
+        world.run(10);
+        assert!(world.now < submitted_at + MAX_WAIT, "it has not started");
+    }
+    world.assert_no_violations();
+}
