Cut placement rounds that examine too much

Cause: a round examined every waiting step, however many there were.

Change: a round ends once it has examined a fixed amount. The next ones spend half of it on the steps that come first, and the rest on those that no round has examined since the last complete one.

Evidence: rounds_are_cut_and_reach_what_ranks_last. With rounds that are cut but begin from the top each time it fails ("it has not started").

--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -114,6 +114,7 @@
 mod requests;
 mod restore;
 mod retry_schedule;
+mod round_budget;
 mod run_time_estimate;
 mod runs;
 mod service_backlog;
@@ -145,6 +146,7 @@
 use self::queues::Queues;
 use self::ranking::LateBoosts;
 use self::renewal_queue::RenewalQueue;
+use self::round_budget::ExaminedSteps;
 use self::silence_alarm::SilenceAlarm;
 use self::speeds::EstimateErrors;
 use self::store_outage::StoreOutages;
@@ -250,6 +252,7 @@
     /// When steps that are not urgent were examined last.
     last_full_round: Millis,
     placement_rounds: PlacementRounds,
+    examined_steps: ExaminedSteps,
     /// Steps for which capacity is reserved, and the executors where it is.
     reservations: BTreeMap<StepKey, Vec<ExecutorIndex>>,
     next_run: u64,
@@ -326,6 +329,7 @@
             needs_placement: false,
             last_full_round: 0,
             placement_rounds: PlacementRounds::default(),
+            examined_steps: ExaminedSteps::default(),
             reservations: BTreeMap::new(),
             arrivals: 0,
             advisors: Advisors::default(),
--- a/puffinknot-core/src/jobs/scheduler/placement.rs
+++ b/puffinknot-core/src/jobs/scheduler/placement.rs
@@ -21,6 +21,7 @@
 use crate::jobs::scheduler::ledger::LimitReservations;
 use crate::jobs::scheduler::live_job::StepState;
 use crate::jobs::scheduler::ranking::Rank;
+use crate::jobs::scheduler::round_budget::{RoundBudget, Turn};
 use crate::jobs::scheduler::Scheduler;
 
 /// Once this many gangs and wide steps of a round are left waiting, no more
@@ -113,6 +114,7 @@
         self.placement_stats.steps += order.len() as u64;
         let mut order: BinaryHeap<Reverse<(Rank, StepKey)>> =
             order.into_iter().map(Reverse).collect();
+        let mut budget = RoundBudget::new(self.placement_stats);
         while let Some(Reverse((rank, key))) = order.pop() {
             if let Some(demoted) = self.demoted_rank(key, &rank) {
                 if full || demoted.is_urgent() {
@@ -120,6 +122,12 @@
                 }
                 continue;
             }
+            match budget.turn(key, &self.examined_steps, self.placement_stats)
+            {
+                Turn::Examine => {}
+                Turn::Skip => continue,
+                Turn::Cut => break,
+            }
             let urgent = rank.is_urgent();
             if !self.may_place(key)
                 || self.is_at_limit(key, &mut limit_reservations, now)
@@ -150,6 +158,10 @@
                 waiting_count += 1;
             }
         }
+        if budget.end(full, &mut self.examined_steps) {
+            self.needs_placement = true;
+            self.count("place_rounds_cut");
+        }
         self.record_usage(now);
     }
 
--- a/tests/jobs/backlogs.rs
+++ b/tests/jobs/backlogs.rs
@@ -53,6 +53,35 @@
     }
 }
 
+/// Guards against a round that examines everything that waits, however long
+/// that takes, and against one that is cut and never reaches what ranks last.
+#[test]
+fn rounds_are_cut_and_reach_what_ranks_last() {
+    const JOBS: u64 = 800;
+    let mechanisms = Mechanisms::all_except([Mechanism::Admission]);
+    let mut world = World::with_task_room(2, mechanisms, usize::MAX);
+    world.run(200);
+    for id in 1..=JOBS {
+        let mut waiting = impossible_steps(id);
+        waiting.queue = "batch".into();
+        world.submit(waiting);
+    }
+    // Of all steps that are late, this one has the latest start.
+    let mut last = impossible();
+    last.label = Some("rare".into());
+    world.submit(job(JOBS + 1, "background", vec![last]));
+    world.run(10_000);
+    assert!(world.scheduler.counters()["place_rounds_cut"] > 0);
+    world.add_executor("rare");
+    world.executors[2].info.labels.push("rare".into());
+    world.list_entry(2);
+    let listed_at = world.now;
+    while world.executors_with(JOBS + 1).is_empty() {
+        world.run(10);
+        assert!(world.now < listed_at + MAX_WAIT, "it has not started");
+    }
+}
+
 /// Guards against a call of the leader that starts everything that fits at
 /// once. Nothing else is done meanwhile, so the leader's lease runs out and
 /// each successor does the same.
