Do not store the failures of lasting tasks

What callers saw: after some tens of thousands of failures of lasting tasks, every commit was larger than the store takes. Nothing was written any more: cancellations were answered 504, new jobs were refused, and no end was acknowledged.

Cause: the number of each failed run was kept and stored, for the limit of attempts. Steps that last have no such limit.

Change: failures of lasting steps are counted and not kept, and those that earlier versions have stored are dropped. The commit that acknowledges the end may be empty.

--- a/puffinknot-core/src/jobs/scheduler/live_job.rs
+++ b/puffinknot-core/src/jobs/scheduler/live_job.rs
@@ -121,7 +121,9 @@
         } else {
             self.done.extend(progress.done.iter().copied());
         }
-        for (index, runs) in &progress.failed {
+        // Earlier versions store the failures of lasting steps.
+        let failed = progress.failed.iter().filter(|_| !step.lasting);
+        for (index, runs) in failed {
             let runs = runs.iter().copied();
             self.failed.entry(*index).or_default().extend(runs);
         }
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -417,14 +417,19 @@
         let key = task.step;
         let Some(live) = self.jobs.get_mut(&key.job) else { return };
         let step = &live.job.steps[key.step as usize];
+        if step.lasting {
+            // It has no limit of attempts, so its failures are not kept. Their
+            // ends are acknowledged by the next commit, which may be empty.
+            self.count("runs_failed");
+            return self.commits.schedule(0);
+        }
         let representative = step.representative(task.index);
-        let lasting = step.lasting;
         let max_attempts = live.queue.max_attempts.max(1) as usize;
         let step_key = (key.time, key.step);
         let Some(state) = live.steps.get_mut(&step_key) else { return };
         let runs = state.failed.entry(representative).or_default();
         runs.insert(run);
-        let exhausted = runs.len() >= max_attempts && !lasting;
+        let exhausted = runs.len() >= max_attempts;
         self.count("runs_failed");
         self.commits.job_progressed(key.job);
         if exhausted {
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -20,6 +20,7 @@
 mod incarnations;
 mod indirect_evidence;
 mod large_texts;
+mod lasting_failures;
 mod membership;
 mod placement_rounds;
 mod placement_stats;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -644,6 +644,11 @@
         id
     }
 
+    /// The number of run ends that executors list and nobody has acknowledged.
+    pub fn unacknowledged_ends(&self) -> usize {
+        self.executors.iter().map(|executor| executor.ended.len()).sum()
+    }
+
     /// The answer to a request. It must already be there.
     pub fn answer_to(&self, id: u64) -> Outcome {
         *self.replies.get(&id).expect("an answer")
