Leave starts to jobs of which nothing runs, not to steps

Cause: the starts that are left to others went to each step of which nothing ran, so that jobs of many steps took all of them.

Change: they are left to jobs of which nothing runs.

Evidence: a_job_of_which_nothing_runs_starts_beside_many_steps failed before ("it has waited 500 ms") and passes with it.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -61,7 +61,7 @@
 /// has few calls to an executor open at a time, and drops those that wait for
 /// too long.
 pub const MAX_OPEN_STARTS: usize = 32;
-/// How many of them are left to steps of which nothing runs, so that a step of
+/// How many of them are left to jobs of which nothing runs, so that a job of
 /// many tasks does not delay the first tasks of others.
 const RESERVED_FIRST_STARTS: usize = 8;
 
@@ -566,7 +566,7 @@
     }
 
     /// Whether another start may be ordered. If `first`, the task belongs to a
-    /// step of which nothing runs.
+    /// job of which nothing runs.
     pub fn may_order_start(&self, first: bool) -> bool {
         let most = match first {
             true => MAX_OPEN_STARTS,
--- a/puffinknot-core/src/jobs/scheduler/live_job.rs
+++ b/puffinknot-core/src/jobs/scheduler/live_job.rs
@@ -286,6 +286,11 @@
         self.queue.priority == 0 && !self.over_rate
     }
 
+    /// Whether nothing of it runs or is being started.
+    pub fn is_idle(&self) -> bool {
+        self.steps.values().all(|state| state.placements.is_empty())
+    }
+
     /// The approximate size of its stored form, in bytes.
     pub fn encoded_size(&self) -> usize {
         const JOB_BYTES: usize = 300;
--- a/puffinknot-core/src/jobs/scheduler/placement.rs
+++ b/puffinknot-core/src/jobs/scheduler/placement.rs
@@ -19,7 +19,7 @@
 use crate::jobs::scheduler::fit::fit_count;
 use crate::jobs::scheduler::gangs::WaitingTasks;
 use crate::jobs::scheduler::ledger::LimitReservations;
-use crate::jobs::scheduler::live_job::StepState;
+use crate::jobs::scheduler::live_job::{LiveJob, StepState};
 use crate::jobs::scheduler::ranking::Rank;
 use crate::jobs::scheduler::round_budget::{RoundBudget, Turn};
 use crate::jobs::scheduler::Scheduler;
@@ -323,7 +323,7 @@
         let prefer_fast = self.needs_fast_executor(key, now);
         let leave_slots = !urgent && self.must_leave_urgent_slots(key, now);
         let mut held_back = false;
-        let mut first = state.placements.is_empty();
+        let mut first = self.jobs.get(&key.job).is_some_and(LiveJob::is_idle);
         // Whether tasks wait for the outcomes of other starts.
         let mut awaits_starts = false;
         let mut per_executor: BTreeMap<ExecutorIndex, u32> = BTreeMap::new();
--- a/tests/jobs/backlogs.rs
+++ b/tests/jobs/backlogs.rs
@@ -1,7 +1,9 @@
 //! What a long backlog of accepted work costs the leader and others.
 
 use puffinknot_core::ids::Millis;
-use puffinknot_core::jobs::{Job, Mechanism, Mechanisms, Outcome, Step};
+use puffinknot_core::jobs::{
+    Job, JobId, Mechanism, Mechanisms, Outcome, Step,
+};
 
 use super::world::{job, resources, step, World, WORK};
 
@@ -27,6 +29,28 @@
     job(id, "batch", vec![tiny])
 }
 
+/// Guards against a job that waits for seconds behind the many steps of others,
+/// while executors are free.
+#[test]
+fn a_job_of_which_nothing_runs_starts_beside_many_steps() {
+    let mut world = World::new(2);
+    world.run(200);
+    for id in 1..=20 {
+        let steps = vec![step(8, resources(1, 1)); 60];
+        world.submit(job(id, "batch", steps));
+        world.run(1);
+    }
+    world.submit(job(100, "batch", vec![step(1, resources(1, 1))]));
+    let submitted_at = world.now;
+    while !world.starts.keys().any(|task| task.step.job == JobId(100)) {
+        world.run(1);
+        let waited = world.now - submitted_at;
+        assert!(waited < 500, "it has waited {waited} ms");
+    }
+    let all = 20 * 60 * 8;
+    assert!(world.starts.len() < all / 2, "most of the others wait");
+}
+
 /// Guards against pauses between placement rounds that grow with the number
 /// of steps that wait, so that nothing starts for seconds on free executors.
 #[test]
