--- a/tests/memory/due_repetitions.rs
+++ b/tests/memory/due_repetitions.rs
@@ -2,7 +2,7 @@
 
 use puffinknot_core::jobs::{Job, JobState, Outcome, Repeats};
 
-use super::allocator::heap_bytes;
+use super::leader_bytes;
 use super::world::{job, resources, step, World, WORK};
 
 /// The repetitions of each job, all of which are due at once.
@@ -21,12 +21,6 @@
     Job { repeats, ..job(id, "batch", steps) }
 }
 
-/// What the leader's state takes, in bytes. The world has no leader then.
-fn leader_bytes(world: &mut World) -> usize {
-    let empty = World::new(0).scheduler;
-    heap_bytes(std::mem::replace(&mut world.scheduler, empty))
-}
-
 /// Guards against a leader that runs out of memory, and whose successors do
 /// as well, because each due repetition has a state of its own.
 #[test]
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -10,3 +10,12 @@
     reason = "another test binary uses the rest"
 )]
 mod world;
+
+use self::allocator::heap_bytes;
+use self::world::World;
+
+/// What the leader's state takes, in bytes. The world has an empty one then.
+fn leader_bytes(world: &mut World) -> usize {
+    let empty = World::new(0).scheduler;
+    heap_bytes(std::mem::replace(&mut world.scheduler, empty))
+}
--- a/tests/memory/waiting_work.rs
+++ b/tests/memory/waiting_work.rs
@@ -2,7 +2,7 @@
 
 use puffinknot_core::jobs::{Job, Mechanism, Mechanisms, Outcome, Step};
 
-use super::allocator::heap_bytes;
+use super::leader_bytes;
 use super::world::{job, resources, step, World};
 
 /// What a waiting task is reckoned with, in bytes.
@@ -25,10 +25,6 @@
 
 /// What a leader takes for these jobs, in bytes.
 fn bytes_for(jobs: impl Iterator<Item = Job>) -> usize {
-    let leader = |world: &mut World| {
-        let empty = World::new(0).scheduler;
-        heap_bytes(std::mem::replace(&mut world.scheduler, empty))
-    };
     let mut world = unrestricted();
     world.run(200);
     for job in jobs {
@@ -38,7 +34,7 @@
     }
     let mut without = unrestricted();
     without.run(200);
-    leader(&mut world) - leader(&mut without)
+    leader_bytes(&mut world) - leader_bytes(&mut without)
 }
 
 /// Guards against a field that makes steps larger than the limit on waiting
