Limit the open orders of the leader

What callers saw: one accepted gang of 20,000 tiny tasks stopped a cell. No leader kept its lease, no job started, and the process that led last had taken 161 MB.

Cause: each order was spawned at once with its timers, its request and its wait for one of three slots of its executor, and each order that ended woke all that waited there. Starts are limited for each executor, but not those of a gang, nor the stops of a job that is cancelled.

The leader now keeps orders beyond eight for each executor, and beyond a part of its memory in all, in their compact form. Those of a term that is over are not sent. Renewals of leases go past it.

Test: wide_gangs_that_start_at_once (four gangs of 4,000, 64 MiB) took 127 MiB before, and passes.

--- a/src/cell/leader.rs
+++ b/src/cell/leader.rs
@@ -29,6 +29,7 @@
 mod leader_key;
 mod leadership_offer;
 mod lease_renewal;
+mod order_sender;
 mod orders;
 mod replies;
 mod routes;
@@ -45,6 +46,7 @@
 use crate::cell::relay::{Relay, Relays};
 use crate::clock::{self, Micros};
 
+use self::order_sender::OrderSender;
 use self::routes::Routes;
 
 /// The interval at which the scheduler gets a tick.
@@ -265,17 +267,27 @@
     };
     *shared.lead.borrow_mut() = Some(handle.clone());
     shared.count("tenures");
+    let routes =
+        Rc::new(Routes::new(shared.clone(), handle.relays.clone(), token));
+    let order_timeout = CallTimeout::new(
+        ORDER_TIMEOUT
+            .with_link_delay(shared.settings.borrow().link_bytes_per_ms),
+        shared.is_enabled(Mechanism::OrderPatience),
+    );
+    let orders = OrderSender::new(
+        shared.clone(),
+        handle.clone(),
+        routes.clone(),
+        order_timeout,
+    );
     let term = LeaderTerm {
         journal: Rc::new(Journal::new(
             shared.store.clone(),
             shared.platform.leader_state_prefix(),
             token,
         )),
-        routes: Rc::new(Routes::new(
-            shared.clone(),
-            handle.relays.clone(),
-            token,
-        )),
+        routes,
+        orders: Rc::new(orders),
         shared: shared.clone(),
         handle: handle.clone(),
         token,
@@ -287,11 +299,6 @@
         origins: HashMap::new(),
         last_request: 0,
         handover_done: None,
-        order_timeout: Rc::new(CallTimeout::new(
-            ORDER_TIMEOUT
-                .with_link_delay(shared.settings.borrow().link_bytes_per_ms),
-            shared.is_enabled(Mechanism::OrderPatience),
-        )),
         last_offer: 0,
         next_candidate: 0,
     };
@@ -344,8 +351,8 @@
     handover_done: Option<oneshot::Sender<()>>,
     /// Chooses how orders reach executors.
     routes: Rc<Routes<P>>,
-    /// The timeout of orders.
-    order_timeout: Rc<CallTimeout>,
+    /// Sends orders.
+    orders: Rc<OrderSender<P>>,
     /// When the leadership was last offered to another node.
     last_offer: Millis,
     /// Which of the eligible peers gets the next offer.
--- a/src/cell/leader/orders.rs
+++ b/src/cell/leader/orders.rs
@@ -10,14 +10,14 @@
 use puffinknot_core::jobs::message::{AdviceFailure, CallId, ExecutorIndex};
 use puffinknot_core::jobs::model::StepKey;
 use puffinknot_core::jobs::{
-    Action, Change, Event, ExecutorInfo, MaintenanceFailure, Mechanism,
-    OrderFailure, Scheduler,
+    Action, Change, Event, ExecutorInfo, MaintenanceFailure, OrderFailure,
+    Scheduler,
 };
 use tokio::time::{sleep, timeout};
 use tracing::info;
 
+use super::order_sender::PendingOrder;
 use super::{Input, LeaderHandle, LeaderTerm, RETRY_PAUSE};
-use crate::cell::call_timeout::CallTimeout;
 use crate::cell::decision_log;
 use crate::cell::journal::WriteFailure;
 use crate::cell::link::{ToNode, ADVICE_TIMEOUT_MS};
@@ -25,29 +25,9 @@
 use crate::cell::ports::{Platform, Transaction};
 use crate::clock;
 
-/// How much longer than its timeout the answer to an order is awaited. An
-/// answer that a full link has delayed still tells the result of the order,
-/// and its connection can be reused. Otherwise the leader would have to ask
-/// again over a new connection, which would fill the link further.
-const LATE_ANSWER_TIMEOUT: Millis = 3_000;
-
 /// The clocks of two machines drift apart by at most one part in this many.
 const CLOCK_DRIFT_DIVISOR: Millis = 50;
 
-/// Records the result and the duration of an order.
-fn record_outcome<T>(
-    order_timeout: &CallTimeout,
-    answer: &Result<T, OrderFailure>,
-    elapsed: Millis,
-) {
-    match answer {
-        Err(OrderFailure::Unknown) => order_timeout.record_timeout(),
-        // A refused connection says nothing about the time of answers.
-        Err(OrderFailure::NotSent) => {}
-        _ => order_timeout.record_answer(elapsed),
-    }
-}
-
 impl<P: Platform> LeaderTerm<P> {
     /// Returns the entry of an executor, shared among its orders.
     fn info_for(
@@ -197,9 +177,8 @@
         });
     }
 
-    /// Sends an order to an executor, and reports the result to the scheduler
-    /// as an `event`: after the timeout that the result is unknown, and the
-    /// actual result if the answer comes later.
+    /// Sends an order to an executor. `event` reports its answer to the
+    /// scheduler.
     fn send_order(
         &self,
         scheduler: &Scheduler,
@@ -209,46 +188,8 @@
         event: impl Fn(Answer) -> Event + 'static,
     ) {
         let Some(info) = self.info_for(scheduler, executor) else { return };
-        let handle = self.handle.clone();
-        let routes = self.routes.clone();
-        let shared = self.shared.clone();
-        let order_timeout = self.order_timeout.clone();
-        let wait = order.wait();
-        let within = wait + order_timeout.current();
-        let late = if shared.is_enabled(Mechanism::LateAnswers) {
-            LATE_ANSWER_TIMEOUT
-        } else {
-            0
-        };
-        actix_rt::spawn(async move {
-            let sent_at = clock::mono();
-            let spec = spec.unwrap_or_else(|| Arc::from(""));
-            let call = routes.send(&info, &order, &spec, within + late);
-            let mut call = std::pin::pin!(call);
-            let limit = Duration::from_millis(within);
-            let answer = match timeout(limit, &mut call).await {
-                Ok(answer) => answer,
-                Err(_) => {
-                    order_timeout.record_timeout();
-                    let unknown = event(Err(OrderFailure::Unknown));
-                    handle.send(Input::Event(unknown));
-                    let answer = call.await;
-                    if answer == Err(OrderFailure::Unknown) {
-                        return;
-                    }
-                    shared.count("answered_late");
-                    answer
-                }
-            };
-            let elapsed = clock::mono() - sent_at;
-            if matches!(order, Order::Start { .. }) {
-                shared.stats.record_latency("start_order", elapsed);
-            }
-            if wait == 0 {
-                record_outcome(&order_timeout, &answer, elapsed);
-            }
-            handle.send(Input::Event(event(answer)));
-        });
+        let event = Box::new(event);
+        self.orders.send(PendingOrder { executor, info, order, spec, event });
     }
 
     fn list_machines(&self) {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -15,8 +15,9 @@
 * [`journal`] writes the leader's changes, each under a condition.
 * [`watch_limit`] infers how many changes the store returns at most in one
   answer.
-* [`order`] defines the orders to executors, and [`relay`] passes them on by
-  way of other nodes; [`call_slots`] limits the open calls to each executor.
+* [`order`] defines the orders to executors, [`order_queue`] limits how many
+  the leader has open, and [`relay`] passes them on by way of other nodes;
+  [`call_slots`] limits the open calls to each executor.
 * [`link`] connects each node to the leader, over a [`channel`].
 * [`reachability`] tracks whether this node can serve clients, and
   [`leader_search`] chooses the nodes to try to find the leader.
@@ -43,6 +44,7 @@
 pub mod logging;
 pub mod node;
 pub mod order;
+pub mod order_queue;
 pub mod ports;
 pub mod reachability;
 pub mod relay;
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -25,6 +25,11 @@
 const TASKS_MEMORY_DIVISOR: usize = 4;
 /// What a leader holds for a waiting task, about, in bytes.
 const TASK_BYTES: usize = 16;
+/// The open orders of the leader take at most this part of its memory.
+const ORDERS_MEMORY_DIVISOR: usize = 16;
+/// What an open order takes, about, in bytes: its call, and the buffers of a
+/// connection.
+const ORDER_BYTES: usize = 16 << 10;
 /// The connections of clients take at most this part of the descriptors.
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 2;
 /// The connections of peers take at most this part of the descriptors.
@@ -91,6 +96,13 @@
         self.memory_bytes / TASKS_MEMORY_DIVISOR / TASK_BYTES
     }
 
+    /// The maximum number of open orders of the leader, see [`OrderQueue`].
+    ///
+    /// [`OrderQueue`]: crate::cell::order_queue::OrderQueue
+    pub fn max_open_orders(&self) -> usize {
+        self.memory_bytes / ORDERS_MEMORY_DIVISOR / ORDER_BYTES
+    }
+
     fn available_descriptors(&self) -> usize {
         self.descriptors.saturating_sub(RESERVED_DESCRIPTORS)
     }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -19,6 +19,7 @@
 mod losses;
 mod model;
 mod order;
+mod order_queue;
 mod patience;
 mod processes;
 mod regression;
