Limit the runs in progress by memory

Cause: the limit on waiting tasks counts a task until it starts. Its run then takes 25 times as much, at the leader, at each successor, and in reports.

The runs in progress are now limited to an eighth of the memory, at 512 bytes each; tasks beyond that wait. A quarter of this room is left to jobs of which nothing runs. A gang that lacks room keeps others from taking it until it has started, and one that can never have it is refused at once (refused_wide_gang). The waiting tasks share the other half of what they had.

Tests: a_run_takes_no_more_than_it_is_reckoned_with (weighs a run, also at a successor), jobs::run_room (the limit, first tasks of other jobs, gangs). Without the limit there is nothing that they could be compared with.

--- a/puffinknot-core/src/jobs/scheduler/gangs.rs
+++ b/puffinknot-core/src/jobs/scheduler/gangs.rs
@@ -16,9 +16,11 @@
 use crate::jobs::model::{JobId, Step, StepKey};
 use crate::jobs::scheduler::advice::Coverage;
 use crate::jobs::scheduler::fit::{fit_count, weighted_leftover};
+use crate::jobs::scheduler::live_job::LiveJob;
 use crate::jobs::scheduler::placement::{
     AdvanceReservations, PlacementContext,
 };
+use crate::jobs::scheduler::run_room::Starts;
 use crate::jobs::scheduler::run_time_estimate::expected_end;
 use crate::jobs::scheduler::Scheduler;
 
@@ -90,6 +92,15 @@
         if state.is_none_or(|s| s.waiting.len() as u32 != step.count) {
             return true;
         }
+        let first = self.jobs.get(&key.job).is_some_and(LiveJob::is_idle);
+        let tasks = step.count as usize;
+        let starts = Starts { step: key, tasks, first, urgent };
+        if !self.run_room.admits(&starts) {
+            self.run_room.gang_lacks_room(key);
+            self.count("gangs_without_run_room");
+            self.unreserve(key);
+            return true;
+        }
         let open: Vec<ExecutorIndex> = open
             .into_iter()
             .filter(|(at, _)| !self.is_closed_by_trial(*at, now))
--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -12,7 +12,7 @@
 - `admission` refuses jobs that can't be done while they are useful, by the
   work that waits (`service_backlog`) and that is to come (`demand`)
 - `retry_schedule` tells refused clients when to retry
-- `task_room` limits how many tasks wait
+- `task_room` limits how many tasks wait, and `run_room` how many run
 - `early_cancels` remembers cancellations of jobs that have not arrived
 - `ledger` counts what client accounts have running
 - `account_shares` finds accounts that hold more than their fair share
@@ -115,6 +115,7 @@
 mod restore;
 mod retry_schedule;
 mod round_budget;
+mod run_room;
 mod run_time_estimate;
 mod runs;
 mod service_backlog;
@@ -147,6 +148,7 @@
 use self::ranking::LateBoosts;
 use self::renewal_queue::RenewalQueue;
 use self::round_budget::ExaminedSteps;
+use self::run_room::RunRoom;
 use self::silence_alarm::SilenceAlarm;
 use self::speeds::EstimateErrors;
 use self::store_outage::StoreOutages;
@@ -175,6 +177,8 @@
     pub large_text_bytes: usize,
     /// The maximum number of tasks that wait to be started.
     pub max_waiting_tasks: usize,
+    /// The maximum number of runs in progress.
+    pub max_runs: usize,
     /// Which mechanisms are enabled.
     pub mechanisms: Mechanisms,
 }
@@ -253,6 +257,8 @@
     last_full_round: Millis,
     placement_rounds: PlacementRounds,
     examined_steps: ExaminedSteps,
+    /// The room for runs in the current placement round.
+    run_room: RunRoom,
     /// Steps for which capacity is reserved, and the executors where it is.
     reservations: BTreeMap<StepKey, Vec<ExecutorIndex>>,
     next_run: u64,
@@ -330,6 +336,7 @@
             last_full_round: 0,
             placement_rounds: PlacementRounds::default(),
             examined_steps: ExaminedSteps::default(),
+            run_room: RunRoom::default(),
             reservations: BTreeMap::new(),
             arrivals: 0,
             advisors: Advisors::default(),
--- a/puffinknot-core/src/jobs/scheduler/placement.rs
+++ b/puffinknot-core/src/jobs/scheduler/placement.rs
@@ -22,6 +22,7 @@
 use crate::jobs::scheduler::live_job::{LiveJob, StepState};
 use crate::jobs::scheduler::ranking::Rank;
 use crate::jobs::scheduler::round_budget::{RoundBudget, Turn};
+use crate::jobs::scheduler::run_room::Starts;
 use crate::jobs::scheduler::Scheduler;
 
 /// Once this many gangs and wide steps of a round are left waiting, no more
@@ -108,6 +109,7 @@
             self.update_urgent_slots(&order, now);
         }
         self.update_unseen();
+        self.update_run_room(full);
         let mut limit_reservations = LimitReservations::default();
         let mut reserved_from = AdvanceReservations::new();
         let mut waiting_count = 0;
@@ -324,8 +326,9 @@
         let leave_slots = !urgent && self.must_leave_urgent_slots(key, now);
         let mut held_back = false;
         let mut first = self.jobs.get(&key.job).is_some_and(LiveJob::is_idle);
-        // Whether tasks wait for the outcomes of other starts.
-        let mut awaits_starts = false;
+        // Whether tasks wait for the outcomes of other starts, or for the ends
+        // of other runs.
+        let mut awaits_others = false;
         let mut per_executor: BTreeMap<ExecutorIndex, u32> = BTreeMap::new();
         if step.max_per_executor > 0 {
             for (index, _) in state.placements.values() {
@@ -336,6 +339,12 @@
             if !self.ledger.remaining(account).fits(&step.need) {
                 break;
             }
+            let starts = Starts { step: key, tasks: 1, first, urgent };
+            if !self.run_room.admits(&starts) {
+                self.count("starts_without_run_room");
+                awaits_others = true;
+                break;
+            }
             self.placement_stats.add_executors(open.len());
             let fits = open.iter().filter(|(at, _)| {
                 let Some(executor) = self.executors.get(at) else {
@@ -362,7 +371,7 @@
                 }
                 let executor = self.executors.get(at);
                 if !executor.is_some_and(|e| e.may_order_start(first)) {
-                    awaits_starts = true;
+                    awaits_others = true;
                     continue;
                 }
                 // A step that failed on an executor may fail there again.
@@ -396,7 +405,7 @@
             self.unreserve(key);
             return true;
         }
-        if awaits_starts {
+        if awaits_others {
             return true;
         }
         self.request_further_advice(key, now);
--- a/puffinknot-core/src/jobs/scheduler/requests.rs
+++ b/puffinknot-core/src/jobs/scheduler/requests.rs
@@ -165,6 +165,9 @@
         if !self.has_room_for_tasks(job) {
             return Some("refused_many_tasks");
         }
+        if self.has_too_wide_gang(job) {
+            return Some("refused_wide_gang");
+        }
         let store_unavailable = match self.is_enabled(Mechanism::AfterOutage) {
             true => !self.may_wait_for_store(job, queue, now),
             false => self.commits.is_stalled(now),
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -89,6 +89,7 @@
             crash_window: window,
         };
         self.put_run(index, task, placed);
+        self.run_room.take();
         self.start_trial(index, task, run, now);
         self.count("starts");
     }
--- a/puffinknot-measure/src/leader.rs
+++ b/puffinknot-measure/src/leader.rs
@@ -135,6 +135,7 @@
         ended_retention: 120_000,
         large_text_bytes: 16 << 20,
         max_waiting_tasks: 100_000,
+        max_runs: 100_000,
         inherited_order_lifetime: 16_700,
         max_advice_batch: 100,
         min_commit_interval: 25,
--- a/src/cell/leader/takeover.rs
+++ b/src/cell/leader/takeover.rs
@@ -108,6 +108,7 @@
             lease: settings.executor_lease,
             ended_retention: settings.ended_retention,
             max_waiting_tasks: settings.resources.max_waiting_tasks(),
+            max_runs: settings.resources.max_runs(),
             large_text_bytes: settings.resources.large_text_bytes(),
             inherited_order_lifetime,
             max_advice_batch: MAX_ADVICE_BATCH,
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -21,10 +21,15 @@
 /// The texts of live jobs beyond the allowance of each job are at most this
 /// part of the memory. A leader holds them several times.
 const TEXT_MEMORY_DIVISOR: usize = 16;
-/// The waiting tasks take at most this part of the memory of the leader.
-const TASKS_MEMORY_DIVISOR: usize = 4;
+/// The tasks and steps of live jobs, without their runs, take at most this
+/// part of the memory of the leader.
+const TASKS_MEMORY_DIVISOR: usize = 8;
 /// What a leader holds for a waiting task, about, in bytes.
 const TASK_BYTES: usize = 16;
+/// The runs in progress take at most this part of the memory of the leader.
+const RUNS_MEMORY_DIVISOR: usize = 8;
+/// What a leader holds for a run in progress, about, in bytes.
+const RUN_BYTES: usize = 512;
 /// The open orders of the leader take at most this part of its memory.
 const ORDERS_MEMORY_DIVISOR: usize = 16;
 /// What an open order takes, about, in bytes: its call, and the buffers of a
@@ -96,6 +101,15 @@
         self.memory_bytes / TASKS_MEMORY_DIVISOR / TASK_BYTES
     }
 
+    /// The maximum number of runs in progress, see
+    /// [`SchedulerConfig::max_runs`].
+    ///
+    /// [`SchedulerConfig::max_runs`]:
+    /// puffinknot_core::jobs::SchedulerConfig::max_runs
+    pub fn max_runs(&self) -> usize {
+        self.memory_bytes / RUNS_MEMORY_DIVISOR / RUN_BYTES
+    }
+
     /// The maximum number of open orders of the leader, see [`OrderQueue`].
     ///
     /// [`OrderQueue`]: crate::cell::order_queue::OrderQueue
--- a/tests/jobs/indirect_evidence.rs
+++ b/tests/jobs/indirect_evidence.rs
@@ -328,6 +328,7 @@
         ended_retention: 120_000,
         large_text_bytes: 16 << 20,
         max_waiting_tasks: 100_000,
+        max_runs: 100_000,
         inherited_order_lifetime: 2 * LEASE,
         max_advice_batch: 100,
         min_commit_interval: 20,
--- a/tests/jobs/mod.rs
+++ b/tests/jobs/mod.rs
@@ -31,6 +31,7 @@
 mod renewals;
 mod repetitions;
 mod rules;
+mod run_room;
 mod services;
 mod speeds;
 mod start_backlog;
--- a/tests/jobs/world/mod.rs
+++ b/tests/jobs/world/mod.rs
@@ -317,11 +317,13 @@
     pub renewals: u64,
     /// The most starts that a leader has ordered in one call.
     pub most_starts_in_a_call: usize,
+    /// The most runs on all executors at once.
+    most_runs: usize,
     /// The number of executors in each advice call.
     pub advice_sizes: Vec<usize>,
     submitted: BTreeMap<u64, JobId>,
     mechanisms: Mechanisms,
-    max_waiting_tasks: usize,
+    room: Room,
     /// The account whose key each job was submitted with.
     owners: BTreeMap<JobId, String>,
     /// The limits that were in force, each with the time from which on.
@@ -419,20 +421,28 @@
     }
 }
 
-/// The most tasks that may wait, unless a test sets another number.
-const MAX_WAITING_TASKS: usize = 100_000;
+/// The most tasks that may wait and run, unless a test sets other numbers.
+const ROOM: Room = Room { waiting_tasks: 100_000, runs: 100_000 };
+
+/// How many tasks a leader lets wait and run.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    pub waiting_tasks: usize,
+    pub runs: usize,
+}
 
 fn scheduler_config(
     token: u64,
     mechanisms: Mechanisms,
-    max_waiting_tasks: usize,
+    room: Room,
 ) -> SchedulerConfig {
     SchedulerConfig {
         token,
         lease: LEASE,
         ended_retention: 120_000,
         large_text_bytes: 16 << 20,
-        max_waiting_tasks,
+        max_waiting_tasks: room.waiting_tasks,
+        max_runs: room.runs,
         inherited_order_lifetime: INHERITED_ORDER_LIFETIME,
         max_advice_batch: ADVICE_BATCH,
         min_commit_interval: 20,
@@ -464,7 +474,7 @@
 
     /// A world whose leaders run with these mechanisms.
     pub fn with_mechanisms(executors: usize, mechanisms: Mechanisms) -> World {
-        World::with_task_room(executors, mechanisms, MAX_WAITING_TASKS)
+        World::with_room(executors, mechanisms, ROOM)
     }
 
     /// Like [`World::with_mechanisms`], with leaders that let so many tasks
@@ -472,16 +482,25 @@
     pub fn with_task_room(
         executors: usize,
         mechanisms: Mechanisms,
-        max_waiting_tasks: usize,
+        waiting_tasks: usize,
+    ) -> World {
+        let room = Room { waiting_tasks, ..ROOM };
+        World::with_room(executors, mechanisms, room)
+    }
+
+    /// Like [`World::with_mechanisms`], with leaders that have this room.
+    pub fn with_room(
+        executors: usize,
+        mechanisms: Mechanisms,
+        room: Room,
     ) -> World {
         let policy = Arc::new(policy());
-        let config =
-            scheduler_config(1, mechanisms.clone(), max_waiting_tasks);
+        let config = scheduler_config(1, mechanisms.clone(), room);
         let mut world = World {
             now: 1_000,
             scheduler: Scheduler::new(config, policy.clone()),
             mechanisms,
-            max_waiting_tasks,
+            room,
             token: 1,
             event_lag: 0,
             delivered_until: 0,
@@ -547,6 +566,7 @@
             max_down: 0,
             renewals: 0,
             most_starts_in_a_call: 0,
+            most_runs: 0,
             advice_sizes: Vec::new(),
             submitted: BTreeMap::new(),
             owners: BTreeMap::new(),
@@ -649,6 +669,11 @@
         self.executors.iter().map(|executor| executor.ended.len()).sum()
     }
 
+    /// The most runs that there were on all executors at once.
+    pub fn most_runs(&self) -> usize {
+        self.most_runs
+    }
+
     /// The answer to a request. It must already be there.
     pub fn answer_to(&self, id: u64) -> Outcome {
         *self.replies.get(&id).expect("an answer")
@@ -1013,11 +1038,8 @@
                 revision: 0,
             })
             .collect();
-        let config = scheduler_config(
-            self.token,
-            self.mechanisms.clone(),
-            self.max_waiting_tasks,
-        );
+        let config =
+            scheduler_config(self.token, self.mechanisms.clone(), self.room);
         let policy = self.policy.clone();
         let restored = Scheduler::restore(config, policy, &kept, self.now);
         let restored = restored.expect("readable values");
--- a/tests/jobs/world/runs.rs
+++ b/tests/jobs/world/runs.rs
@@ -74,6 +74,8 @@
     pub(super) fn work(&mut self) {
         self.work_gangs();
         let now = self.now;
+        let runs = self.executors.iter().map(|e| e.running.len()).sum();
+        self.most_runs = self.most_runs.max(runs);
         for at in 0..self.executors.len() {
             let executor = &mut self.executors[at];
             if executor.dead {
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -2,6 +2,7 @@
 
 mod allocator;
 mod due_repetitions;
+mod runs;
 mod waiting_work;
 #[path = "../jobs/world/mod.rs"]
 #[allow(
