Bound the starts of a placement round

What callers saw: ten accepted gangs of 20,000 tasks stopped a cell, also with few orders open: nothing began, and no leader kept its lease.

Cause: a round was bounded by what it examines. What it starts costs far more, and the members of all gangs that fit were started in one call: 200,000.

A start now counts in the budget of a round, so that a round ends after the gang that uses it up, and the next ones go on from there.

--- a/puffinknot-core/src/jobs/scheduler/placement.rs
+++ b/puffinknot-core/src/jobs/scheduler/placement.rs
@@ -124,8 +124,13 @@
                 }
                 continue;
             }
-            match budget.turn(key, &self.examined_steps, self.placement_stats)
-            {
+            let turn = budget.turn(
+                key,
+                &self.examined_steps,
+                self.placement_stats,
+                self.run_room.started(),
+            );
+            match turn {
                 Turn::Examine => {}
                 Turn::Skip => continue,
                 Turn::Cut => break,
--- a/puffinknot-core/src/jobs/scheduler/round_budget.rs
+++ b/puffinknot-core/src/jobs/scheduler/round_budget.rs
@@ -20,6 +20,9 @@
 const MAX_EXAMINED: u64 = 2_000_000;
 /// What a step costs by itself, in executors.
 const STEP_COST: u64 = 64;
+/// What the start of a run costs by itself, in executors: its state, its order
+/// and its log line.
+const START_COST: u64 = 256;
 
 /// What to do with the next step of a round.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,16 +53,19 @@
         RoundBudget { at_begin: totals, examined: Vec::new(), is_cut: false }
     }
 
-    /// What to do with the next step, by the totals so far.
+    /// What to do with the next step, by the totals so far and the number of
+    /// runs that the round has started.
     pub fn turn(
         &mut self,
         step: StepKey,
         earlier: &ExaminedSteps,
         totals: PlacementStats,
+        started: usize,
     ) -> Turn {
         let looked = totals.since(&self.at_begin);
         let steps = self.examined.len() as u64;
-        let spent = steps * STEP_COST + looked.executors + looked.runs;
+        let by_themselves = steps * STEP_COST + started as u64 * START_COST;
+        let spent = by_themselves + looked.executors + looked.runs;
         if spent >= MAX_EXAMINED {
             self.is_cut = true;
             return Turn::Cut;
--- a/puffinknot-core/src/jobs/scheduler/run_room.rs
+++ b/puffinknot-core/src/jobs/scheduler/run_room.rs
@@ -35,6 +35,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunRoom {
     left: usize,
+    /// The number of runs that the round has started.
+    started: usize,
     /// What is left to jobs of which nothing runs.
     for_first: usize,
     /// The gang that has lacked room since an earlier round.
@@ -67,6 +69,12 @@
     /// Records that a run was started.
     pub fn take(&mut self) {
         self.left = self.left.saturating_sub(1);
+        self.started += 1;
+    }
+
+    /// The number of runs that the round has started.
+    pub fn started(&self) -> usize {
+        self.started
     }
 
     /// Records that a gang lacks room.
--- a/tests/jobs/long_backlogs.rs
+++ b/tests/jobs/long_backlogs.rs
@@ -2,7 +2,7 @@
 
 use puffinknot_core::ids::Millis;
 use puffinknot_core::jobs::{
-    Job, JobId, Mechanism, Mechanisms, Outcome, Step,
+    Job, JobId, JobState, Mechanism, Mechanisms, Outcome, Step,
 };
 
 use super::world::{job, resources, step, World, WORK};
@@ -129,3 +129,26 @@
     }
     world.assert_no_violations();
 }
+
+/// Guards against a call that starts all wide gangs that fit, each of which
+/// starts whole.
+#[test]
+fn one_call_does_not_start_all_gangs_that_fit() {
+    const MEMBERS: u32 = 10_000;
+    let mut world = World::new(16);
+    world.run(200);
+    for id in 1..=4 {
+        let mut gang = step(MEMBERS, resources(1, 1));
+        gang.gang = true;
+        world.submit(job(id, "batch", vec![gang]));
+    }
+    world.stall(100);
+    world.run(200);
+    let most = world.most_starts_in_a_call;
+    assert_eq!(most, MEMBERS as usize);
+    world.run(4 * WORK);
+    for id in 1..=4 {
+        assert_eq!(world.state(id), Some(JobState::Succeeded));
+    }
+    world.assert_no_violations();
+}
