Count done tasks and all steps in the limit on tasks

What callers saw: nothing yet at the sizes of the sites. A job of 20,000 tasks with one that lasts held its 19,999 done tasks for as long as it lived, and the limit on tasks counted none of them; nor did it count a step of which nothing waits, which takes up to 1 KB.

Cause: only waiting tasks were counted, so that room came back when a task had started, and what a live job still holds had no limit.

Tasks that are done, and all steps that have a state, now count until their job ends.

--- a/puffinknot-core/src/jobs/scheduler/mod.rs
+++ b/puffinknot-core/src/jobs/scheduler/mod.rs
@@ -12,7 +12,8 @@
 - `admission` refuses jobs that can't be done while they are useful, by the
   work that waits (`service_backlog`) and that is to come (`demand`)
 - `retry_schedule` tells refused clients when to retry
-- `task_room` limits how many tasks wait, and `run_room` how many run
+- `task_room` limits how many tasks wait or are done, and `run_room` how many
+  run
 - `early_cancels` remembers cancellations of jobs that have not arrived
 - `ledger` counts what client accounts have running
 - `account_shares` finds accounts that hold more than their fair share
@@ -175,7 +176,8 @@
     /// The bytes that the texts of live jobs may take beyond an allowance of
     /// each job.
     pub large_text_bytes: usize,
-    /// The maximum number of tasks that wait to be started.
+    /// The maximum number of tasks of live jobs that wait to be started or are
+    /// done.
     pub max_waiting_tasks: usize,
     /// The maximum number of runs in progress.
     pub max_runs: usize,
@@ -466,7 +468,7 @@
         self.expire_in_flight_starts(now);
         self.reassign_overdue_calls(now);
         self.resend_stops(now);
-        self.count_waiting_tasks(now);
+        self.count_tasks(now);
         self.release_due(now);
         self.check_takeover(now);
         self.refuse_waiting(now);
--- a/tests/jobs/task_room.rs
+++ b/tests/jobs/task_room.rs
@@ -77,3 +77,28 @@
     assert!(refused);
     assert!(world.scheduler.counters()["refused_many_tasks"] > 0);
 }
+
+/// Guards against a leader that takes ever more memory for the tasks that are
+/// done of jobs that go on.
+#[test]
+fn a_job_is_refused_while_too_many_tasks_are_done() {
+    const TASKS: u32 = MAX_WAITING_TASKS / 10;
+    let mut world = World::new(4);
+    world.run(200);
+    let mut accepted = 0;
+    let mut refused = false;
+    for id in 1..=15 {
+        let mut last = step(1, resources(1, 1));
+        last.lasting = true;
+        let steps = vec![step(TASKS, resources(1, 1)), last];
+        let submitted = world.submit(job(id, "batch", steps));
+        world.run(4 * WORK);
+        match world.answer_to(submitted) {
+            Outcome::Accepted => accepted += 1,
+            outcome => refused |= matches!(outcome, Outcome::Refused(1..)),
+        }
+    }
+    assert!(refused, "{accepted} jobs were accepted");
+    assert!((8..=10).contains(&accepted), "{accepted} jobs were accepted");
+    world.assert_no_violations();
+}
