Bound the cost of reports of many runs

What callers saw: with 100,000 tasks of 60 s in progress the rate of starts fell from 23,000 a second to 1,200 while half of the room was free, and tasks that had been started were stopped and begun again where nothing was disturbed.

Cause: a report lists all that runs, and the leader asked for the next one at once. An end, an acknowledgement, a start and a start that was answered late each made one due, so that each cost as much as there were runs beside it. An executor with an open renewal was gone over for each start as well. Orders were answered late therefore, and asked for further reports.

Executors with over 64 runs now share one rate of listed runs, 50 a millisecond for all of them together; what else makes a report due does not shorten their pause. Runs are gone over when a renewal is sent, not when one is considered. A counter, runs_examined, tells what reports and renewals cost.

--- a/puffinknot-core/src/jobs/executor.rs
+++ b/puffinknot-core/src/jobs/executor.rs
@@ -472,6 +472,11 @@
         self.min_runtime(run) >= run.crash_window
     }
 
+    /// Whether all ends that were received may be acknowledged.
+    pub fn is_all_acknowledged(&self) -> bool {
+        self.acknowledged_end == self.received_end
+    }
+
     /// Whether all of its runs are known to be harmless.
     pub fn all_harmless(&self) -> bool {
         self.runs.values().all(|run| self.is_harmless(run))
--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -430,12 +430,12 @@
             self.early_cancel_stored(cancel, now);
         }
         for (index, end) in batch.acknowledged {
-            if let Some(executor) = self.executors.get_mut(&index) {
-                if end > executor.acknowledged_end {
-                    executor.acknowledged_end = end;
-                    executor.next_renewal = now;
-                    self.renewal_queue.enqueue(index);
-                }
+            let Some(executor) = self.executors.get_mut(&index) else {
+                continue;
+            };
+            if end > executor.acknowledged_end {
+                executor.acknowledged_end = end;
+                self.expedite_renewal(index, now);
             }
         }
         self.needs_placement = true;
--- a/puffinknot-core/src/jobs/scheduler/renewals.rs
+++ b/puffinknot-core/src/jobs/scheduler/renewals.rs
@@ -42,6 +42,15 @@
 /// The number of renewals in a row that must fail for an executor to count as
 /// silent.
 pub(super) const FAILURES_UNTIL_SILENT: u32 = 2;
+/// An executor with more runs than this is not asked again at once: each of its
+/// reports lists all of them, whatever has changed.
+const MANY_RUNS: usize = 64;
+/// How many runs the reports of such executors list, all of them together, in
+/// a millisecond.
+const LISTED_RUNS_PER_MS: usize = 50;
+/// The longest pause between two reports of such an executor, a part of its
+/// lease.
+const MAX_REPORT_PAUSE: Millis = 1_000;
 /// The delay after a renewal that could not acknowledge run ends. An open
 /// order is answered within this time.
 const WITHHELD_RENEWAL_DELAY: Millis = 30;
@@ -58,17 +67,20 @@
         }
     }
 
-    fn send_renewal(
+    /// Whether a renewal is due now. If one is open, sends a probe if that is
+    /// due.
+    fn is_renewal_due(
         &mut self,
         index: ExecutorIndex,
         no_pending_writes: bool,
         now: Millis,
-    ) {
-        let lease = self.config.lease;
-        let frequent = self.needs_frequent_reports(index);
-        let Some(executor) = self.executors.get_mut(&index) else { return };
+    ) -> bool {
+        let pause = self.report_pause(index);
+        let Some(executor) = self.executors.get_mut(&index) else {
+            return false;
+        };
         if executor.incarnation_end.is_some() {
-            return;
+            return false;
         }
         if executor.renewing {
             // The answers to the probe and to the open renewal are told apart
@@ -77,6 +89,7 @@
                 executor.next_probe.max(executor.renewal_sent_at + 1);
             if executor.probe && probe_at <= now {
                 executor.probe = false;
+                executor.next_probe = executor.next_probe.max(now + pause);
                 self.actions.push(Action::RenewLease {
                     executor: index,
                     sent_at: now,
@@ -90,14 +103,38 @@
             } else if executor.probe {
                 self.renewal_queue.schedule(probe_at, index);
             }
-            return;
+            return false;
         }
         if executor.next_renewal > now {
-            return self.renewal_queue.schedule(executor.next_renewal, index);
+            self.renewal_queue.schedule(executor.next_renewal, index);
+            return false;
+        }
+        let unwritten_at =
+            executor.renewal_sent_at + UNWRITTEN_RENEWAL_INTERVAL;
+        if !executor.is_all_acknowledged()
+            && !no_pending_writes
+            && now < unwritten_at
+        {
+            self.renewal_queue.schedule(unwritten_at, index);
+            return false;
         }
+        true
+    }
+
+    fn send_renewal(
+        &mut self,
+        index: ExecutorIndex,
+        no_pending_writes: bool,
+        now: Millis,
+    ) {
+        if !self.is_renewal_due(index, no_pending_writes, now) {
+            return;
+        }
+        let lease = self.config.lease;
+        let frequent = self.needs_frequent_reports(index);
+        let Some(executor) = self.executors.get_mut(&index) else { return };
         // Ends that are not acknowledged yet would be reported again at once.
-        let all_acknowledged =
-            executor.acknowledged_end == executor.received_end;
+        let all_acknowledged = executor.is_all_acknowledged();
         let is_ready = executor.liveness == Liveness::Ready;
         let probe_due = executor.probe && executor.next_probe <= now;
         let incarnation_known = executor.incarnation_unsure_since.is_none();
@@ -105,15 +142,6 @@
             all_acknowledged && is_ready && incarnation_known && !probe_due;
         let max_wait = if frequent { MAX_WAIT_FREQUENT } else { MAX_WAIT };
         let wait = if may_wait { max_wait } else { 0 };
-        if !all_acknowledged
-            && !no_pending_writes
-            && now < executor.renewal_sent_at + UNWRITTEN_RENEWAL_INTERVAL
-        {
-            return self.renewal_queue.schedule(
-                executor.renewal_sent_at + UNWRITTEN_RENEWAL_INTERVAL,
-                index,
-            );
-        }
         // The lease of an executor that did not answer is not extended, or its
         // runs could never be given up.
         let clock = executor.clock_at(now);
@@ -151,6 +179,37 @@
         interval.saturating_sub(MAX_WAIT).min(MAX_IDLE_PAUSE)
     }
 
+    /// How long an executor with many runs is not asked after it has answered.
+    /// Such executors share one rate of listed runs, so that the cost of
+    /// reports is bounded, however many runs there are and however often they
+    /// end.
+    fn report_pause(&self, index: ExecutorIndex) -> Millis {
+        if !self.executors.get(&index).is_some_and(has_many_runs) {
+            return 0;
+        }
+        let busy = self.executors.values().filter(|e| has_many_runs(e));
+        let runs: usize = busy.map(|executor| executor.runs.len()).sum();
+        ((runs / LISTED_RUNS_PER_MS) as Millis).min(MAX_REPORT_PAUSE)
+    }
+
+    /// Makes a renewal due at once, unless the executor has many runs.
+    pub(super) fn expedite_renewal(
+        &mut self,
+        index: ExecutorIndex,
+        now: Millis,
+    ) {
+        let Some(executor) = self.executors.get_mut(&index) else { return };
+        if !has_many_runs(executor) {
+            executor.next_renewal = executor.next_renewal.min(now);
+        }
+        self.renewal_queue.enqueue(index);
+    }
+
+    /// Counts runs that reports list or that were examined for a renewal.
+    pub(super) fn count_examined_runs(&mut self, runs: usize) {
+        *self.counters.entry("runs_examined").or_default() += runs as u64;
+    }
+
     pub(super) fn renewal_answered(
         &mut self,
         index: ExecutorIndex,
@@ -233,7 +292,9 @@
         report: ExecutorReport,
         now: Millis,
     ) {
+        self.count_examined_runs(report.running.len());
         let pause = self.idle_pause();
+        let report_pause = self.report_pause(index);
         let lease = self.config.lease;
         let Some(executor) = self.executors.get_mut(&index) else { return };
         let is_first = executor.first_heard.is_none();
@@ -301,15 +362,14 @@
         if !executor.renewing {
             let nothing_runs =
                 executor.runs.is_empty() && report.running.is_empty();
-            let all_acknowledged =
-                executor.acknowledged_end == executor.received_end;
-            let may_pause =
-                nothing_runs && all_acknowledged && new_ends.is_empty();
+            let may_pause = nothing_runs
+                && executor.is_all_acknowledged()
+                && new_ends.is_empty();
             executor.next_renewal = now
                 + match (may_pause, executor.acks_withheld) {
                     (true, _) => pause,
-                    (_, true) => WITHHELD_RENEWAL_DELAY,
-                    _ => 0,
+                    (_, true) => WITHHELD_RENEWAL_DELAY.max(report_pause),
+                    _ => report_pause,
                 };
         }
         self.needs_placement = true;
@@ -506,6 +566,11 @@
     }
 }
 
+/// Whether the reports of an executor are long.
+fn has_many_runs(executor: &Executor) -> bool {
+    executor.runs.len() > MANY_RUNS
+}
+
 /// Whether run ends may be acknowledged to an executor. The next incarnation
 /// of the executor numbers its ends from the start again. If it is given the
 /// number of an end of the former incarnation, it discards an end that nobody
--- a/puffinknot-core/src/jobs/scheduler/runs.rs
+++ b/puffinknot-core/src/jobs/scheduler/runs.rs
@@ -56,10 +56,6 @@
         let measures_speed = measures_speed(step, executor, &checkpoint);
         executor.lease_expiry =
             executor.lease_expiry.max(lease_expiry(now, lease));
-        // The end of the run should be reported at once, even if the executor
-        // was idle and its next renewal is some time away.
-        executor.next_renewal = executor.next_renewal.min(now);
-        self.renewal_queue.enqueue(index);
         executor.breaker.record_start(now);
         executor.start_ordered(task, run);
         self.actions.push(Action::Start {
@@ -89,6 +85,9 @@
             crash_window: window,
         };
         self.put_run(index, task, placed);
+        // The end of the run should be reported at once, even if the executor
+        // was idle and its next renewal is some time away.
+        self.expedite_renewal(index, now);
         self.run_room.take();
         self.start_trial(index, task, run, now);
         self.count("starts");
--- a/puffinknot-core/src/jobs/scheduler/throttle.rs
+++ b/puffinknot-core/src/jobs/scheduler/throttle.rs
@@ -123,8 +123,12 @@
 
     /// Whether an executor has best-effort tasks beside serving tasks and
     /// therefore has to report often.
-    pub(super) fn needs_frequent_reports(&self, index: ExecutorIndex) -> bool {
+    pub(super) fn needs_frequent_reports(
+        &mut self,
+        index: ExecutorIndex,
+    ) -> bool {
         let Some(executor) = self.executors.get(&index) else { return false };
+        let examined = executor.runs.len();
         let mut serves = false;
         let mut fills = false;
         for task in executor.runs.keys() {
@@ -136,6 +140,7 @@
                 serves |= step.target > 0 && !step.fills;
             }
         }
+        self.count_examined_runs(examined);
         serves && fills
     }
 }
