--- a/tests/memory/allocator.rs
+++ b/tests/memory/allocator.rs
@@ -10,11 +10,15 @@
 
 thread_local! {
     static HELD: Cell<isize> = const { Cell::new(0) };
+    static PEAK: Cell<isize> = const { Cell::new(0) };
 }
 
 fn add(bytes: isize) {
     // A thread that ends still frees memory.
-    let _ = HELD.try_with(|held| held.set(held.get() + bytes));
+    let _ = HELD.try_with(|held| {
+        held.set(held.get() + bytes);
+        let _ = PEAK.try_with(|peak| peak.set(peak.get().max(held.get())));
+    });
 }
 
 // SAFETY: Every call is passed on unchanged.
@@ -41,3 +45,12 @@
     drop(value);
     usize::try_from(before - held()).expect("a value frees what it holds")
 }
+
+/// The most bytes that a call holds at a time, and what it returns.
+pub fn peak_bytes<T>(call: impl FnOnce() -> T) -> (usize, T) {
+    let before = held();
+    PEAK.with(|peak| peak.set(before));
+    let result = call();
+    let peak = PEAK.with(Cell::get) - before;
+    (usize::try_from(peak).expect("a peak above the start"), result)
+}
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -1,5 +1,6 @@
 //! What the leader's state takes in memory, counted at the allocator.
 
+#[allow(dead_code, reason = "another test binary uses the rest")]
 mod allocator;
 mod due_repetitions;
 mod runs;
