Enforce the budget of log lines

What callers saw: a leader that starts many tasks wrote a line for each.

Cause: the filter that counts lines was one whose answer is cached for each kind of line, so that only the first line of a kind was counted. The tests count with the budget itself.

The filter is now asked for each line.

--- a/src/cell/logging.rs
+++ b/src/cell/logging.rs
@@ -17,7 +17,7 @@
 use tracing_appender::non_blocking::{
     ErrorCounter, NonBlockingBuilder, WorkerGuard,
 };
-use tracing_subscriber::filter::filter_fn;
+use tracing_subscriber::filter::dynamic_filter_fn;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::Layer;
@@ -92,7 +92,11 @@
         .flatten_event(true)
         .with_target(false)
         .with_writer(writer)
-        .with_filter(filter_fn(admits).with_max_level_hint(Level::INFO));
+        // The result must not be cached for a kind of line.
+        .with_filter(
+            dynamic_filter_fn(|line, _| admits(line))
+                .with_max_level_hint(Level::INFO),
+        );
     tracing_subscriber::registry().with(lines).init();
     Logs { _guard: guard, queue_errors }
 }
