--- a/puffinknot-core/src/jobs/scheduler/renewals.rs
+++ b/puffinknot-core/src/jobs/scheduler/renewals.rs
@@ -42,7 +42,7 @@
 /// The number of renewals in a row that must fail for an executor to count as
 /// silent.
 pub(super) const FAILURES_UNTIL_SILENT: u32 = 2;
-/// An executor with more runs than this is not asked again at once: each of its
+/// An executor with more runs than this is not asked again at once. Each of its
 /// reports lists all of them, whatever has changed.
 const MANY_RUNS: usize = 64;
 /// How many runs the reports of such executors list, all of them together, in
@@ -67,9 +67,9 @@
         }
     }
 
-    /// Whether a renewal is due now. If one is open, sends a probe if that is
-    /// due.
-    fn is_renewal_due(
+    /// Checks whether a renewal is to be sent now. If not, schedules the next
+    /// check; if one is open, sends a probe that is due.
+    fn check_renewal(
         &mut self,
         index: ExecutorIndex,
         no_pending_writes: bool,
@@ -127,7 +127,7 @@
         no_pending_writes: bool,
         now: Millis,
     ) {
-        if !self.is_renewal_due(index, no_pending_writes, now) {
+        if !self.check_renewal(index, no_pending_writes, now) {
             return;
         }
         let lease = self.config.lease;
--- a/puffinknot-core/src/jobs/scheduler/round_budget.rs
+++ b/puffinknot-core/src/jobs/scheduler/round_budget.rs
@@ -1,5 +1,5 @@
 /*!
-The limit on what one placement round examines.
+The limit on what one placement round examines and starts.
 
 The leader does nothing else during a round, so that a round over everything
 that waits could outlast the leader's lease. A round that reaches the limit is
