--- a/puffinknot-core/src/jobs/scheduler/commit.rs
+++ b/puffinknot-core/src/jobs/scheduler/commit.rs
@@ -322,7 +322,8 @@
         changes.push(Change::Put { name, value });
     }
 
-    /// Adds the progress of jobs to a record, in this order, as far as it fits.
+    /// Adds the progress of jobs to a record, in this order, as far as it
+    /// fits.
     fn add_progress(&mut self, record: &mut Record, jobs: &[JobId]) {
         let mut bytes = 0;
         for job in jobs {
--- a/puffinknot-core/src/jobs/scheduler/renewals.rs
+++ b/puffinknot-core/src/jobs/scheduler/renewals.rs
@@ -42,8 +42,8 @@
 /// The number of renewals in a row that must fail for an executor to count as
 /// silent.
 pub(super) const FAILURES_UNTIL_SILENT: u32 = 2;
-/// An executor with more runs than this is not asked again at once. Each of its
-/// reports lists all of them, whatever has changed.
+/// An executor with more runs than this is not asked again at once. Each of
+/// its reports lists all of them, whatever has changed.
 const MANY_RUNS: usize = 64;
 /// How many runs the reports of such executors list, all of them together, in
 /// a millisecond.
--- a/puffinknot-core/src/jobs/scheduler/run_room.rs
+++ b/puffinknot-core/src/jobs/scheduler/run_room.rs
@@ -7,10 +7,10 @@
 so that the many tasks of one job do not keep the first tasks of others from
 starting.
 
-A gang starts whole. From when it lacks room until it starts, the tasks of other
-steps that are not urgent may take none, except for the first tasks of jobs, or
-it would wait for as long as others do. A gang that can never have room is
-refused when it is submitted.
+A gang starts whole. From when it lacks room until it starts, the tasks of
+other steps that are not urgent may take none, except for the first tasks of
+jobs, or it would wait for as long as others do. A gang that can never have
+room is refused when it is submitted.
 */
 
 use crate::jobs::executor::Executor;
--- a/puffinknot-core/src/jobs/scheduler/speeds.rs
+++ b/puffinknot-core/src/jobs/scheduler/speeds.rs
@@ -107,8 +107,8 @@
         executor.map_or(0.0, |executor| executor.speed.slowness())
     }
 
-    /// The slowness of the slowest executor that runs members of a gang, if any
-    /// does.
+    /// The slowness of the slowest executor that runs members of a gang, if
+    /// any does.
     pub(super) fn max_slowness(&self, gang: StepKey) -> Option<f64> {
         let executors = self.step_state(gang)?.placements.gang_executors();
         executors.map(|at| self.slowness(at)).max_by(f64::total_cmp)
--- a/puffinknot-core/src/jobs/scheduler/task_room.rs
+++ b/puffinknot-core/src/jobs/scheduler/task_room.rs
@@ -7,23 +7,24 @@
 its job ends. So their number is limited, where a step counts as many tasks,
 since it takes far more. Beyond the limit, jobs are refused. Repetitions, whose
 jobs are accepted already, are put off until there is room, and use only a part
-of it, so that one such job does not keep others out. Tasks that run are limited
-by [`super::run_room`].
+of it, so that one such job does not keep others out. Tasks that run are
+limited by [`super::run_room`].
 */
 
 use crate::ids::Millis;
 use crate::jobs::model::{Job, JobId};
 use crate::jobs::scheduler::Scheduler;
 
-/// How often the tasks are counted, in milliseconds. In between, only those are
-/// added that begin to wait.
+/// How often the tasks are counted, in milliseconds. In between, only those
+/// are added that begin to wait.
 const COUNT_INTERVAL: Millis = 1_000;
 /// Repetitions use this part of the room.
 const REPETITIONS_DIVISOR: usize = 2;
 /// What the state of a step takes beside its tasks, as a number of tasks.
 const STEP_TASKS: usize = 64;
 
-/// An upper bound of the number of tasks that wait or are done, steps included.
+/// An upper bound of the number of tasks that wait or are done, steps
+/// included.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct TaskRoom {
     tasks: usize,
