--- a/puffinknot-measure/src/leader.rs
+++ b/puffinknot-measure/src/leader.rs
@@ -134,8 +134,9 @@
         lease: 10_000,
         ended_retention: 120_000,
         large_text_bytes: 16 << 20,
-        max_waiting_tasks: 100_000,
-        max_runs: 100_000,
+        // What is refused or put off for want of memory is not measured.
+        max_waiting_tasks: usize::MAX,
+        max_runs: usize::MAX,
         inherited_order_lifetime: 16_700,
         max_advice_batch: 100,
         min_commit_interval: 25,
