Compute the pause of reports only where a probe needs it

Each check of a renewal summed the runs of all executors that have many, also while a renewal was open and no probe was due. Behaviour is the same; the 322 tests of the scheduler pass.

--- a/puffinknot-core/src/jobs/scheduler/renewals.rs
+++ b/puffinknot-core/src/jobs/scheduler/renewals.rs
@@ -67,6 +67,35 @@
         }
     }
 
+    /// Sends a probe to an executor with an open renewal if one is due, or
+    /// schedules it.
+    fn send_due_probe(&mut self, index: ExecutorIndex, now: Millis) {
+        let Some(executor) = self.executors.get(&index) else { return };
+        if !executor.probe {
+            return;
+        }
+        // The answers to the probe and to the open renewal are told apart by
+        // the times at which they were sent.
+        let probe_at = executor.next_probe.max(executor.renewal_sent_at + 1);
+        if probe_at > now {
+            return self.renewal_queue.schedule(probe_at, index);
+        }
+        let next_probe = now + self.report_pause(index);
+        let Some(executor) = self.executors.get_mut(&index) else { return };
+        executor.probe = false;
+        executor.next_probe = executor.next_probe.max(next_probe);
+        self.actions.push(Action::RenewLease {
+            executor: index,
+            sent_at: now,
+            due: None,
+            // It is not known which incarnation answers a probe, so it
+            // acknowledges nothing.
+            last_seen: 0,
+            known: executor.received_end,
+            wait: 0,
+        });
+    }
+
     /// Checks whether a renewal is to be sent now. If not, schedules the next
     /// check; if one is open, sends a probe that is due.
     fn check_renewal(
@@ -75,34 +104,12 @@
         no_pending_writes: bool,
         now: Millis,
     ) -> bool {
-        let pause = self.report_pause(index);
-        let Some(executor) = self.executors.get_mut(&index) else {
-            return false;
-        };
+        let Some(executor) = self.executors.get(&index) else { return false };
         if executor.incarnation_end.is_some() {
             return false;
         }
         if executor.renewing {
-            // The answers to the probe and to the open renewal are told apart
-            // by the times at which they were sent.
-            let probe_at =
-                executor.next_probe.max(executor.renewal_sent_at + 1);
-            if executor.probe && probe_at <= now {
-                executor.probe = false;
-                executor.next_probe = executor.next_probe.max(now + pause);
-                self.actions.push(Action::RenewLease {
-                    executor: index,
-                    sent_at: now,
-                    due: None,
-                    // It is not known which incarnation answers a probe, so it
-                    // acknowledges nothing.
-                    last_seen: 0,
-                    known: executor.received_end,
-                    wait: 0,
-                });
-            } else if executor.probe {
-                self.renewal_queue.schedule(probe_at, index);
-            }
+            self.send_due_probe(index, now);
             return false;
         }
         if executor.next_renewal > now {
